--- /dev/null
+++ b/cli/src/bench/latency_table.rs
@@ -0,0 +1,59 @@
+//! Latencies of one group of calls.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Significant digits kept.
+const DIGITS: u8 = 3;
+
+/// Latencies with percentiles.
+pub struct LatencyTable {
+    histogram: Histogram<u64>,
+}
+
+impl LatencyTable {
+    /// Opens an empty table.
+    ///
+    /// # Panics
+    /// Never: the number of digits is valid.
+    pub fn open() -> Self {
+        let mut histogram = Histogram::new(DIGITS).expect("the number of digits is valid");
+        histogram.auto(true);
+        Self { histogram }
+    }
+
+    /// Adds a latency.
+    pub fn add(&mut self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        // The histogram grows as needed, so that recording cannot fail.
+        let _ = self.histogram.record(micros);
+    }
+
+    /// Number of latencies.
+    pub fn count(&self) -> u64 {
+        self.histogram.len()
+    }
+
+    /// Microseconds at a percentile.
+    pub fn micros_at(&self, percentile: f64) -> u64 {
+        self.histogram.value_at_percentile(percentile)
+    }
+
+    /// One line with p50, p95 and p99 in milliseconds.
+    pub fn line(&self) -> String {
+        let millis = |percentile| millis_text(self.micros_at(percentile));
+        format!(
+            "p50 {:>9} ms  p95 {:>9} ms  p99 {:>9} ms  n {}",
+            millis(50.0),
+            millis(95.0),
+            millis(99.0),
+            self.count()
+        )
+    }
+}
+
+/// Microseconds as milliseconds with three decimals.
+pub fn millis_text(micros: u64) -> String {
+    format!("{}.{:03}", micros / 1_000, micros % 1_000)
+}
--- /dev/null
+++ b/cli/src/bench/mod.rs
@@ -0,0 +1,23 @@
+//! Measurements.
+
+mod cold_bench;
+pub mod example_fleet;
+mod fleet_thread;
+mod latency_table;
+mod warm_bench;
+
+use std::process::ExitCode;
+
+use crate::errors::ToolError;
+use crate::flags::BenchCmd;
+
+/// Runs a measurement.
+///
+/// # Errors
+/// [`ToolError`] if the fleet could not run.
+pub async fn run(command: BenchCmd) -> Result<ExitCode, ToolError> {
+    match command {
+        BenchCmd::Warm(warm) => warm_bench::run(&warm).await,
+        BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
+    }
+}
--- /dev/null
+++ b/cli/src/client/caller_client.rs
@@ -0,0 +1,161 @@
+//! A caller of one entry.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::{StreamExt, pin_mut};
+use quetzalpin::refusal::ProblemDocument;
+use serde_json::json;
+
+use crate::errors::ToolError;
+
+/// A chat request.
+#[derive(Debug, Clone)]
+pub struct ChatCall {
+    /// The team's credential.
+    pub credential: String,
+    /// Kind of work.
+    pub kind: String,
+    /// The model.
+    pub model: String,
+    /// The adapter, if any.
+    pub adapter: Option<String>,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens asked for.
+    pub tokens: u32,
+    /// Whether the answer is a stream.
+    pub stream: bool,
+    /// Milliseconds that the caller waits; the kind's own if absent.
+    pub deadline_ms: Option<u64>,
+}
+
+/// A call to a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// The team's credential.
+    pub credential: String,
+    /// Kind of work.
+    pub kind: String,
+    /// Path after `/svc/`.
+    pub path: String,
+    /// Idempotency key.
+    pub key: String,
+    /// JSON body.
+    pub body: String,
+}
+
+/// What the caller saw.
+#[derive(Debug, Clone)]
+pub struct CallOutcome {
+    /// HTTP status.
+    pub status: u16,
+    /// Identifier of the request.
+    pub id: String,
+    /// Body as text, cut where the answer was cut.
+    pub text: String,
+    /// Whether the answer came to its end.
+    pub is_whole: bool,
+    /// From sending to the first byte of the body.
+    pub first: Duration,
+    /// From sending to the end.
+    pub total: Duration,
+}
+
+impl CallOutcome {
+    /// Whether the call was answered whole.
+    pub const fn is_answer(&self) -> bool {
+        self.status == 200 && self.is_whole
+    }
+
+    /// The refusal, if it was one.
+    pub fn refusal(&self) -> Option<ProblemDocument> {
+        serde_json::from_str(&self.text).ok()
+    }
+}
+
+/// Client with its own connections.
+#[derive(Debug, Clone)]
+pub struct CallerClient {
+    client: cyper::Client,
+    base: String,
+}
+
+impl CallerClient {
+    /// Opens a caller of the process at an address.
+    ///
+    /// # Errors
+    /// [`ToolError::Transport`] if the HTTP client cannot be set up.
+    pub fn open(address: SocketAddr) -> Result<Self, ToolError> {
+        Ok(Self {
+            client: cyper::Client::new()?,
+            base: format!("http://{address}"),
+        })
+    }
+
+    /// Sends a chat request.
+    pub async fn chat(&self, call: &ChatCall) -> Result<CallOutcome, ToolError> {
+        let mut body = json!({
+            "model": call.model,
+            "messages": [{"role": "user", "content": call.prompt}],
+            "max_tokens": call.tokens,
+            "stream": call.stream,
+        });
+        if let Some(adapter) = &call.adapter {
+            body["adapter"] = json!(adapter);
+        }
+        let mut request = self
+            .client
+            .post(format!("{}/v1/chat/completions", self.base))?
+            .bearer_auth(&call.credential)?
+            .header("x-work-kind", call.kind.as_str())?;
+        if let Some(deadline_ms) = call.deadline_ms {
+            request = request.header("x-deadline-ms", deadline_ms.to_string())?;
+        }
+        read_outcome(request.body(body.to_string())).await
+    }
+
+    /// Calls a plain service.
+    pub async fn service(&self, call: &ServiceCall) -> Result<CallOutcome, ToolError> {
+        let request = self
+            .client
+            .post(format!("{}/svc/{}", self.base, call.path))?
+            .bearer_auth(&call.credential)?
+            .header("x-work-kind", call.kind.as_str())?
+            .header("idempotency-key", call.key.as_str())?
+            .header("content-type", "application/json")?;
+        read_outcome(request.body(call.body.clone())).await
+    }
+}
+
+async fn read_outcome(request: cyper::RequestBuilder) -> Result<CallOutcome, ToolError> {
+    let began_at = Instant::now();
+    let response = request.send().await?;
+    let status = response.status().as_u16();
+    let id = response.headers().get("x-request-id");
+    let id = id.and_then(|value| value.to_str().ok());
+    let id = id.unwrap_or_default().to_owned();
+    let chunks = response.bytes_stream();
+    pin_mut!(chunks);
+    let mut first = None;
+    let mut text = Vec::new();
+    let mut is_whole = true;
+    while let Some(chunk) = chunks.next().await {
+        first.get_or_insert_with(|| began_at.elapsed());
+        if let Ok(data) = chunk {
+            text.extend_from_slice(&data);
+        } else {
+            is_whole = false;
+            break;
+        }
+    }
+    let total = began_at.elapsed();
+    Ok(CallOutcome {
+        status,
+        id,
+        text: String::from_utf8_lossy(&text).into_owned(),
+        is_whole,
+        first: first.unwrap_or(total),
+        total,
+    })
+}
--- /dev/null
+++ b/cli/src/flags.rs
@@ -0,0 +1,90 @@
+//! Commands and their flags.
+
+#![allow(missing_docs, clippy::all, clippy::pedantic)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates quetzalpin. Exit codes: 0 done, 2 wrong input, 3 conflict or invalid
+    /// settings, 4 refused, 5 entry not reached.
+    cmd quetzalpin {
+        /// Address of an entry; 127.0.0.1:7100 if absent.
+        optional --entry address: SocketAddr
+        /// Credential of the operators or of a team; else QUETZALPIN_CREDENTIAL.
+        optional --credential text: String
+        /// Print JSON.
+        optional --json
+
+        /// Show, compare and change settings.
+        cmd settings {
+            /// Print a subtree, or list all of them.
+            cmd show {
+                /// root or team.NAME
+                optional subtree: String
+            }
+            /// Compare a file with the subtree in force.
+            cmd diff {
+                /// root or team.NAME
+                required subtree: String
+                /// INI file
+                required file: PathBuf
+            }
+            /// Apply a file as the new subtree.
+            cmd apply {
+                /// root or team.NAME
+                required subtree: String
+                /// INI file
+                required file: PathBuf
+                /// Revision that the file is based on; 0 for a new subtree.
+                required --based-on revision: u64
+                /// Who applies it.
+                optional --author name: String
+                /// Check only.
+                optional --dry-run
+            }
+            /// List the accepted revisions of a subtree.
+            cmd history {
+                /// root or team.NAME
+                required subtree: String
+            }
+        }
+        /// Show upstreams, replicas, leases and queues.
+        cmd status {}
+        /// Tell why a request was routed or refused.
+        cmd explain {
+            /// Value of the answer's x-request-id header
+            required request: String
+        }
+        /// Release a request that is held back for crashing upstreams.
+        cmd release {
+            /// Fingerprint as shown by status
+            required fingerprint: String
+        }
+        /// Run a small fleet in this process and show what it does.
+        cmd quickstart {}
+        /// Measure.
+        cmd bench {
+            /// Overhead on a warm request against the engine alone.
+            cmd warm {
+                /// Requests per second.
+                optional --rate count: u32
+                /// Seconds.
+                optional --seconds count: u64
+            }
+            /// Cold starts in a burst over many idle models.
+            cmd cold {
+                /// office or nocturne
+                optional --fleet name: String
+                /// Idle models in the burst.
+                optional --models count: usize
+                /// Requests per model in the burst.
+                optional --requests count: usize
+                /// urgent, normal or background
+                optional --rank name: String
+                /// Also run the baselines.
+                optional --baselines
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,20 @@
+//! The command-line tool: settings, status, explanations, quickstart and benchmarks.
+
+mod bench;
+mod client;
+mod commands;
+mod errors;
+mod flags;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = flags::Quetzalpin::from_env_or_exit();
+    match commands::run(flags) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("quetzalpin: {error}");
+            error.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/src/admission/service_estimate.rs
@@ -0,0 +1,136 @@
+//! Running estimate of how long requests run.
+
+use crate::time::MonoTime;
+
+/// Weight of a new sample is one over this.
+const SMOOTHING: u64 = 8;
+
+/// Milliseconds without samples after which the excess over the best halves.
+const AGEING_MS: u64 = 5_000;
+
+/// Excess over the best, in microseconds, that is not worth halving further.
+const NEGLIGIBLE_US: u64 = 500;
+
+/// One smoothed duration.
+#[derive(Debug, Clone, Copy)]
+struct SmoothedTime {
+    mean_us: u64,
+    /// Lowest smoothed value since the start; never above `mean_us`.
+    best_us: u64,
+}
+
+impl SmoothedTime {
+    const fn open(guess_us: u64) -> Self {
+        Self {
+            mean_us: guess_us,
+            best_us: guess_us,
+        }
+    }
+
+    fn sample(&mut self, sample_us: u64) {
+        self.mean_us = (self.mean_us * (SMOOTHING - 1) + sample_us) / SMOOTHING;
+        self.best_us = self.best_us.min(self.mean_us);
+    }
+
+    const fn halve_excess(&mut self) {
+        self.mean_us = self.best_us + (self.mean_us - self.best_us) / 2;
+    }
+}
+
+/// Smoothed time to the first token, per token, and the share of asked tokens that come.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceEstimate {
+    first: SmoothedTime,
+    token: SmoothedTime,
+    /// Tokens generated, in percent of those asked for.
+    fill_percent: u64,
+    /// Smoothed whole time of a request in microseconds.
+    whole_us: u64,
+    aged_at: MonoTime,
+}
+
+/// A finished request.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceSample {
+    /// Microseconds to the first token, or of the whole call of a plain service.
+    pub first_us: u64,
+    /// Microseconds from the first to the last token.
+    pub rest_us: u64,
+    /// Tokens generated; zero for plain services.
+    pub tokens: u64,
+    /// Tokens asked for; zero for plain services.
+    pub asked_tokens: u64,
+}
+
+impl ServiceEstimate {
+    /// Opens an estimate with initial guesses in microseconds.
+    #[must_use]
+    pub const fn open(first_us: u64, token_us: u64) -> Self {
+        Self {
+            first: SmoothedTime::open(first_us),
+            token: SmoothedTime::open(token_us),
+            fill_percent: 100,
+            whole_us: first_us,
+            aged_at: MonoTime::from_millis(0),
+        }
+    }
+
+    /// Takes a finished request.
+    pub fn sample(&mut self, now: MonoTime, sample: ServiceSample) {
+        self.first.sample(sample.first_us);
+        if sample.tokens > 1 {
+            self.token.sample(sample.rest_us / (sample.tokens - 1));
+        }
+        let whole_us = sample.first_us + sample.rest_us;
+        self.whole_us = (self.whole_us * (SMOOTHING - 1) + whole_us) / SMOOTHING;
+        if let Some(percent) = (sample.tokens * 100).checked_div(sample.asked_tokens) {
+            self.fill_percent = (self.fill_percent * (SMOOTHING - 1) + percent) / SMOOTHING;
+        }
+        self.aged_at = now;
+    }
+
+    /// Lets a bad estimate fade while there is no traffic, so that a recovered upstream
+    /// is tried again.
+    pub fn age(&mut self, now: MonoTime) {
+        if now.millis_since(self.aged_at) < AGEING_MS {
+            return;
+        }
+        self.aged_at = now;
+        for time in [&mut self.first, &mut self.token] {
+            if time.mean_us - time.best_us > NEGLIGIBLE_US {
+                time.halve_excess();
+            }
+        }
+    }
+
+    /// Milliseconds to the first token.
+    #[must_use]
+    pub const fn first_ms(&self) -> u64 {
+        self.first.mean_us / 1_000
+    }
+
+    /// Microseconds per token.
+    #[must_use]
+    pub const fn token_us(&self) -> u64 {
+        self.token.mean_us
+    }
+
+    /// Microseconds of upstream time per token asked for.
+    #[must_use]
+    pub const fn asked_token_us(&self) -> u64 {
+        self.token.mean_us * self.fill_percent / 100
+    }
+
+    /// Mean milliseconds that a request runs.
+    #[must_use]
+    pub const fn mean_ms(&self) -> u64 {
+        self.whole_us / 1_000
+    }
+
+    /// Milliseconds that a request with so many asked tokens runs, at least one.
+    #[must_use]
+    pub fn service_ms(&self, asked_tokens: u32) -> u64 {
+        let rest_us = self.asked_token_us() * u64::from(asked_tokens);
+        ((self.first.mean_us + rest_us) / 1_000).max(1)
+    }
+}
--- /dev/null
+++ b/src/admission/wait_forecast.rs
@@ -0,0 +1,87 @@
+//! Forecast of the time that a new request would wait.
+
+use super::RankKey;
+
+/// Weight of the newest window in the smoothed shares is one over this.
+const SMOOTHING: f64 = 4.0;
+
+/// Least share of service that a forecast divides by.
+const MIN_SHARE: f64 = 0.01;
+
+/// Tracks which ranks use the upstream and forecasts waits from it.
+#[derive(Debug, Clone, Default)]
+pub struct WaitForecast {
+    /// Smoothed share of service of each rank, most urgent first.
+    shares: Vec<f64>,
+    window_ms: Vec<u64>,
+}
+
+/// What a forecast is made from.
+#[derive(Debug, Clone, Copy)]
+pub struct ForecastInput {
+    /// The new request's rank.
+    pub rank: RankKey,
+    /// The rank's floor in percent.
+    pub floor_percent: u32,
+    /// Service milliseconds waiting in more urgent ranks.
+    pub urgent_ms: u64,
+    /// Service milliseconds of its own rank that go first.
+    pub own_ms: u64,
+    /// Requests running now.
+    pub running: u32,
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Mean milliseconds that a request runs.
+    pub service_ms: u64,
+}
+
+impl WaitForecast {
+    /// Opens a forecast without history.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Records that a request of a rank was handed over.
+    pub fn record(&mut self, rank: RankKey, service_ms: u64) {
+        if self.window_ms.len() <= rank.0 {
+            self.window_ms.resize(rank.0 + 1, 0);
+        }
+        self.window_ms[rank.0] += service_ms;
+    }
+
+    /// Closes a window of fixed length; call it at a steady pace.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn close_window(&mut self, capacity_ms: u64) {
+        if self.shares.len() < self.window_ms.len() {
+            self.shares.resize(self.window_ms.len(), 0.0);
+        }
+        let capacity = capacity_ms.max(1) as f64;
+        for (share, used) in self.shares.iter_mut().zip(&mut self.window_ms) {
+            let latest = (*used as f64 / capacity).min(1.0);
+            *share += (latest - *share) / SMOOTHING;
+            *used = 0;
+        }
+    }
+
+    /// Forecast milliseconds until the request is handed over.
+    #[must_use]
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    pub fn wait_ms(&self, input: ForecastInput) -> u64 {
+        let ahead_ms = input.urgent_ms + input.own_ms;
+        if input.running < input.limit && ahead_ms == 0 {
+            return 0;
+        }
+        let limit = f64::from(input.limit.max(1));
+        let urgent_share: f64 = self.shares.iter().take(input.rank.0).sum();
+        let floor = f64::from(input.floor_percent) / 100.0;
+        let own_share = (1.0 - urgent_share).max(floor).max(MIN_SHARE);
+        let next_free_ms = input.service_ms as f64 / limit;
+        let wait = next_free_ms + ahead_ms as f64 / limit / own_share;
+        wait as u64
+    }
+}
--- /dev/null
+++ b/src/agent/agent_server.rs
@@ -0,0 +1,127 @@
+//! The agent's HTTP routes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::agent_context::AgentContext;
+use super::agent_rpc::AgentRpc;
+use super::answer_relay::refusal_response;
+use super::report_controller::build_report;
+use super::run_controller::serve_attempt;
+use crate::daemon::{bearer_token, common_route, decision_page};
+use crate::net::{HttpBody, HttpHandler, empty_body, json_response, read_body};
+use crate::prelude::*;
+use crate::rpc::{ControlApiServer, RpcEndpoint, WORK_HEADER, WorkHead};
+use crate::settings::credential_digest;
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Milliseconds that a request body may take to arrive.
+const BODY_MS: u64 = 5_000;
+
+/// Answers requests to an agent.
+pub struct AgentServer {
+    context: Rc<AgentContext>,
+    rpc: RpcEndpoint,
+}
+
+impl AgentServer {
+    /// Opens the routes.
+    #[must_use]
+    pub fn open(context: Rc<AgentContext>) -> Rc<Self> {
+        let rpc = RpcEndpoint::open(AgentRpc::open(Rc::clone(&context)).into_rpc());
+        Rc::new(Self { context, rpc })
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        if let Some(response) = common_route(&self.context.node, self.is_ready(), &request) {
+            return response;
+        }
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/work") => self.work(request).await,
+            (&Method::POST, "/rpc") => self.rpc.answer(request).await,
+            (&Method::GET, "/ops/status") if self.is_operator(&request) => {
+                json_response(StatusCode::OK, &build_report(&self.context))
+            }
+            (&Method::GET, "/ops/decisions") if self.is_operator(&request) => {
+                decision_page(&self.context.node, &request, None)
+            }
+            (_, "/ops/status" | "/ops/decisions") => refusal_response(
+                RequestRefusal::not_run(RefusalReason::WrongCredential),
+                None,
+            ),
+            (method, path) => self.attempt_route(method, path),
+        }
+    }
+
+    /// `GET /attempts/{id}` tells what is known; `DELETE` forbids one that has not started.
+    fn attempt_route(&self, method: &Method, path: &str) -> Response<HttpBody> {
+        let Some((start_id, attempt)) = parse_attempt_path(path) else {
+            return not_found();
+        };
+        let now = self.context.now();
+        let is_same_start = start_id == self.context.node.start_id;
+        let mut attempts = self.context.attempts.borrow_mut();
+        let status = match *method {
+            Method::DELETE if is_same_start => attempts.cancel(now, attempt),
+            Method::GET | Method::DELETE => attempts.status(attempt),
+            _ => return not_found(),
+        };
+        json_response(StatusCode::OK, &status)
+    }
+
+    async fn work(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let head = request.headers().get(WORK_HEADER);
+        let head = head.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
+        let Some(head): Option<WorkHead> = head else {
+            let refusal = RequestRefusal::not_run(RefusalReason::MalformedHeader);
+            return refusal_response(refusal, None);
+        };
+        let body = read_body(request.into_body(), MAX_BODY_BYTES, BODY_MS).await;
+        let Ok(body) = body else {
+            let refusal = RequestRefusal::not_run(RefusalReason::MalformedBody);
+            return refusal_response(refusal, None);
+        };
+        serve_attempt(Rc::clone(&self.context), head, body).await
+    }
+
+    fn is_ready(&self) -> bool {
+        let has_settings = self.context.node.fleet().is_ok();
+        has_settings && self.context.is_healthy() && !self.context.leaving.get()
+    }
+
+    fn is_operator(&self, request: &Request<Incoming>) -> bool {
+        let digest = bearer_token(request).map(credential_digest);
+        let fleet = self.context.node.fleet();
+        fleet.is_ok_and(|fleet| digest.as_deref() == Some(fleet.operator_sha256.as_str()))
+    }
+}
+
+impl HttpHandler for AgentServer {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(async move { self.route(request).await })
+    }
+}
+
+/// Parses `/attempts/{start}/{attempt}`.
+fn parse_attempt_path(path: &str) -> Option<(u64, AttemptId)> {
+    let rest = path.strip_prefix("/attempts/")?;
+    let (start_id, attempt) = rest.split_once('/')?;
+    Some((start_id.parse().ok()?, attempt.parse().ok()?))
+}
+
+fn not_found() -> Response<HttpBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
--- /dev/null
+++ b/src/agent/dispatch_controller.rs
@@ -0,0 +1,131 @@
+//! The loop that hands waiting requests over and orders loads.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::admission_controller::{RunTicket, refuse_waiting};
+use super::agent_context::AgentContext;
+use super::order_controller::execute_order;
+use crate::admission::WorkItem;
+use crate::decision::DecisionEvent;
+use crate::memory::MemoryUnit;
+use crate::prelude::*;
+
+/// Longest milliseconds between two rounds.
+const ROUND_MS: u64 = 50;
+
+/// Milliseconds of one forecast window.
+const WINDOW_MS: u64 = 500;
+
+/// Runs rounds for ever.
+pub async fn run_dispatch(context: Rc<AgentContext>) {
+    let mut window_at = context.now();
+    loop {
+        context.dispatch.wait(ROUND_MS).await;
+        refuse_hopeless(&context);
+        issue_orders(&context);
+        hand_over_ready(&context);
+        let now = context.now();
+        if now.millis_since(window_at) >= WINDOW_MS {
+            close_window(&context, now.millis_since(window_at));
+            window_at = now;
+        }
+    }
+}
+
+fn close_window(context: &AgentContext, elapsed_ms: u64) {
+    let now = context.now();
+    let limit = u64::from(context.limiter.borrow().limit());
+    context
+        .forecast
+        .borrow_mut()
+        .close_window(elapsed_ms * limit);
+    context.estimate.borrow_mut().age(now);
+    let metrics = &context.node.metrics;
+    metrics.running.set(i64::from(context.running.get()));
+    let waiting = context.queue.borrow().len();
+    metrics
+        .waiting
+        .set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    let used_mb = context.holder.borrow().ledger().used_mb();
+    metrics
+        .memory_used_mb
+        .set(i64::try_from(used_mb).unwrap_or(i64::MAX));
+}
+
+/// Refuses requests whose deadline can no longer be met.
+fn refuse_hopeless(context: &Rc<AgentContext>) {
+    if context.queue.borrow().is_empty() {
+        return;
+    }
+    let now = context.now();
+    let ready: BTreeMap<ReplicaName, u64> = context
+        .holder
+        .borrow()
+        .statuses(now)
+        .into_iter()
+        .map(|(replica, status)| (replica, status.ready_ms))
+        .collect();
+    let ready_ms = |item: &WorkItem| {
+        let replica = item.replica.as_ref();
+        replica
+            .and_then(|name| ready.get(name))
+            .copied()
+            .unwrap_or(0)
+    };
+    let hopeless = context.queue.borrow().hopeless(now, ready_ms);
+    for key in hopeless {
+        refuse_waiting(context, key, RefusalReason::DeadlineUnreachable);
+    }
+}
+
+fn issue_orders(context: &Rc<AgentContext>) {
+    if !context.is_healthy() || context.engine.is_none() {
+        return;
+    }
+    let orders = context.holder.borrow_mut().next_orders(context.now());
+    for order in orders {
+        compio::runtime::spawn(execute_order(Rc::clone(context), order)).detach();
+    }
+}
+
+fn hand_over_ready(context: &Rc<AgentContext>) {
+    while context.running.get() < context.limiter.borrow().limit() && context.is_healthy() {
+        let popped = {
+            let holder = context.holder.borrow();
+            let suspects = context.suspects_running.get();
+            let is_ready = |item: &WorkItem| {
+                let loaded = item
+                    .replica
+                    .as_ref()
+                    .is_none_or(|replica| holder.is_loaded(&MemoryUnit::Replica(replica.clone())));
+                loaded && !(item.suspect && suspects > 0)
+            };
+            context.queue.borrow_mut().pop(is_ready)
+        };
+        let Some((item, waiting)) = popped else {
+            return;
+        };
+        if let Some(replica) = &item.replica {
+            context.holder.borrow_mut().dequeue(replica);
+        }
+        context
+            .forecast
+            .borrow_mut()
+            .record(item.rank, item.service_ms);
+        let ticket = RunTicket::take(context, &item);
+        log_hand_over(context, &waiting.head, waiting.arrived_at);
+        let _ = waiting.grant.send(Ok(ticket));
+    }
+}
+
+fn log_hand_over(context: &AgentContext, head: &crate::rpc::WorkHead, arrived_at: MonoTime) {
+    context.node.decisions.record(DecisionEvent::HandOver {
+        request: head.request.clone(),
+        attempt: head.attempt,
+        rank: head.rank.clone(),
+        waited_ms: context.now().millis_since(arrived_at),
+        running: context.running.get(),
+        limit: context.limiter.borrow().limit(),
+    });
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,28 @@
+//! The process beside one upstream: queue, run record, loads and planning.
+
+mod adapter_gate;
+mod admission_controller;
+mod agent_context;
+mod agent_handle;
+mod agent_rpc;
+mod agent_server;
+mod answer_relay;
+mod attempt_book;
+mod dispatch_controller;
+mod engine_monitor;
+mod engine_run;
+mod engine_view;
+mod lease_controller;
+mod order_controller;
+mod permit_controller;
+mod permit_desk;
+mod planner_controller;
+mod report_controller;
+mod run_controller;
+mod run_recorder;
+mod service_run;
+mod slot_controller;
+
+pub use agent_handle::AgentHandle;
+pub use attempt_book::{AttemptBook, AttemptStatus};
+pub use run_recorder::{RunRecorder, StartVerdict, VoidVerdict, void_attempt};
--- /dev/null
+++ b/src/agent/permit_desk.rs
@@ -0,0 +1,144 @@
+//! The permit issuer's state within an agent.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+
+use futures_channel::oneshot;
+
+use crate::daemon::WakeSignal;
+use crate::permits::{FallbackShare, PermitIssuer, PermitKey, TicketKey};
+use crate::settings::FleetLimits;
+use crate::time::MonoTime;
+
+#[derive(Debug)]
+struct IssuerState {
+    issuer: PermitIssuer,
+    waiting: HashMap<TicketKey, oneshot::Sender<PermitKey>>,
+}
+
+/// Issues permits while this process is the issuer, and keeps the fallback share.
+#[derive(Debug)]
+pub struct PermitDesk {
+    state: RefCell<Option<IssuerState>>,
+    /// Used while no issuer can be reached.
+    pub fallback: RefCell<FallbackShare>,
+    /// Loads per thousand seconds, and loads at once.
+    limits: Cell<(u64, u32)>,
+    /// Wakes the granting loop.
+    pub wake: WakeSignal,
+}
+
+/// A waiting wish; dropping it takes the wish back.
+pub struct PermitWish<'a> {
+    desk: &'a PermitDesk,
+    ticket: TicketKey,
+    receiver: oneshot::Receiver<PermitKey>,
+}
+
+impl PermitWish<'_> {
+    /// Waits for the permit; `None` if this process stops being the issuer.
+    pub async fn granted(mut self) -> Option<PermitKey> {
+        (&mut self.receiver).await.ok()
+    }
+}
+
+impl Drop for PermitWish<'_> {
+    fn drop(&mut self) {
+        self.desk.withdraw(self.ticket);
+        self.receiver.close();
+        if let Ok(Some(unused)) = self.receiver.try_recv() {
+            self.desk.release(unused);
+        }
+    }
+}
+
+impl PermitDesk {
+    /// Opens a desk that issues nothing yet.
+    #[must_use]
+    pub fn open() -> Self {
+        Self {
+            state: RefCell::new(None),
+            fallback: RefCell::new(FallbackShare::default()),
+            limits: Cell::new((10_000, 4)),
+            wake: WakeSignal::default(),
+        }
+    }
+
+    /// Loads per thousand seconds that the store allows.
+    #[must_use]
+    pub const fn loads_per_ks(&self) -> u64 {
+        self.limits.get().0
+    }
+
+    /// Takes over changed limits.
+    pub fn set_limits(&self, limits: &FleetLimits) {
+        self.limits.set((limits.loads_per_ks, limits.loads_at_once));
+        if let Some(state) = self.state.borrow_mut().as_mut() {
+            state
+                .issuer
+                .set_limits(limits.loads_per_ks, limits.loads_at_once);
+        }
+    }
+
+    /// Starts or stops issuing. One that is no longer the newest holder of the lease stops;
+    /// one whose lease merely cannot be renewed goes on.
+    pub fn set_issuing(&self, now: MonoTime, is_issuer: bool) {
+        let mut state = self.state.borrow_mut();
+        if is_issuer && state.is_none() {
+            let (loads_per_ks, loads_at_once) = self.limits.get();
+            *state = Some(IssuerState {
+                issuer: PermitIssuer::open(now, loads_per_ks, loads_at_once),
+                waiting: HashMap::new(),
+            });
+        } else if !is_issuer {
+            *state = None;
+        }
+    }
+
+    /// Enters a wish, if this process issues permits.
+    #[must_use]
+    pub fn request(&self, rank_order: u32, deadline: MonoTime) -> Option<PermitWish<'_>> {
+        let mut state = self.state.borrow_mut();
+        let state = state.as_mut()?;
+        let ticket = state.issuer.request(rank_order, deadline);
+        let (sender, receiver) = oneshot::channel();
+        state.waiting.insert(ticket, sender);
+        self.wake.notify();
+        Some(PermitWish {
+            desk: self,
+            ticket,
+            receiver,
+        })
+    }
+
+    /// Gives a permit back.
+    pub fn release(&self, permit: PermitKey) {
+        if let Some(state) = self.state.borrow_mut().as_mut() {
+            state.issuer.release(permit);
+        }
+        self.wake.notify();
+    }
+
+    /// Grants what the limits allow now. Returns whether wishes wait.
+    pub fn grant(&self, now: MonoTime) -> bool {
+        let mut state = self.state.borrow_mut();
+        let Some(state) = state.as_mut() else {
+            return false;
+        };
+        for (ticket, permit) in state.issuer.grant(now) {
+            let sender = state.waiting.remove(&ticket);
+            let is_taken = sender.is_some_and(|sender| sender.send(permit).is_ok());
+            if !is_taken {
+                state.issuer.release(permit);
+            }
+        }
+        state.issuer.waiting_count() > 0
+    }
+
+    fn withdraw(&self, ticket: TicketKey) {
+        if let Some(state) = self.state.borrow_mut().as_mut() {
+            state.issuer.cancel(ticket);
+            state.waiting.remove(&ticket);
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/run_controller.rs
@@ -0,0 +1,213 @@
+//! Runs one request from its arrival at the agent to its end.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::Response;
+
+use super::admission_controller::{RunTicket, admit};
+use super::agent_context::AgentContext;
+use super::answer_relay::{AnswerRelay, RunReply, refusal_response, reply_response};
+use super::attempt_book::AttemptStatus;
+use super::engine_run::run_on_engine;
+use super::run_recorder::{RunRecorder, StartVerdict};
+use super::service_run::run_on_service;
+use crate::net::HttpBody;
+use crate::prelude::*;
+use crate::rpc::{WorkCall, WorkHead};
+use crate::run_once::{RecordedAnswer, RunKey};
+
+/// One request that may run now.
+pub struct RunJob {
+    /// The request.
+    pub head: Rc<WorkHead>,
+    /// Its body.
+    pub body: Bytes,
+    /// Point by which its answer is due.
+    pub deadline: MonoTime,
+    /// Its place at the upstream.
+    pub ticket: RunTicket,
+}
+
+/// How a run ended.
+pub enum RunEnd {
+    /// A whole answer, not yet passed on.
+    Whole(RecordedAnswer),
+    /// A streamed answer, passed on.
+    Streamed,
+    /// No answer; with the crash at which it was in flight.
+    Refused(RequestRefusal, Option<u64>),
+}
+
+/// Serves one attempt.
+pub async fn serve_attempt(
+    context: Rc<AgentContext>,
+    head: WorkHead,
+    body: Bytes,
+) -> Response<HttpBody> {
+    let now = context.now();
+    let deadline = now + head.remaining_ms;
+    let attempt = head.attempt;
+    let begun = context.attempts.borrow_mut().begin(now, attempt);
+    if let Err(status) = begun {
+        return seen_before(&status);
+    }
+    let head = Rc::new(head);
+    match wait_for_ticket(&context, &head, deadline).await {
+        Ok(ticket) => {
+            let job = RunJob {
+                head,
+                body,
+                deadline,
+                ticket,
+            };
+            run_job(context, job).await
+        }
+        Err(refusal) => {
+            let status = AttemptStatus::Refused(refusal);
+            let mut attempts = context.attempts.borrow_mut();
+            attempts.set(context.now(), attempt, status);
+            refusal_response(refusal, None)
+        }
+    }
+}
+
+fn seen_before(status: &AttemptStatus) -> Response<HttpBody> {
+    match status {
+        AttemptStatus::Refused(refusal) => refusal_response(*refusal, None),
+        _ => refusal_response(RequestRefusal::unknown(RefusalReason::ResultUnknown), None),
+    }
+}
+
+/// Marks the attempt refused when its handler goes away while it waits.
+struct WaitingMark {
+    context: Rc<AgentContext>,
+    attempt: AttemptId,
+}
+
+impl Drop for WaitingMark {
+    fn drop(&mut self) {
+        let mut attempts = self.context.attempts.borrow_mut();
+        if attempts.status(self.attempt) == AttemptStatus::Waiting {
+            let refusal = RequestRefusal::not_run(RefusalReason::UpstreamLost);
+            let status = AttemptStatus::Refused(refusal);
+            attempts.set(self.context.now(), self.attempt, status);
+        }
+    }
+}
+
+async fn wait_for_ticket(
+    context: &Rc<AgentContext>,
+    head: &Rc<WorkHead>,
+    deadline: MonoTime,
+) -> Result<RunTicket, RequestRefusal> {
+    let mark = WaitingMark {
+        context: Rc::clone(context),
+        attempt: head.attempt,
+    };
+    let mut place = admit(context, head, deadline)?;
+    let granted = (&mut place.granted).await;
+    let lost = RequestRefusal::not_run(RefusalReason::UpstreamLeaving);
+    let ticket = granted.map_err(|_| lost)??;
+    let mut attempts = context.attempts.borrow_mut();
+    if let AttemptStatus::Refused(refusal) = attempts.status(head.attempt) {
+        return Err(refusal);
+    }
+    attempts.set(context.now(), head.attempt, AttemptStatus::Running);
+    drop(attempts);
+    drop(mark);
+    Ok(ticket)
+}
+
+/// Runs the job in a task of its own, which goes on if the entry goes away.
+async fn run_job(context: Rc<AgentContext>, job: RunJob) -> Response<HttpBody> {
+    let (relay, receiver) = AnswerRelay::open();
+    compio::runtime::spawn(execute(context, job, relay)).detach();
+    let lost = RequestRefusal::unknown(RefusalReason::UpstreamLost);
+    let reply = receiver.await.unwrap_or(RunReply::Refusal(lost, None));
+    reply_response(reply)
+}
+
+async fn execute(context: Rc<AgentContext>, job: RunJob, mut relay: AnswerRelay) {
+    let attempt = job.head.attempt;
+    let end = match claim_run(&context, &job).await {
+        Ok(Claim::Run(recorder)) => {
+            let end = hand_over(&context, &job, &mut relay).await;
+            record_end(recorder, &end);
+            end
+        }
+        Ok(Claim::Replay(answer)) => RunEnd::Whole(answer),
+        Err(refusal) => RunEnd::Refused(refusal, None),
+    };
+    let status = match &end {
+        RunEnd::Whole(answer) => AttemptStatus::Done(answer.clone()),
+        RunEnd::Streamed => AttemptStatus::Ended,
+        RunEnd::Refused(refusal, _) => AttemptStatus::Refused(*refusal),
+    };
+    let now = context.now();
+    context.attempts.borrow_mut().set(now, attempt, status);
+    drop(job.ticket);
+    match end {
+        RunEnd::Whole(answer) => relay.answer(&answer),
+        RunEnd::Refused(refusal, crash) => relay.refuse(refusal, crash),
+        RunEnd::Streamed => {}
+    }
+}
+
+enum Claim {
+    Run(Option<RunRecorder>),
+    Replay(RecordedAnswer),
+}
+
+/// Claims the run record of a non-idempotent call.
+async fn claim_run(context: &AgentContext, job: &RunJob) -> Result<Claim, RequestRefusal> {
+    let Some(key) = &job.head.run_key else {
+        return Ok(Claim::Run(None));
+    };
+    let run_key = RunKey {
+        team: job.head.team.clone(),
+        key: key.clone(),
+    };
+    let recorder = RunRecorder::open(
+        Rc::clone(&context.node),
+        &run_key,
+        job.head.attempt,
+        job.head.fingerprint,
+    );
+    match recorder.start(job.deadline).await? {
+        StartVerdict::Replay(answer) => return Ok(Claim::Replay(answer)),
+        StartVerdict::Run => {}
+    }
+    if context.now() > job.deadline {
+        compio::runtime::spawn(recorder.settle()).detach();
+        return Err(RequestRefusal::not_run(RefusalReason::DeadlinePassed));
+    }
+    Ok(Claim::Run(Some(recorder)))
+}
+
+async fn hand_over(context: &Rc<AgentContext>, job: &RunJob, relay: &mut AnswerRelay) -> RunEnd {
+    match &job.head.call {
+        WorkCall::Engine { replica, adapter } => {
+            run_on_engine(context, job, replica, adapter.as_ref(), relay).await
+        }
+        WorkCall::Service { method, path, .. } => {
+            run_on_service(context, job, method, path, relay).await
+        }
+    }
+}
+
+/// Keeps the answer, or opens the record again if nothing was run.
+fn record_end(recorder: Option<RunRecorder>, end: &RunEnd) {
+    let Some(recorder) = recorder else {
+        return;
+    };
+    match end {
+        RunEnd::Whole(answer) => {
+            compio::runtime::spawn(recorder.finish(answer.clone())).detach();
+        }
+        RunEnd::Refused(refusal, _) if refusal.outcome == RefusalOutcome::NotRun => {
+            compio::runtime::spawn(recorder.settle()).detach();
+        }
+        RunEnd::Refused(..) | RunEnd::Streamed => {}
+    }
+}
--- /dev/null
+++ b/src/agent/service_run.rs
@@ -0,0 +1,155 @@
+//! Runs a request on a plain service.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use hyper::Method;
+
+use super::agent_context::AgentContext;
+use super::answer_relay::AnswerRelay;
+use super::run_controller::{RunEnd, RunJob};
+use crate::admission::ServiceSample;
+use crate::prelude::*;
+use crate::run_once::RecordedAnswer;
+
+/// Milliseconds for which the answer to a non-idempotent call is awaited, however long
+/// its caller waits.
+const KEYED_LIMIT_MS: u64 = 60_000;
+
+/// Milliseconds beyond the deadline for which other answers are awaited.
+const GRACE_MS: u64 = 200;
+
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// What is known after a call without an answer.
+enum CallFailure {
+    /// The connection was never made.
+    NotSent,
+    /// The service may have run the call.
+    Sent,
+    /// The answer is too large to keep.
+    TooLarge,
+}
+
+impl From<cyper::Error> for CallFailure {
+    fn from(error: cyper::Error) -> Self {
+        match error {
+            cyper::Error::HyperClient(error) if error.is_connect() => Self::NotSent,
+            _ => Self::Sent,
+        }
+    }
+}
+
+/// Runs the request and reads its whole answer.
+pub async fn run_on_service(
+    context: &AgentContext,
+    job: &RunJob,
+    method: &str,
+    path: &str,
+    relay: &mut AnswerRelay,
+) -> RunEnd {
+    let began_at = context.now();
+    let is_keyed = job.head.run_key.is_some();
+    let limit_ms = if is_keyed {
+        KEYED_LIMIT_MS
+    } else {
+        job.deadline.millis_since(began_at) + GRACE_MS
+    };
+    let calling = call_service(context, job, method, path);
+    let watching = watch_relay(relay, is_keyed);
+    futures_util::pin_mut!(calling, watching);
+    let limited = compio::time::timeout(
+        Duration::from_millis(limit_ms),
+        futures_util::future::select(calling, watching),
+    );
+    match limited.await {
+        Err(_) => RunEnd::Refused(RequestRefusal::unknown(RefusalReason::DeadlinePassed), None),
+        Ok(futures_util::future::Either::Right(_)) => {
+            RunEnd::Refused(RequestRefusal::unknown(RefusalReason::UpstreamLost), None)
+        }
+        Ok(futures_util::future::Either::Left((Ok(answer), _))) => {
+            take_sample(context, began_at);
+            RunEnd::Whole(answer)
+        }
+        Ok(futures_util::future::Either::Left((Err(failure), _))) => failed_end(&failure),
+    }
+}
+
+fn failed_end(failure: &CallFailure) -> RunEnd {
+    let refusal = match failure {
+        CallFailure::NotSent => RequestRefusal::not_run(RefusalReason::UpstreamLost),
+        CallFailure::Sent => RequestRefusal::unknown(RefusalReason::UpstreamLost),
+        CallFailure::TooLarge => RequestRefusal::unknown(RefusalReason::UpstreamFailed),
+    };
+    RunEnd::Refused(refusal, None)
+}
+
+/// Ends when nobody waits for a call whose repeat is harmless.
+async fn watch_relay(relay: &AnswerRelay, is_keyed: bool) {
+    const LOOK_MS: u64 = 100;
+    while is_keyed || !relay.is_abandoned() {
+        compio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+async fn call_service(
+    context: &AgentContext,
+    job: &RunJob,
+    method: &str,
+    path: &str,
+) -> Result<RecordedAnswer, CallFailure> {
+    let method = method.parse().unwrap_or(Method::POST);
+    let url = format!("http://{}{path}", context.config.upstream_address);
+    let mut request = context
+        .service
+        .request(method, url)?
+        .header("x-request-id", job.head.request.as_str())?;
+    if !job.body.is_empty() {
+        request = request.header("content-type", job.head.content_type.as_str())?;
+    }
+    let response = request.body(job.body.clone()).send().await?;
+    let status = response.status().as_u16();
+    let content_type = response.headers().get("content-type");
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let content_type = content_type
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    let body = read_answer(response).await?;
+    Ok(RecordedAnswer {
+        status,
+        content_type,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+async fn read_answer(response: cyper::Response) -> Result<Bytes, CallFailure> {
+    let mut body = BytesMut::new();
+    let chunks = response.bytes_stream();
+    futures_util::pin_mut!(chunks);
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|_| CallFailure::Sent)?;
+        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return Err(CallFailure::TooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn take_sample(context: &AgentContext, began_at: MonoTime) {
+    let now = context.now();
+    let first_us = now.millis_since(began_at) * 1_000;
+    context.estimate.borrow_mut().sample(
+        now,
+        ServiceSample {
+            first_us,
+            rest_us: 0,
+            tokens: 0,
+            asked_tokens: 0,
+        },
+    );
+    let running = context.running.get();
+    context.limiter.borrow_mut().sample(now, first_us, running);
+}
--- /dev/null
+++ b/src/agent/slot_controller.rs
@@ -0,0 +1,146 @@
+//! Follows placement rows and gives revoked slots up.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::agent_context::AgentContext;
+use crate::placement::{PLACEMENT_PREFIX, PlacementRow, SlotState};
+use crate::prelude::*;
+use crate::table::{RowRevision, TableError, TableTxn, TxnOutcome};
+
+/// Share of a model's load time where its checkpoint is near the engine, as a divisor.
+const CACHED_LOAD_DIVISOR: u64 = 3;
+
+/// Milliseconds between looks while a revoked slot is being given up.
+const RELEASE_POLL_MS: u64 = 200;
+
+/// Placement rows of the whole fleet, as last read.
+#[derive(Debug, Default)]
+pub struct SlotBook {
+    /// Rows with their revisions.
+    pub rows: BTreeMap<ReplicaName, (RowRevision, PlacementRow)>,
+    /// Highest revision read.
+    since: RowRevision,
+    /// True after the first successful read.
+    pub is_read: bool,
+}
+
+/// Follows the rows for ever.
+pub async fn run_slots(context: Rc<AgentContext>) {
+    loop {
+        if let Err(error) = follow_rows(&context).await {
+            log::warn!(error:% = error; "placement not read");
+        }
+        apply_rows(&context);
+        let releasable = context.holder.borrow().releasable();
+        for replica in &releasable {
+            if let Err(error) = give_up_slot(&context, replica).await {
+                log::warn!(error:% = error; "slot not given up");
+            }
+        }
+        let is_revoking = context
+            .holder
+            .borrow()
+            .slots()
+            .iter()
+            .any(|(_, state)| *state == SlotState::Revoked);
+        let pause_ms = if is_revoking {
+            RELEASE_POLL_MS
+        } else {
+            context.node.config.poll_ms
+        };
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+async fn follow_rows(context: &AgentContext) -> Result<(), TableError> {
+    let since = context.slots.borrow().since;
+    let rows = context
+        .node
+        .table
+        .scan(PLACEMENT_PREFIX.to_owned(), since)
+        .await?;
+    let mut book = context.slots.borrow_mut();
+    for row in &rows {
+        let name = row.key.trim_start_matches(PLACEMENT_PREFIX);
+        let replica = ReplicaName::from(name);
+        let known = book.rows.get(&replica);
+        if known.is_some_and(|(revision, _)| *revision > row.revision) {
+            continue;
+        }
+        match row.decode::<PlacementRow>()? {
+            Some(placement) => {
+                book.rows.insert(replica, (row.revision, placement));
+            }
+            None => {
+                book.rows.remove(&replica);
+            }
+        }
+        book.since = book.since.max(row.revision);
+    }
+    book.is_read = true;
+    Ok(())
+}
+
+/// Grants and withdraws slots in the holder as the rows say.
+fn apply_rows(context: &AgentContext) {
+    let book = context.slots.borrow();
+    if !book.is_read || context.engine.is_none() {
+        return;
+    }
+    let Ok(fleet) = context.node.fleet() else {
+        return;
+    };
+    let mut holder = context.holder.borrow_mut();
+    let cached = &context.engine_view.borrow().cached;
+    let before = holder.slots();
+    for (replica, (_, row)) in &book.rows {
+        let Some(slot) = row.slot_of(context.instance()) else {
+            continue;
+        };
+        let Some(model) = fleet.model_of(replica) else {
+            holder.withdraw(replica);
+            continue;
+        };
+        let load_ms = if cached.contains(replica) {
+            model.load_ms / CACHED_LOAD_DIVISOR
+        } else {
+            model.load_ms
+        };
+        holder.grant(replica, slot.state, model.memory_mb, load_ms);
+    }
+    for (replica, _) in &before {
+        let row = book.rows.get(replica);
+        let is_kept = row.is_some_and(|(_, row)| row.slot_of(context.instance()).is_some());
+        if !is_kept {
+            holder.withdraw(replica);
+        }
+    }
+    holder.slots_read();
+    if holder.slots() != before {
+        context.report.notify();
+        context.dispatch.notify();
+    }
+}
+
+async fn give_up_slot(context: &AgentContext, replica: &ReplicaName) -> Result<(), TableError> {
+    let known = context.slots.borrow().rows.get(replica).cloned();
+    let Some((revision, mut row)) = known else {
+        return Ok(());
+    };
+    row.slots
+        .retain(|slot| slot.instance != *context.instance());
+    let key = PlacementRow::row_key(replica);
+    let txn = TableTxn::default()
+        .check(&key, revision)
+        .write(&key, &row)?;
+    if let TxnOutcome::Committed(revision) = context.node.table.commit(txn).await? {
+        let mut book = context.slots.borrow_mut();
+        book.rows.insert(replica.clone(), (revision, row));
+        drop(book);
+        context.holder.borrow_mut().withdraw(replica);
+        context.report.notify();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/quetzalpind.rs
@@ -0,0 +1,95 @@
+//! The daemon: `quetzalpind --config FILE`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+use log::LevelFilter;
+use quetzalpin::config::DaemonConfig;
+use quetzalpin::daemon::{DaemonError, DaemonHandle, open_logging};
+
+mod flags {
+    #![allow(missing_docs, clippy::all, clippy::pedantic)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Serves rarely used models: an entry for callers, or the agent beside an upstream.
+        cmd quetzalpind {
+            /// Settings file of this daemon.
+            required -c, --config path: PathBuf
+            /// Check the settings file and stop.
+            optional --check
+            /// Log level: error, warn, info or debug.
+            optional --log level: String
+        }
+    }
+}
+
+/// Signal sent by the platform to end a process.
+const SIGTERM: i32 = 15;
+
+/// Exit code for faulty settings.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code for a failed start.
+const EXIT_START: u8 = 3;
+
+fn main() -> ExitCode {
+    let flags = flags::Quetzalpind::from_env_or_exit();
+    let config = match read_config(&flags.config) {
+        Ok(config) => config,
+        Err(code) => return code,
+    };
+    if flags.check {
+        println!("{}: valid", flags.config.display());
+        return ExitCode::SUCCESS;
+    }
+    let level = flags.log.as_deref().unwrap_or("info").parse();
+    let Ok(level) = level else {
+        eprintln!("--log: expected error, warn, info or debug");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    match run(config, level) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn read_config(path: &Path) -> Result<DaemonConfig, ExitCode> {
+    DaemonConfig::open(path).map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+fn run(config: DaemonConfig, level: LevelFilter) -> Result<(), DaemonError> {
+    open_logging(level)?;
+    let runtime = compio::runtime::Runtime::new().map_err(quetzalpin::net::NetError::Socket)?;
+    runtime.block_on(async {
+        let handle = DaemonHandle::spawn(config).await?;
+        log::info!(address:% = handle.address(); "listening");
+        wait_for_stop().await;
+        log::info!("stopping");
+        let cut = handle.shutdown().await;
+        log::info!(cut; "stopped");
+        Ok(())
+    })
+}
+
+async fn wait_for_stop() {
+    let terminate = compio::signal::unix::signal(SIGTERM);
+    let interrupt = compio::signal::ctrl_c();
+    pin_mut!(terminate, interrupt);
+    match select(terminate, interrupt).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => {
+            if let Err(error) = result {
+                log::error!(error:% = error; "signals cannot be watched");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/config/daemon_config.rs
@@ -0,0 +1,305 @@
+//! Typed settings of one daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use derive_more::{Display, FromStr};
+use ini::{Ini, Properties};
+
+use super::ConfigError;
+use crate::admission::QueuePolicy;
+use crate::placement::HoldingPolicy;
+use crate::prelude::*;
+use crate::settings::{FaultCause, SectionReader, SettingsFault};
+
+const ADDRESS: &str = "an IP address with port, such as 127.0.0.1:7100";
+const NAME: &str = "a name";
+const MILLIS: &str = "a whole number of milliseconds";
+const COUNT: &str = "a whole number";
+
+/// What the daemon does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr, Display)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum DaemonRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Runs beside one upstream.
+    Agent,
+}
+
+/// What an agent's upstream is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UpstreamKind {
+    /// A model engine with so many megabytes of accelerator memory.
+    Engine {
+        /// Accelerator memory in megabytes.
+        memory_mb: u64,
+    },
+    /// A plain service.
+    Service(ServiceName),
+}
+
+/// Settings that both roles have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeConfig {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Milliseconds that a shutdown waits for open work.
+    pub drain_ms: u64,
+    /// Address of the table service.
+    pub table: SocketAddr,
+    /// Address of the list of instances.
+    pub members: SocketAddr,
+    /// Milliseconds before a platform call counts as unanswered.
+    pub timeout_ms: u64,
+    /// Milliseconds between reads of settings and list.
+    pub poll_ms: u64,
+}
+
+/// Settings of the entry role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryConfig {
+    /// Largest request body in bytes.
+    pub max_body_bytes: usize,
+    /// Requests in this process at most.
+    pub max_waiting: usize,
+    /// Milliseconds that a request body may take to arrive.
+    pub body_ms: u64,
+    /// SHA-256 of the credential that may apply the first settings.
+    pub first_operator_sha256: Option<String>,
+}
+
+/// Settings of the agent role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentConfig {
+    /// What the upstream is.
+    pub upstream: UpstreamKind,
+    /// Where the upstream listens.
+    pub upstream_address: SocketAddr,
+    /// Waiting requests at most.
+    pub queue_capacity: usize,
+    /// Requests that may run at once, where the upstream does not report it.
+    pub concurrency: u32,
+    /// Target microseconds per token, or per call of a plain service.
+    pub target_unit_us: u64,
+    /// How the queue picks.
+    pub queue_policy: QueuePolicy,
+    /// How long replicas stay loaded.
+    pub holding_policy: HoldingPolicy,
+    /// Milliseconds between reports to entries.
+    pub report_ms: u64,
+}
+
+/// The role with its settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RoleConfig {
+    /// Entry.
+    Entry(EntryConfig),
+    /// Agent.
+    Agent(AgentConfig),
+}
+
+/// All settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DaemonConfig {
+    /// Settings that both roles have.
+    pub node: NodeConfig,
+    /// The role's own settings.
+    pub role: RoleConfig,
+}
+
+impl DaemonConfig {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`ConfigError`] with every fault found.
+    pub fn open(path: &Path) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
+            path: file.clone(),
+            source,
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// [`ConfigError::Faulty`] with every fault found.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let document = Ini::load_from_str(text).map_err(|error| {
+            ConfigError::Faulty(vec![SettingsFault {
+                file: file.to_owned(),
+                section: String::new(),
+                key: String::new(),
+                cause: FaultCause::Syntax(error.to_string()),
+            }])
+        })?;
+        let mut parser = ConfigParser {
+            file,
+            document: &document,
+            faults: Vec::new(),
+        };
+        let config = parser.read();
+        if parser.faults.is_empty() {
+            Ok(config)
+        } else {
+            Err(ConfigError::Faulty(parser.faults))
+        }
+    }
+}
+
+struct ConfigParser<'a> {
+    file: &'a str,
+    document: &'a Ini,
+    faults: Vec<SettingsFault>,
+}
+
+impl ConfigParser<'_> {
+    fn read(&mut self) -> DaemonConfig {
+        let (role, node) = self.read_node();
+        let role = match role {
+            DaemonRole::Entry => RoleConfig::Entry(self.read_entry()),
+            DaemonRole::Agent => RoleConfig::Agent(self.read_agent()),
+        };
+        self.reject_unknown_sections(&role);
+        DaemonConfig { node, role }
+    }
+
+    fn read_node(&mut self) -> (DaemonRole, NodeConfig) {
+        let unset = unset_address();
+        let (role, mut node) = self.section("daemon", |reader| {
+            let role = reader.required("role", "entry or agent", DaemonRole::Entry);
+            let node = NodeConfig {
+                instance: name(reader, "instance"),
+                zone: name(reader, "zone"),
+                region: name(reader, "region"),
+                listen: reader.required("listen", ADDRESS, unset),
+                drain_ms: reader.or_default("drain_ms", MILLIS, 30_000),
+                table: unset,
+                members: unset,
+                timeout_ms: 0,
+                poll_ms: 0,
+            };
+            (role, node)
+        });
+        self.section("platform", |reader| {
+            node.table = reader.required("table", ADDRESS, unset);
+            node.members = reader.required("members", ADDRESS, unset);
+            node.timeout_ms = reader.or_default("timeout_ms", MILLIS, 1_000);
+            node.poll_ms = reader.or_default("poll_ms", MILLIS, 1_000);
+        });
+        (role, node)
+    }
+
+    fn read_entry(&mut self) -> EntryConfig {
+        self.section("entry", |reader| EntryConfig {
+            max_body_bytes: reader.or_default("max_body_bytes", "bytes", 1_048_576),
+            max_waiting: reader.or_default("max_waiting", COUNT, 4_096),
+            body_ms: reader.or_default("body_ms", MILLIS, 10_000),
+            first_operator_sha256: reader
+                .optional("first_operator_sha256", "a SHA-256 in hexadecimal"),
+        })
+    }
+
+    fn read_agent(&mut self) -> AgentConfig {
+        self.section("upstream", |reader| {
+            let kind = reader.text("kind", "engine or service");
+            let upstream = match kind.as_str() {
+                "engine" => UpstreamKind::Engine {
+                    memory_mb: reader.required("memory_mb", "megabytes", 1),
+                },
+                "service" => UpstreamKind::Service(name(reader, "service")),
+                _ => {
+                    let cause = FaultCause::WrongValue("engine or service".to_owned());
+                    reader.fault("kind", cause);
+                    UpstreamKind::Engine { memory_mb: 1 }
+                }
+            };
+            AgentConfig {
+                upstream,
+                upstream_address: reader.required("address", ADDRESS, unset_address()),
+                queue_capacity: reader.or_default("queue_capacity", COUNT, 1_024),
+                concurrency: reader.or_default("concurrency", COUNT, 16),
+                target_unit_us: reader.or_default("target_unit_us", "microseconds", 52_000),
+                queue_policy: queue_policy(reader),
+                holding_policy: holding_policy(reader),
+                report_ms: reader.or_default("report_ms", MILLIS, 500),
+            }
+        })
+    }
+
+    fn section<R>(
+        &mut self,
+        section: &'static str,
+        read: impl FnOnce(&mut SectionReader<'_>) -> R,
+    ) -> R {
+        let empty = Properties::default();
+        let properties = self.document.section(Some(section)).unwrap_or(&empty);
+        let mut reader = SectionReader::open(self.file, section, properties, &mut self.faults);
+        let value = read(&mut reader);
+        reader.close();
+        value
+    }
+
+    fn reject_unknown_sections(&mut self, role: &RoleConfig) {
+        let own = match role {
+            RoleConfig::Entry(_) => "entry",
+            RoleConfig::Agent(_) => "upstream",
+        };
+        for section in self.document.sections().flatten() {
+            if !["daemon", "platform", own].contains(&section) {
+                self.faults.push(SettingsFault {
+                    file: self.file.to_owned(),
+                    section: section.to_owned(),
+                    key: String::new(),
+                    cause: FaultCause::UnknownSection,
+                });
+            }
+        }
+    }
+}
+
+fn unset_address() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+fn name<T: for<'t> From<&'t str>>(reader: &mut SectionReader<'_>, key: &'static str) -> T {
+    let text = reader.text(key, NAME);
+    T::from(text.as_str())
+}
+
+fn queue_policy(reader: &mut SectionReader<'_>) -> QueuePolicy {
+    let text: Option<String> = reader.optional("queue_policy", NAME);
+    match text.as_deref() {
+        None | Some("rank_floors") => QueuePolicy::RankFloors,
+        Some("arrival_order") => QueuePolicy::ArrivalOrder,
+        Some("strict_ranks") => QueuePolicy::StrictRanks,
+        Some("round_robin") => QueuePolicy::RoundRobin,
+        Some(_) => {
+            let expected = "rank_floors, arrival_order, strict_ranks or round_robin";
+            reader.fault("queue_policy", FaultCause::WrongValue(expected.to_owned()));
+            QueuePolicy::RankFloors
+        }
+    }
+}
+
+fn holding_policy(reader: &mut SectionReader<'_>) -> HoldingPolicy {
+    let text: Option<String> = reader.optional("holding_policy", NAME);
+    match text.as_deref() {
+        None | Some("slots") => HoldingPolicy::Slots,
+        Some("always_loaded") => HoldingPolicy::AlwaysLoaded,
+        Some(_) => {
+            let cause = FaultCause::WrongValue("slots or always_loaded".to_owned());
+            reader.fault("holding_policy", cause);
+            HoldingPolicy::Slots
+        }
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,9 @@
+//! The daemon's own settings file.
+
+mod daemon_config;
+mod errors;
+
+pub use daemon_config::{
+    AgentConfig, DaemonConfig, DaemonRole, EntryConfig, NodeConfig, RoleConfig, UpstreamKind,
+};
+pub use errors::ConfigError;
--- /dev/null
+++ b/src/daemon/common_routes.rs
@@ -0,0 +1,68 @@
+//! HTTP routes that both roles answer.
+
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+
+use super::NodeContext;
+use crate::decision::DecisionRecord;
+use crate::ids::TeamName;
+use crate::net::{HttpBody, full_body, json_response};
+
+/// Decisions returned at most.
+const MAX_DECISIONS: usize = 200;
+
+/// Answers health, readiness, metrics and decision requests; `None` for any other path.
+#[must_use]
+pub fn common_route(
+    node: &NodeContext,
+    is_ready: bool,
+    request: &Request<Incoming>,
+) -> Option<Response<HttpBody>> {
+    match request.uri().path() {
+        "/healthz" => Some(plain(StatusCode::OK, "ok\n".to_owned(), "text/plain")),
+        "/readyz" if is_ready => Some(plain(StatusCode::OK, "ready\n".to_owned(), "text/plain")),
+        "/readyz" => {
+            let text = "not ready\n".to_owned();
+            Some(plain(StatusCode::SERVICE_UNAVAILABLE, text, "text/plain"))
+        }
+        "/metrics" => {
+            let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            Some(plain(StatusCode::OK, node.metrics.encode(), content_type))
+        }
+        _ => None,
+    }
+}
+
+/// Lists decisions. A team sees those of its own requests; operators see all.
+#[must_use]
+pub fn decision_page(
+    node: &NodeContext,
+    request: &Request<Incoming>,
+    team: Option<&TeamName>,
+) -> Response<HttpBody> {
+    let query = request.uri().query().unwrap_or_default();
+    let wanted = query.strip_prefix("request=");
+    let filter = |record: &DecisionRecord| {
+        let is_wanted = wanted.is_none_or(|id| record.event.request() == Some(id));
+        let is_visible = team.is_none_or(|name| record.event.team() == Some(name));
+        is_wanted && is_visible
+    };
+    let records = node.decisions.select(MAX_DECISIONS, filter);
+    json_response(StatusCode::OK, &records)
+}
+
+/// The credential of a request.
+#[must_use]
+pub fn bearer_token(request: &Request<Incoming>) -> Option<&str> {
+    let value = request.headers().get(AUTHORIZATION)?;
+    value.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+fn plain(status: StatusCode, text: String, content_type: &'static str) -> Response<HttpBody> {
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    let value = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/src/daemon/errors.rs
@@ -0,0 +1,24 @@
+//! Failures at the start of a daemon.
+
+use derive_more::{Error, From};
+use displaydoc::Display;
+
+use crate::engine::EngineError;
+use crate::membership::MembershipError;
+use crate::net::NetError;
+use crate::table::TableError;
+
+/// A daemon could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum DaemonError {
+    /// network: {0}
+    Net(NetError),
+    /// table: {0}
+    Table(TableError),
+    /// list of instances: {0}
+    Membership(MembershipError),
+    /// engine: {0}
+    Engine(EngineError),
+    /// logging: {0}
+    Logging(log::SetLoggerError),
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,21 @@
+//! Running daemons and what both roles share.
+
+mod common_routes;
+mod daemon_handle;
+mod errors;
+mod gossip;
+mod logging;
+mod metered_table;
+mod node_context;
+mod node_loops;
+mod wake_signal;
+
+pub use common_routes::{bearer_token, common_route, decision_page};
+pub use daemon_handle::DaemonHandle;
+pub use errors::DaemonError;
+pub use gossip::pull_settings;
+pub use logging::open_logging;
+pub use metered_table::MeteredTable;
+pub use node_context::NodeContext;
+pub use node_loops::spawn_node_loops;
+pub use wake_signal::WakeSignal;
--- /dev/null
+++ b/src/daemon/node_context.rs
@@ -0,0 +1,125 @@
+//! What both roles share within one process.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::{DaemonError, MeteredTable, WakeSignal};
+use crate::config::NodeConfig;
+use crate::decision::{DecisionLog, unix_ms};
+use crate::membership::{ListClient, MembershipView};
+use crate::metrics::NodeMetrics;
+use crate::net::PeerClient;
+use crate::prelude::*;
+use crate::rpc::PeerRpc;
+use crate::settings::{FleetSettings, SettingsFollower, SettingsRow};
+use crate::table::{HttpTable, TableService};
+use crate::time::MonoClock;
+
+/// Milliseconds before a control call to a peer counts as unanswered.
+const RPC_TIMEOUT_MS: u64 = 2_000;
+
+/// Bits of randomness below the start time in a start number.
+const START_RANDOM_BITS: u32 = 16;
+
+/// Made once at start and passed down.
+pub struct NodeContext {
+    /// The node's settings file.
+    pub config: NodeConfig,
+    /// Where peers reach this process.
+    pub address: SocketAddr,
+    /// Rises with each start of a process on this instance.
+    pub start_id: u64,
+    /// The process's clock.
+    pub clock: MonoClock,
+    /// Fleet settings in force.
+    pub settings: RefCell<SettingsFollower>,
+    /// Instances as the platform lists them.
+    pub members: RefCell<MembershipView>,
+    /// Client of the platform's list.
+    pub member_list: ListClient,
+    /// The platform's table.
+    pub table: Rc<dyn TableService>,
+    /// Connections to peers.
+    pub peers: Rc<PeerClient>,
+    /// Decision log.
+    pub decisions: DecisionLog,
+    /// Metrics.
+    pub metrics: Rc<NodeMetrics>,
+    /// Set once shutdown begins; never cleared.
+    pub stopping: Cell<bool>,
+    /// Wakes the settings loop.
+    pub settings_hint: WakeSignal,
+    /// Notified when newer settings came into force.
+    pub settings_changed: WakeSignal,
+}
+
+impl NodeContext {
+    /// Opens the context of a process that listens on `address`.
+    ///
+    /// # Errors
+    /// [`DaemonError`] if a client cannot be set up.
+    pub fn open(config: NodeConfig, address: SocketAddr) -> Result<Rc<Self>, DaemonError> {
+        let metrics = Rc::new(NodeMetrics::open());
+        let table = HttpTable::open(config.table, config.timeout_ms)?;
+        let member_list = ListClient::open(config.members, config.timeout_ms)?;
+        let random = fastrand::u64(..1 << START_RANDOM_BITS);
+        Ok(Rc::new(Self {
+            address,
+            start_id: (unix_ms() << START_RANDOM_BITS) | random,
+            clock: MonoClock::open(),
+            settings: RefCell::new(SettingsFollower::open()),
+            members: RefCell::new(MembershipView::open()),
+            member_list,
+            table: Rc::new(MeteredTable::open(Rc::new(table), Rc::clone(&metrics))),
+            peers: Rc::new(PeerClient::open()),
+            decisions: DecisionLog::open(config.instance.clone()),
+            metrics,
+            stopping: Cell::new(false),
+            settings_hint: WakeSignal::default(),
+            settings_changed: WakeSignal::default(),
+            config,
+        }))
+    }
+
+    /// The time.
+    #[must_use]
+    pub fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    /// Fleet settings in force.
+    ///
+    /// # Errors
+    /// `NotReady` before the first settings were read.
+    pub fn fleet(&self) -> Result<Rc<FleetSettings>, RequestRefusal> {
+        let settings = self.settings.borrow().current();
+        settings.ok_or(RequestRefusal::not_run(RefusalReason::NotReady))
+    }
+
+    /// A caller of a peer's control interface.
+    #[must_use]
+    pub fn rpc(&self, address: SocketAddr) -> PeerRpc {
+        PeerRpc::open(Rc::clone(&self.peers), address, RPC_TIMEOUT_MS)
+    }
+
+    /// Takes settings rows from the table or a peer.
+    pub fn take_settings(&self, rows: Vec<SettingsRow>) {
+        let taken = self.settings.borrow_mut().take(rows);
+        match taken {
+            Ok(true) => {
+                let revision = self.settings.borrow().revision();
+                let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
+                self.metrics.settings_revision.set(gauge);
+                log::info!(revision; "settings in force");
+                self.settings_changed.notify();
+            }
+            Ok(false) => {}
+            Err(faults) => {
+                for fault in faults {
+                    log::error!(fault:% = fault; "settings not taken");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/node_loops.rs
@@ -0,0 +1,71 @@
+//! Loops that both roles run.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::runtime::JoinHandle;
+
+use super::{NodeContext, pull_settings};
+use crate::settings::{SETTINGS_HEAD_KEY, SETTINGS_PREFIX, SettingsHead, SettingsRow};
+use crate::table::{RowRevision, TableError, TableRow};
+
+/// Starts following settings and the list of instances; dropping a handle ends its loop.
+#[must_use]
+pub fn spawn_node_loops(node: &Rc<NodeContext>) -> Vec<JoinHandle<()>> {
+    vec![
+        compio::runtime::spawn(follow_settings(Rc::clone(node))),
+        compio::runtime::spawn(follow_members(Rc::clone(node))),
+    ]
+}
+
+async fn follow_settings(node: Rc<NodeContext>) {
+    loop {
+        let read = read_settings(&node).await;
+        if let Err(error) = read {
+            log::warn!(error:% = error; "settings not read");
+            if node.settings.borrow().revision() == 0 {
+                pull_from_any_peer(&node).await;
+            }
+        }
+        node.settings_hint.wait(jittered(node.config.poll_ms)).await;
+    }
+}
+
+async fn read_settings(node: &NodeContext) -> Result<(), TableError> {
+    let row = node.table.read(SETTINGS_HEAD_KEY.to_owned()).await?;
+    let head: SettingsHead = row.decode()?.unwrap_or_default();
+    if head.revision <= node.settings.borrow().revision() {
+        return Ok(());
+    }
+    let prefix = format!("{SETTINGS_PREFIX}tree/");
+    let rows = node.table.scan(prefix, RowRevision::ABSENT).await?;
+    let decoded: Result<Vec<Option<SettingsRow>>, TableError> =
+        rows.iter().map(TableRow::decode).collect();
+    node.take_settings(decoded?.into_iter().flatten().collect());
+    Ok(())
+}
+
+async fn pull_from_any_peer(node: &NodeContext) {
+    let peers = node.members.borrow().entry_addresses();
+    for peer in peers {
+        if peer != node.address && node.settings.borrow().revision() == 0 {
+            pull_settings(node, peer).await;
+        }
+    }
+}
+
+async fn follow_members(node: Rc<NodeContext>) {
+    loop {
+        match node.member_list.read().await {
+            Ok(members) => node.members.borrow_mut().take(node.now(), members),
+            Err(error) => log::warn!(error:% = error; "list of instances not read"),
+        }
+        let pause_ms = jittered(node.config.poll_ms);
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Spreads the polls of many processes over time.
+fn jittered(period_ms: u64) -> u64 {
+    period_ms * 3 / 4 + fastrand::u64(..=period_ms / 4)
+}
--- /dev/null
+++ b/src/engine/errors.rs
@@ -0,0 +1,15 @@
+//! Failures of engine calls.
+
+use derive_more::Error;
+use displaydoc::Display;
+
+/// A call to an engine without a usable answer.
+#[derive(Debug, Display, Error)]
+pub enum EngineError {
+    /// the engine cannot be reached: {0}
+    Transport(cyper::Error),
+    /// the engine did not answer within {0} ms
+    Timeout(#[error(not(source))] u64),
+    /// the engine refused with status {0}
+    Refused(#[error(not(source))] u16),
+}
--- /dev/null
+++ b/src/entry/attempt_sender.rs
@@ -0,0 +1,105 @@
+//! Sends one attempt to one agent.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+
+use super::agent_book::AgentAddress;
+use super::entry_context::EntryContext;
+use super::request_draft::RequestDraft;
+use crate::net::{PeerClient, full_body, read_body};
+use crate::prelude::*;
+use crate::refusal::ProblemDocument;
+use crate::rpc::{ANSWER_HEADER, CRASH_HEADER, WORK_HEADER, WorkCall, WorkHead};
+
+/// Milliseconds beyond the deadline for which an agent's word is awaited.
+const GRACE_MS: u64 = 300;
+
+/// Largest refusal in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
+/// What became of an attempt.
+pub enum AttemptEnd {
+    /// The upstream answers.
+    Answer(Response<Incoming>),
+    /// The agent refuses; with the crash at which the request was in flight.
+    Refused(RequestRefusal, Option<u64>),
+    /// The agent never saw the attempt.
+    Unsent,
+    /// The agent may have seen the attempt, but its word did not arrive.
+    Lost,
+}
+
+/// Sends an attempt and waits for the first word.
+pub async fn send_attempt(
+    context: &EntryContext,
+    draft: &RequestDraft,
+    call: &WorkCall,
+    attempt: AttemptId,
+    agent: AgentAddress,
+) -> AttemptEnd {
+    let now = context.now();
+    let head = work_head(draft, call.clone(), attempt, now);
+    let Some(request) = work_request(draft, &head, agent) else {
+        return AttemptEnd::Unsent;
+    };
+    let limit_ms = head.remaining_ms + GRACE_MS;
+    let sending = context.node.peers.send(agent.address, request);
+    match compio::time::timeout(Duration::from_millis(limit_ms), sending).await {
+        Ok(Err(error)) if PeerClient::was_unsent(&error) => AttemptEnd::Unsent,
+        Err(_) | Ok(Err(_)) => AttemptEnd::Lost,
+        Ok(Ok(response)) => read_word(response).await,
+    }
+}
+
+fn work_head(draft: &RequestDraft, call: WorkCall, attempt: AttemptId, now: MonoTime) -> WorkHead {
+    let team = draft.fleet.teams.get(&draft.team);
+    let content_type = draft.header("content-type");
+    WorkHead {
+        request: draft.id.clone(),
+        attempt,
+        team: draft.team.clone(),
+        share: team.map_or(1, |team| team.share),
+        rank: draft.rank.clone(),
+        remaining_ms: draft.deadline.millis_since(now),
+        call,
+        run_key: draft.run_key.clone(),
+        fingerprint: draft.fingerprint,
+        suspect: draft.suspect,
+        stream: draft.is_stream(),
+        tokens: draft.tokens(),
+        content_type: content_type.unwrap_or("application/json").to_owned(),
+    }
+}
+
+fn work_request(
+    draft: &RequestDraft,
+    head: &WorkHead,
+    agent: AgentAddress,
+) -> Option<Request<crate::net::HttpBody>> {
+    let text = serde_json::to_vec(head).ok()?;
+    let value = HeaderValue::from_bytes(&text).ok()?;
+    Request::post(format!("http://{}/work", agent.address))
+        .header(WORK_HEADER, value)
+        .body(full_body(draft.body.clone()))
+        .ok()
+}
+
+async fn read_word(response: Response<Incoming>) -> AttemptEnd {
+    let word = response.headers().get(ANSWER_HEADER).cloned();
+    if word.as_ref().is_some_and(|value| value == "answer") {
+        return AttemptEnd::Answer(response);
+    }
+    let crash = response.headers().get(CRASH_HEADER);
+    let crash = crash.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = read_body(response.into_body(), MAX_REFUSAL_BYTES, GRACE_MS).await;
+    let document: Option<ProblemDocument> = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok());
+    match document {
+        Some(document) => AttemptEnd::Refused(document.refusal(), crash),
+        None => AttemptEnd::Lost,
+    }
+}
--- /dev/null
+++ b/src/entry/dispatcher.rs
@@ -0,0 +1,312 @@
+//! Routes a request, retries it where that is safe, and answers it.
+
+use std::rc::Rc;
+
+use hyper::Response;
+
+use super::agent_book::{AgentAddress, RequestNeeds};
+use super::attempt_sender::{AttemptEnd, send_attempt};
+use super::caller_answer::{recorded_answer, relayed_answer};
+use super::entry_context::EntryContext;
+use super::lost_attempt::{LostVerdict, resolve_lost};
+use super::request_draft::RequestDraft;
+use crate::decision::DecisionEvent;
+use crate::net::HttpBody;
+use crate::prelude::*;
+use crate::quarantine::QuarantineVerdict;
+use crate::routing::{Locality, RouteChooser, RouteContext, RouteTarget};
+use crate::rpc::WorkCall;
+
+/// Attempts of one request at most.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Bytes of a prompt's head that requests with the same affinity share.
+const AFFINITY_BYTES: usize = 256;
+
+/// One request on its way to an answer.
+pub struct Dispatcher<'a> {
+    context: &'a Rc<EntryContext>,
+    draft: RequestDraft,
+    call: WorkCall,
+    excluded: Vec<InstanceName>,
+    attempts: u32,
+}
+
+/// Where an attempt goes.
+struct ChosenRoute {
+    instance: InstanceName,
+    locality: Locality,
+    agent: AgentAddress,
+}
+
+/// What to do after an attempt.
+enum NextStep {
+    Answer(Response<HttpBody>),
+    Retry,
+}
+
+impl<'a> Dispatcher<'a> {
+    /// Opens the way of a filtered request.
+    ///
+    /// # Errors
+    /// `UnknownRoute` if the filters found no target.
+    pub fn open(
+        context: &'a Rc<EntryContext>,
+        draft: RequestDraft,
+    ) -> Result<Self, RequestRefusal> {
+        let unknown = RequestRefusal::not_run(RefusalReason::UnknownRoute);
+        let call = draft.call.clone().ok_or(unknown)?;
+        Ok(Self {
+            context,
+            draft,
+            call,
+            excluded: Vec::new(),
+            attempts: 0,
+        })
+    }
+
+    /// Routes until there is an answer.
+    ///
+    /// # Errors
+    /// The refusal that the caller gets.
+    pub async fn run(mut self) -> Result<Response<HttpBody>, RequestRefusal> {
+        self.context.retries.borrow_mut().earn(&self.draft.team);
+        if let Some(replica) = self.call.replica() {
+            self.context.demand.borrow_mut().arrived(replica);
+        }
+        loop {
+            self.attempts += 1;
+            let attempt = AttemptId::random();
+            let route = self.choose(attempt)?;
+            let end =
+                send_attempt(self.context, &self.draft, &self.call, attempt, route.agent).await;
+            match self.next_step(route, attempt, end).await? {
+                NextStep::Answer(response) => return Ok(response),
+                NextStep::Retry => self.context.node.metrics.retried.inc(),
+            };
+        }
+    }
+
+    async fn next_step(
+        &mut self,
+        route: ChosenRoute,
+        attempt: AttemptId,
+        end: AttemptEnd,
+    ) -> Result<NextStep, RequestRefusal> {
+        match end {
+            AttemptEnd::Answer(answer) => Ok(NextStep::Answer(relayed_answer(
+                &self.context.node.metrics,
+                &self.draft.id,
+                &route.instance,
+                route.locality,
+                answer,
+            ))),
+            AttemptEnd::Unsent => {
+                let refusal = RequestRefusal::not_run(RefusalReason::UpstreamLost);
+                self.retry_elsewhere(route.instance, refusal)
+            }
+            AttemptEnd::Refused(refusal, crash) => self.after_refusal(route, refusal, crash),
+            AttemptEnd::Lost => self.after_loss(route, attempt).await,
+        }
+    }
+
+    fn after_refusal(
+        &mut self,
+        route: ChosenRoute,
+        refusal: RequestRefusal,
+        crash: Option<u64>,
+    ) -> Result<NextStep, RequestRefusal> {
+        if refusal.reason == RefusalReason::UpstreamLeaving {
+            let mut agents = self.context.agents.borrow_mut();
+            agents.note_leaving(&route.instance);
+        }
+        if let Some(crash) = crash {
+            self.note_crash(crash)?;
+        }
+        let is_lost = refusal.reason == RefusalReason::UpstreamLost;
+        let may_retry = match refusal.outcome {
+            RefusalOutcome::NotRun => refusal.reason.is_reroutable() || is_lost,
+            RefusalOutcome::Unknown => is_lost && self.draft.run_key.is_none(),
+        };
+        if may_retry {
+            self.retry_elsewhere(route.instance, refusal)
+        } else {
+            Err(refusal)
+        }
+    }
+
+    /// Counts the crash against the request, and holds it back at once where it is the
+    /// second one.
+    fn note_crash(&mut self, crash: u64) -> Result<(), RequestRefusal> {
+        let now = self.context.now();
+        let fingerprint = self.draft.fingerprint;
+        let mut quarantine = self.context.quarantine.borrow_mut();
+        quarantine.record(now, fingerprint, crash);
+        drop(quarantine);
+        self.draft.suspect = true;
+        match self.context.judge(fingerprint) {
+            QuarantineVerdict::HeldBack => Err(RequestRefusal::unknown(RefusalReason::Quarantined)),
+            QuarantineVerdict::Suspect | QuarantineVerdict::Clear => Ok(()),
+        }
+    }
+
+    async fn after_loss(
+        &mut self,
+        route: ChosenRoute,
+        attempt: AttemptId,
+    ) -> Result<NextStep, RequestRefusal> {
+        let verdict = resolve_lost(self.context, &self.draft, attempt, route.agent).await;
+        let lost = RefusalReason::UpstreamLost;
+        match verdict {
+            LostVerdict::Answer(answer) => Ok(NextStep::Answer(recorded_answer(
+                &self.draft.id,
+                &route.instance,
+                answer,
+            ))),
+            LostVerdict::NeverRuns => {
+                self.retry_elsewhere(route.instance, RequestRefusal::not_run(lost))
+            }
+            LostVerdict::Refused(refusal) => self.after_refusal(route, refusal, None),
+            LostVerdict::Unknown if self.draft.run_key.is_none() => {
+                self.retry_elsewhere(route.instance, RequestRefusal::unknown(lost))
+            }
+            LostVerdict::Unknown => Err(RequestRefusal::unknown(RefusalReason::ResultUnknown)),
+        }
+    }
+
+    /// Tries another upstream if number, time and budget allow it, else gives the refusal.
+    fn retry_elsewhere(
+        &mut self,
+        instance: InstanceName,
+        refusal: RequestRefusal,
+    ) -> Result<NextStep, RequestRefusal> {
+        self.excluded.push(instance);
+        let has_time = self.context.now() < self.draft.deadline;
+        let may_try = self.attempts < MAX_ATTEMPTS && has_time;
+        let mut retries = self.context.retries.borrow_mut();
+        if may_try && retries.try_spend(&self.draft.team) {
+            Ok(NextStep::Retry)
+        } else {
+            Err(refusal)
+        }
+    }
+
+    /// Chooses an upstream and logs the choice.
+    fn choose(&mut self, attempt: AttemptId) -> Result<ChosenRoute, RequestRefusal> {
+        self.prefer_loaded_version();
+        let now = self.context.now();
+        let remaining_ms = self.draft.deadline.millis_since(now);
+        let targets = self.targets(now);
+        let affinity = self.affinity();
+        let wake = self.call.replica().map_or("", ReplicaName::as_str);
+        let route_context = RouteContext {
+            remaining_ms,
+            affinity: &affinity,
+            wake,
+        };
+        let choice = match RouteChooser.choose(&targets, route_context) {
+            Ok(choice) => choice,
+            Err(refusal) => {
+                self.log_refusal(refusal, remaining_ms, targets);
+                return Err(refusal);
+            }
+        };
+        let target = &targets[choice.index];
+        let instance = target.instance.clone();
+        let locality = target.locality;
+        let agent = {
+            let mut agents = self.context.agents.borrow_mut();
+            agents.note_sent(&instance, target.needed_ms);
+            agents.address(&instance)
+        };
+        let agent = agent.ok_or(RequestRefusal::not_run(RefusalReason::NoReplica))?;
+        if locality == Locality::Remote {
+            let bytes = self.draft.body.len() as u64;
+            self.context.node.metrics.remote_bytes.inc_by(bytes);
+        }
+        self.context.node.decisions.record(DecisionEvent::Route {
+            request: self.draft.id.clone(),
+            attempt,
+            team: self.draft.team.clone(),
+            replica: self.call.replica().cloned(),
+            instance: instance.clone(),
+            choice,
+            remaining_ms,
+            targets,
+        });
+        Ok(ChosenRoute {
+            instance,
+            locality,
+            agent,
+        })
+    }
+
+    fn targets(&self, now: MonoTime) -> Vec<RouteTarget> {
+        let needs = RequestNeeds {
+            rank: &self.draft.rank,
+            stream: self.draft.is_stream(),
+            tokens: self.draft.tokens(),
+        };
+        let agents = self.context.agents.borrow();
+        let mut targets = match &self.call {
+            WorkCall::Engine { replica, .. } => agents.replica_targets(now, replica, needs),
+            WorkCall::Service { service, .. } => agents.service_targets(now, service, needs),
+        };
+        targets.retain(|target| !self.excluded.contains(&target.instance));
+        targets.sort_by(|a, b| a.instance.cmp(&b.instance));
+        targets
+    }
+
+    /// While the current version is not loaded anywhere, an older one that is goes on
+    /// serving, unless the caller named a version.
+    fn prefer_loaded_version(&mut self) {
+        let WorkCall::Engine { replica, adapter } = &mut self.call else {
+            return;
+        };
+        if self.draft.is_version_fixed {
+            return;
+        }
+        let model = replica.model();
+        let Some(settings) = self.draft.fleet.models.get(&model) else {
+            return;
+        };
+        let current = settings.replica(&model);
+        let agents = self.context.agents.borrow();
+        let loaded = agents.loaded_versions(self.context.now(), &model);
+        let chosen = if loaded.contains(&current) {
+            current
+        } else {
+            loaded.last().cloned().unwrap_or(current)
+        };
+        if let Some((unit, _)) = adapter {
+            unit.replica = chosen.clone();
+        }
+        *replica = chosen;
+    }
+
+    /// Requests that share the head of their prompt, or an adapter, share an upstream.
+    fn affinity(&self) -> String {
+        if let WorkCall::Engine {
+            adapter: Some((unit, _)),
+            ..
+        } = &self.call
+        {
+            return unit.to_string();
+        }
+        let head = &self.draft.body[..self.draft.body.len().min(AFFINITY_BYTES)];
+        String::from_utf8_lossy(head).into_owned()
+    }
+
+    fn log_refusal(&self, refusal: RequestRefusal, remaining_ms: u64, targets: Vec<RouteTarget>) {
+        if let Some(replica) = self.call.replica() {
+            self.context.demand.borrow_mut().refused(replica);
+        }
+        self.context.node.decisions.record(DecisionEvent::Refuse {
+            request: self.draft.id.clone(),
+            team: Some(self.draft.team.clone()),
+            refusal,
+            remaining_ms,
+            targets,
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/entry_server.rs
@@ -0,0 +1,210 @@
+//! The entry's HTTP routes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::caller_answer::refusal_answer;
+use super::dispatcher::Dispatcher;
+use super::entry_context::EntryContext;
+use super::entry_rpc::EntryRpc;
+use super::filters::{filter_body, filter_head};
+use super::quarantine_controller::release_request;
+use super::request_draft::{CallerRoute, RequestDraft};
+use super::settings_api::{OperatorRight, settings_route};
+use super::status_page::entry_status;
+use crate::daemon::{common_route, decision_page};
+use crate::decision::DecisionEvent;
+use crate::metrics::RequestLabels;
+use crate::net::{BodyError, HttpBody, HttpHandler, json_response, read_body};
+use crate::prelude::*;
+use crate::quarantine::RequestFingerprint;
+use crate::rpc::{ControlApiServer, RpcEndpoint};
+
+/// Answers requests to an entry.
+pub struct EntryServer {
+    context: Rc<EntryContext>,
+    rpc: RpcEndpoint,
+}
+
+/// Counts a request in this process until it ends.
+struct OpenRequest<'a>(&'a EntryContext);
+
+impl<'a> OpenRequest<'a> {
+    fn begin(context: &'a EntryContext) -> Result<Self, RequestRefusal> {
+        let count = context.open_requests.get();
+        if count >= context.config.max_waiting {
+            return Err(RequestRefusal::not_run(RefusalReason::Overloaded));
+        }
+        context.open_requests.set(count + 1);
+        Ok(Self(context))
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+impl EntryServer {
+    /// Opens the routes.
+    #[must_use]
+    pub fn open(context: Rc<EntryContext>) -> Rc<Self> {
+        let rpc = RpcEndpoint::open(EntryRpc::open(Rc::clone(&context)).into_rpc());
+        Rc::new(Self { context, rpc })
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let is_ready = self.context.node.fleet().is_ok() && !self.context.node.stopping.get();
+        if let Some(response) = common_route(&self.context.node, is_ready, &request) {
+            return response;
+        }
+        let path = request.uri().path();
+        if path == "/rpc" && request.method() == Method::POST {
+            return self.rpc.answer(request).await;
+        }
+        if path.starts_with("/ops/") {
+            return self.operator_route(request).await;
+        }
+        self.serve_caller(request).await
+    }
+
+    async fn operator_route(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let Some(right) = OperatorRight::of(&self.context, &request) else {
+            return self.refuse("", RequestRefusal::not_run(RefusalReason::WrongCredential));
+        };
+        let path = request.uri().path().to_owned();
+        if path.starts_with("/ops/settings") {
+            return settings_route(&self.context, &right, request).await;
+        }
+        match (request.method(), path.as_str(), &right) {
+            (&Method::GET, "/ops/decisions", right) => {
+                decision_page(&self.context.node, &request, right.team())
+            }
+            (&Method::GET, "/ops/status", OperatorRight::All) => {
+                json_response(StatusCode::OK, &entry_status(&self.context).await)
+            }
+            (&Method::DELETE, path, OperatorRight::All) => self.release(path).await,
+            (_, "/ops/status", _) => {
+                self.refuse("", RequestRefusal::not_run(RefusalReason::WrongCredential))
+            }
+            _ => self.refuse("", RequestRefusal::not_run(RefusalReason::UnknownRoute)),
+        }
+    }
+
+    async fn release(&self, path: &str) -> Response<HttpBody> {
+        let text = path.strip_prefix("/ops/quarantine/");
+        let fingerprint = text.and_then(|text| text.parse::<RequestFingerprint>().ok());
+        let Some(fingerprint) = fingerprint else {
+            return self.refuse("", RequestRefusal::not_run(RefusalReason::UnknownRoute));
+        };
+        match release_request(&self.context, fingerprint).await {
+            Ok(crashes) => json_response(StatusCode::OK, &crashes),
+            Err(_) => self.refuse(
+                "",
+                RequestRefusal::unknown(RefusalReason::RecordUnavailable),
+            ),
+        }
+    }
+
+    async fn serve_caller(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let arrived_at = self.context.now();
+        let open = match OpenRequest::begin(&self.context) {
+            Ok(open) => open,
+            Err(refusal) => return self.refuse("", refusal),
+        };
+        let (head, body) = request.into_parts();
+        let fleet = self.context.node.fleet();
+        let route = CallerRoute::of(&head.method, &head.uri);
+        let (fleet, route) = match (fleet, route) {
+            (Ok(fleet), Ok(route)) => (fleet, route),
+            (Err(refusal), _) | (_, Err(refusal)) => return self.refuse("", refusal),
+        };
+        let mut draft = RequestDraft::open(fleet, head.method, route, head.headers, arrived_at);
+        let id = draft.id.clone();
+        let rank_labels = |draft: &RequestDraft| RequestLabels {
+            rank: draft.rank.to_string(),
+        };
+        let result = match self.prepare(&mut draft, body).await {
+            Ok(()) => {
+                let labels = rank_labels(&draft);
+                let answer = self.dispatch(draft).await;
+                if answer.is_ok() {
+                    self.count_answer(&labels, arrived_at);
+                }
+                answer
+            }
+            Err(refusal) => {
+                self.log_filtered(&draft, refusal);
+                Err(refusal)
+            }
+        };
+        drop(open);
+        result.unwrap_or_else(|refusal| self.refuse(&id, refusal))
+    }
+
+    async fn prepare(
+        &self,
+        draft: &mut RequestDraft,
+        body: Incoming,
+    ) -> Result<(), RequestRefusal> {
+        filter_head(&self.context, draft)?;
+        draft.body = self.read_caller_body(body).await?;
+        filter_body(&self.context, draft)
+    }
+
+    async fn read_caller_body(&self, body: Incoming) -> Result<Bytes, RequestRefusal> {
+        let config = &self.context.config;
+        let read = read_body(body, config.max_body_bytes, config.body_ms).await;
+        read.map_err(|error| {
+            RequestRefusal::not_run(match error {
+                BodyError::TooLarge(_) => RefusalReason::OversizedBody,
+                BodyError::TooSlow(_) => RefusalReason::SlowBody,
+                BodyError::Cut => RefusalReason::MalformedBody,
+            })
+        })
+    }
+
+    async fn dispatch(&self, draft: RequestDraft) -> Result<Response<HttpBody>, RequestRefusal> {
+        Dispatcher::open(&self.context, draft)?.run().await
+    }
+
+    fn count_answer(&self, labels: &RequestLabels, arrived_at: MonoTime) {
+        let metrics = &self.context.node.metrics;
+        metrics.answered.get_or_create(labels).inc();
+        let waited = std::time::Duration::from_millis(self.context.now().millis_since(arrived_at));
+        let histogram = metrics.first_byte_s.get_or_create(labels);
+        histogram.observe(waited.as_secs_f64());
+    }
+
+    fn log_filtered(&self, draft: &RequestDraft, refusal: RequestRefusal) {
+        let team = (!draft.team.as_str().is_empty()).then(|| draft.team.clone());
+        let remaining_ms = draft.deadline.millis_since(self.context.now());
+        self.context.node.decisions.record(DecisionEvent::Refuse {
+            request: draft.id.clone(),
+            team,
+            refusal,
+            remaining_ms,
+            targets: Vec::new(),
+        });
+    }
+
+    fn refuse(&self, id: &str, refusal: RequestRefusal) -> Response<HttpBody> {
+        refusal_answer(&self.context.node.metrics, id, refusal, None)
+    }
+}
+
+impl HttpHandler for EntryServer {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(async move { self.route(request).await })
+    }
+}
--- /dev/null
+++ b/src/entry/filters/kind_filter.rs
@@ -0,0 +1,51 @@
+//! Finds the kind of work and its rank.
+
+use super::RequestFilter;
+use crate::entry::entry_context::EntryContext;
+use crate::entry::request_draft::{CallerRoute, RequestDraft};
+use crate::prelude::*;
+use crate::settings::WorkTarget;
+
+/// Header that names the kind of work.
+const KIND_HEADER: &str = "x-work-kind";
+
+/// Refuses unknown kinds and kinds that lead elsewhere. Chat without a kind has the least
+/// urgent rank; calls to plain services always need one.
+pub struct KindFilter;
+
+impl RequestFilter for KindFilter {
+    fn apply(
+        &self,
+        _context: &EntryContext,
+        draft: &mut RequestDraft,
+    ) -> Result<(), RequestRefusal> {
+        let refusal = RequestRefusal::not_run(RefusalReason::UnknownKind);
+        let Some(name) = draft.header(KIND_HEADER) else {
+            return apply_default(draft).ok_or(refusal);
+        };
+        let name = KindName::from(name);
+        let team = draft.fleet.teams.get(&draft.team).ok_or(refusal)?;
+        let kind = team.kinds.get(&name).ok_or(refusal)?.clone();
+        let leads_here = match (&kind.target, &draft.route) {
+            (WorkTarget::Engine, CallerRoute::Chat) => true,
+            (WorkTarget::Service(own), CallerRoute::Service(asked, _)) => own == asked,
+            _ => false,
+        };
+        if !leads_here {
+            return Err(refusal);
+        }
+        draft.rank = kind.rank.clone();
+        draft.kind = Some(kind);
+        Ok(())
+    }
+}
+
+fn apply_default(draft: &mut RequestDraft) -> Option<()> {
+    if draft.route != CallerRoute::Chat {
+        return None;
+    }
+    let (rank, _) = draft.fleet.ranks_by_order().pop()?;
+    let rank = rank.clone();
+    draft.rank = rank;
+    Some(())
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,22 @@
+//! The process that callers reach: identifies, routes, retries and answers requests.
+
+mod agent_book;
+mod attempt_sender;
+mod caller_answer;
+mod dispatcher;
+mod entry_context;
+mod entry_handle;
+mod entry_rpc;
+mod entry_server;
+mod filters;
+mod lost_attempt;
+mod quarantine_controller;
+mod request_draft;
+mod settings_api;
+mod settings_editor;
+mod status_page;
+
+pub use agent_book::AgentBook;
+pub use entry_handle::EntryHandle;
+pub use settings_editor::{ApplyOutcome, SettingsConflict};
+pub use status_page::{AgentStatus, EntryStatus, LeaseStatus};
--- /dev/null
+++ b/src/ids/names.rs
@@ -0,0 +1,88 @@
+//! Short text names, one type for each thing that is named.
+
+use compact_str::CompactString;
+use derive_more::{AsRef, Display, From};
+use serde::{Deserialize, Serialize};
+
+macro_rules! text_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display, From, AsRef,
+            Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        #[as_ref(str)]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(CompactString::new(text))
+            }
+        }
+    };
+}
+
+text_name!(
+    /// A customer whose settings form one subtree.
+    TeamName
+);
+text_name!(
+    /// A model as operators name it, without a version.
+    ModelName
+);
+text_name!(
+    /// An adapter on top of a model, unique within its team.
+    AdapterName
+);
+text_name!(
+    /// One rank of work, such as `urgent`.
+    RankName
+);
+text_name!(
+    /// A kind of work of one team, such as `stamp`.
+    KindName
+);
+text_name!(
+    /// A plain service beside the model engines.
+    ServiceName
+);
+text_name!(
+    /// A machine that runs one process of the system.
+    InstanceName
+);
+text_name!(
+    /// An availability zone.
+    ZoneName
+);
+text_name!(
+    /// A region of several availability zones.
+    RegionName
+);
+text_name!(
+    /// What one upstream loads: a model at a version, written `model@version`.
+    ReplicaName
+);
+
+impl ReplicaName {
+    /// Names the given version of a model.
+    #[must_use]
+    pub fn of(model: &ModelName, version: u32) -> Self {
+        Self(compact_str::format_compact!("{model}@{version}"))
+    }
+
+    /// The model part of the name.
+    #[must_use]
+    pub fn model(&self) -> ModelName {
+        let text = self.0.rsplit_once('@').map_or(self.as_str(), |(m, _)| m);
+        ModelName::from(text)
+    }
+}
--- /dev/null
+++ b/src/lease/lease_holder.rs
@@ -0,0 +1,155 @@
+//! Takes, renews and loses one lease.
+
+use std::net::SocketAddr;
+
+use super::{LeaseRow, LeaseWatch};
+use crate::prelude::*;
+use crate::table::RowRevision;
+
+/// Part of the term after which a renewal is due, as a divisor.
+const RENEW_DIVISOR: u64 = 3;
+
+/// Part of the term by which the holder stops early, as a divisor; covers clock drift.
+const MARGIN_DIVISOR: u64 = 5;
+
+/// A write that the holder wants: the row, on condition of the revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseIntent {
+    /// Revision that the row must still have.
+    pub expected: RowRevision,
+    /// The row to write.
+    pub row: LeaseRow,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HeldLease {
+    /// Revision of the newest write known to be ours.
+    revision: RowRevision,
+    epoch: u64,
+    beat: u64,
+    /// Counted from before the newest successful write was sent, less the margin.
+    valid_until: MonoTime,
+    renew_at: MonoTime,
+}
+
+/// One process's side of one lease.
+#[derive(Debug, Clone)]
+pub struct LeaseHolder {
+    holder: InstanceName,
+    address: SocketAddr,
+    start_id: u64,
+    term_ms: u64,
+    watch: LeaseWatch,
+    seen: Option<(RowRevision, Option<LeaseRow>)>,
+    held: Option<HeldLease>,
+}
+
+impl LeaseHolder {
+    /// Opens a holder that has read nothing yet.
+    #[must_use]
+    pub fn open(holder: InstanceName, address: SocketAddr, start_id: u64, term_ms: u64) -> Self {
+        Self {
+            holder,
+            address,
+            start_id,
+            term_ms,
+            watch: LeaseWatch::default(),
+            seen: None,
+            held: None,
+        }
+    }
+
+    /// Takes the row as the table has it.
+    pub fn observe(&mut self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
+        self.watch.observe(revision, now);
+        let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
+        match (&mut self.held, &row) {
+            (Some(held), Some(row)) if ours => {
+                held.revision = revision;
+                held.beat = row.beat;
+            }
+            _ => self.held = None,
+        }
+        self.seen = Some((revision, row));
+    }
+
+    /// The write that is due, if any. `may_take` is false where another process goes first.
+    #[must_use]
+    pub fn intent(&self, now: MonoTime, may_take: bool) -> Option<LeaseIntent> {
+        if let Some(held) = &self.held {
+            return (now >= held.renew_at).then(|| self.renewal(held));
+        }
+        let (revision, row) = self.seen.as_ref()?;
+        let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
+        let lapsed = self.watch.has_lapsed(now, self.term_ms);
+        let is_free = lapsed && may_take;
+        if !ours && !is_free {
+            return None;
+        }
+        let epoch = row.as_ref().map_or(0, |row| row.epoch) + 1;
+        Some(LeaseIntent {
+            expected: *revision,
+            row: self.row(epoch, 0),
+        })
+    }
+
+    /// Takes the news that a write, sent at `sent_at`, took effect.
+    pub fn committed(&mut self, sent_at: MonoTime, intent: &LeaseIntent, revision: RowRevision) {
+        self.watch.observe(revision, sent_at);
+        self.seen = Some((revision, Some(intent.row.clone())));
+        self.held = Some(HeldLease {
+            revision,
+            epoch: intent.row.epoch,
+            beat: intent.row.beat,
+            valid_until: sent_at + (self.term_ms - self.term_ms / MARGIN_DIVISOR),
+            renew_at: sent_at + self.term_ms / RENEW_DIVISOR,
+        });
+    }
+
+    /// Whether decisions may be made under the lease now.
+    #[must_use]
+    pub fn is_held(&self, now: MonoTime) -> bool {
+        self.held.is_some_and(|held| now < held.valid_until)
+    }
+
+    /// Revision that a transaction under the lease must check, while the lease is held.
+    #[must_use]
+    pub fn held_revision(&self, now: MonoTime) -> Option<RowRevision> {
+        self.held
+            .filter(|held| now < held.valid_until)
+            .map(|held| held.revision)
+    }
+
+    /// The epoch under which the lease is held.
+    #[must_use]
+    pub fn epoch(&self) -> Option<u64> {
+        self.held.map(|held| held.epoch)
+    }
+
+    /// The newest row seen, of whichever holder.
+    #[must_use]
+    pub fn last_row(&self) -> Option<&LeaseRow> {
+        self.seen.as_ref().and_then(|(_, row)| row.as_ref())
+    }
+
+    fn is_ours(&self, row: &LeaseRow) -> bool {
+        row.holder == self.holder && row.start_id == self.start_id
+    }
+
+    fn renewal(&self, held: &HeldLease) -> LeaseIntent {
+        LeaseIntent {
+            expected: held.revision,
+            row: self.row(held.epoch, held.beat + 1),
+        }
+    }
+
+    fn row(&self, epoch: u64, beat: u64) -> LeaseRow {
+        LeaseRow {
+            holder: self.holder.clone(),
+            address: self.address,
+            start_id: self.start_id,
+            epoch,
+            beat,
+        }
+    }
+}
--- /dev/null
+++ b/src/lease/mod.rs
@@ -0,0 +1,9 @@
+//! Leases on table rows, counted on monotonic clocks.
+
+mod lease_holder;
+mod lease_row;
+mod lease_watch;
+
+pub use lease_holder::{LeaseHolder, LeaseIntent};
+pub use lease_row::LeaseRow;
+pub use lease_watch::LeaseWatch;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! Coordination parts and daemons of a serving system for rarely used models.
+//!
+//! Each decision is a plain state machine: inputs are events and a [`time::MonoTime`],
+//! outputs are actions. Sockets and clocks stay in [`entry`], [`agent`] and [`net`].
+
+pub mod admission;
+pub mod agent;
+pub mod config;
+pub mod daemon;
+pub mod decision;
+pub mod engine;
+pub mod entry;
+pub mod ids;
+pub mod lease;
+pub mod membership;
+pub mod memory;
+pub mod metrics;
+pub mod net;
+pub mod permits;
+pub mod placement;
+pub mod prelude;
+pub mod quarantine;
+pub mod refusal;
+pub mod retry;
+pub mod routing;
+pub mod rpc;
+pub mod run_once;
+pub mod settings;
+pub mod table;
+pub mod time;
--- /dev/null
+++ b/src/metrics/metric_labels.rs
@@ -0,0 +1,37 @@
+//! Label sets.
+
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// Labels of answered requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The rank.
+    pub rank: String,
+}
+
+/// Labels of refusals.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// The typed reason.
+    pub reason: String,
+    /// What is known about the effect.
+    pub outcome: String,
+}
+
+/// Labels of engine orders.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    /// `load` or `unload`.
+    pub order: String,
+    /// `done`, `refused` or `unanswered`.
+    pub outcome: String,
+}
+
+/// Labels of table calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TableLabels {
+    /// `commit`, `read` or `scan`.
+    pub operation: String,
+    /// `ok` or `failed`.
+    pub result: String,
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,7 @@
+//! Metrics in OpenMetrics text.
+
+mod metric_labels;
+mod node_metrics;
+
+pub use metric_labels::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+pub use node_metrics::NodeMetrics;
--- /dev/null
+++ b/src/metrics/node_metrics.rs
@@ -0,0 +1,142 @@
+//! The metrics of one process.
+
+use std::fmt;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use super::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+
+type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
+
+/// Counters, gauges and histograms with their registry.
+pub struct NodeMetrics {
+    registry: Registry,
+    /// Answered requests by rank.
+    pub answered: Family<RequestLabels, Counter>,
+    /// Seconds from arrival to the first byte of the answer, by rank.
+    pub first_byte_s: LatencyFamily,
+    /// Refusals by reason and outcome.
+    pub refused: Family<RefusalLabels, Counter>,
+    /// Requests sent to another upstream after a first try.
+    pub retried: Counter,
+    /// Bytes sent to and received from other regions.
+    pub remote_bytes: Counter,
+    /// Engine orders by outcome.
+    pub orders: Family<OrderLabels, Counter>,
+    /// Table calls by result.
+    pub table_calls: Family<TableLabels, Counter>,
+    /// Crashes of the upstream.
+    pub crashes: Counter,
+    /// Waiting requests.
+    pub waiting: Gauge,
+    /// Running requests.
+    pub running: Gauge,
+    /// Accelerator memory in use, in megabytes.
+    pub memory_used_mb: Gauge,
+    /// Settings revision in force.
+    pub settings_revision: Gauge,
+    /// Bytes of control messages sent to peers.
+    pub control_bytes: Counter,
+}
+
+impl fmt::Debug for NodeMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("NodeMetrics")
+            .finish_non_exhaustive()
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 16))
+}
+
+impl NodeMetrics {
+    /// Opens all metrics at zero.
+    #[must_use]
+    pub fn open() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("quetzalpin"),
+            answered: Family::default(),
+            first_byte_s: Family::new_with_constructor(latency_histogram),
+            refused: Family::default(),
+            retried: Counter::default(),
+            remote_bytes: Counter::default(),
+            orders: Family::default(),
+            table_calls: Family::default(),
+            crashes: Counter::default(),
+            waiting: Gauge::default(),
+            running: Gauge::default(),
+            memory_used_mb: Gauge::default(),
+            settings_revision: Gauge::default(),
+            control_bytes: Counter::default(),
+        };
+        metrics.register_requests();
+        metrics.register_state();
+        metrics
+    }
+
+    /// Encodes all metrics as OpenMetrics text.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts a table call.
+    pub fn count_table_call(&self, operation: &str, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
+        let labels = TableLabels {
+            operation: operation.to_owned(),
+            result: result.to_owned(),
+        };
+        self.table_calls.get_or_create(&labels).inc();
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answered", "Answered requests", self.answered.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time to the first byte",
+            self.first_byte_s.clone(),
+        );
+        registry.register("refused", "Refused requests", self.refused.clone());
+        registry.register("retried", "Retried requests", self.retried.clone());
+        registry.register(
+            "remote_bytes",
+            "Bytes over links between regions",
+            self.remote_bytes.clone(),
+        );
+    }
+
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("orders", "Engine orders", self.orders.clone());
+        registry.register("table_calls", "Table calls", self.table_calls.clone());
+        registry.register("crashes", "Upstream crashes", self.crashes.clone());
+        registry.register("waiting", "Waiting requests", self.waiting.clone());
+        registry.register("running", "Running requests", self.running.clone());
+        registry.register(
+            "memory_used_megabytes",
+            "Accelerator memory in use",
+            self.memory_used_mb.clone(),
+        );
+        registry.register(
+            "settings_revision",
+            "Settings revision in force",
+            self.settings_revision.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of control messages sent",
+            self.control_bytes.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/src/net/http_body.rs
@@ -0,0 +1,95 @@
+//! Bodies of requests and responses.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use derive_more::Error;
+use displaydoc::Display;
+use futures_util::{Stream, StreamExt};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
+use hyper::body::{Body, Frame};
+use hyper::{Response, StatusCode};
+use send_wrapper::SendWrapper;
+use serde::Serialize;
+
+/// Why a body could not be read or written to its end.
+#[derive(Debug, Display, Error)]
+pub enum BodyError {
+    /// the body is larger than {0} bytes
+    TooLarge(#[error(not(source))] usize),
+    /// the body did not arrive within {0} ms
+    TooSlow(#[error(not(source))] u64),
+    /// the sender ended before its body was whole
+    Cut,
+}
+
+/// The body type of every message that this process sends.
+pub type HttpBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A body without content.
+#[must_use]
+pub fn empty_body() -> HttpBody {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body held in memory.
+#[must_use]
+pub fn full_body(content: impl Into<Bytes>) -> HttpBody {
+    Full::new(content.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body from a stream of chunks; an error cuts the message visibly.
+pub fn stream_body<S>(stream: S) -> HttpBody
+where
+    S: Stream<Item = Result<Bytes, BodyError>> + 'static,
+{
+    let frames = stream.map(|chunk| chunk.map(Frame::data));
+    StreamBody::new(SendWrapper::new(Box::pin(frames))).boxed_unsync()
+}
+
+/// Builds a JSON response.
+pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<HttpBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    let content_type = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Reads a whole body of at most `limit` bytes within `limit_ms`.
+///
+/// # Errors
+/// [`BodyError`] if the body is too large, too slow or cut.
+pub async fn read_body<B>(body: B, limit: usize, limit_ms: u64) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let reading = read_limited(body, limit);
+    compio::time::timeout(Duration::from_millis(limit_ms), reading)
+        .await
+        .map_err(|_| BodyError::TooSlow(limit_ms))?
+}
+
+async fn read_limited<B>(mut body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Cut)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if content.len() + data.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        content.extend_from_slice(&data);
+    }
+    Ok(content.freeze())
+}
--- /dev/null
+++ b/src/net/http_server.rs
@@ -0,0 +1,226 @@
+//! An HTTP/1 and HTTP/2 server on one listening socket.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use derive_more::{Display, Error};
+use futures_channel::oneshot;
+use futures_util::future::{LocalBoxFuture, Shared};
+use futures_util::{FutureExt, pin_mut, select};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::server::conn::auto;
+use send_wrapper::SendWrapper;
+
+use super::{HttpBody, NetError, socket_options};
+
+/// Milliseconds that a sender has for its request head.
+const HEADER_TIMEOUT_MS: u64 = 5_000;
+
+/// Largest request head in bytes.
+const MAX_HEADER_BYTES: usize = 32 * 1024;
+
+/// Connections open at once; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Interval and timeout of HTTP/2 pings in milliseconds.
+const PING_MS: u64 = 1_000;
+
+/// Milliseconds between checks for open connections while draining.
+const DRAIN_POLL_MS: u64 = 20;
+
+/// Answers requests.
+pub trait HttpHandler: 'static {
+    /// Answers one request from the given peer.
+    fn handle(
+        self: Rc<Self>,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>>;
+}
+
+/// Put into a response's extensions to close the connection instead of answering.
+#[derive(Debug, Clone, Copy)]
+pub struct AbortConnection;
+
+/// The handler asked for the connection to be closed.
+#[derive(Debug, Clone, Copy, Display, Error)]
+#[display("the handler closed the connection")]
+struct ConnectionAborted;
+
+type StopSignal = Shared<oneshot::Receiver<()>>;
+
+/// A bound socket that does not serve yet.
+#[derive(Debug)]
+pub struct HttpServer {
+    listener: TcpListener,
+}
+
+/// A serving socket; dropping the handle stops it at once.
+#[derive(Debug)]
+pub struct HttpServing {
+    stop: Option<oneshot::Sender<()>>,
+    open_count: Rc<Cell<usize>>,
+    address: SocketAddr,
+    task: compio::runtime::JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Binds the address.
+    ///
+    /// # Errors
+    /// [`NetError::Socket`] if the address is taken or not local.
+    pub async fn bind(address: SocketAddr) -> Result<Self, NetError> {
+        let listener = TcpListener::bind(address).await.map_err(NetError::Socket)?;
+        Ok(Self { listener })
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    /// [`NetError::Socket`] if the system does not tell.
+    pub fn local_addr(&self) -> Result<SocketAddr, NetError> {
+        self.listener.local_addr().map_err(NetError::Socket)
+    }
+
+    /// Starts serving on the current runtime.
+    ///
+    /// # Errors
+    /// [`NetError::Socket`] if the bound address cannot be read.
+    pub fn spawn<H: HttpHandler>(self, handler: Rc<H>) -> Result<HttpServing, NetError> {
+        let address = self.local_addr()?;
+        let (stop_sender, stop_receiver) = oneshot::channel();
+        let open_count = Rc::new(Cell::new(0));
+        let accepting = accept_loop(
+            self.listener,
+            handler,
+            stop_receiver.shared(),
+            Rc::clone(&open_count),
+        );
+        Ok(HttpServing {
+            stop: Some(stop_sender),
+            open_count,
+            address,
+            task: compio::runtime::spawn(accepting),
+        })
+    }
+}
+
+impl HttpServing {
+    /// The served address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting and lets open exchanges finish for at most `limit_ms`.
+    /// Returns the number of connections that were still open.
+    pub async fn drain(mut self, limit_ms: u64) -> usize {
+        if let Some(stop_sender) = self.stop.take() {
+            let _ = stop_sender.send(());
+        }
+        let mut waited_ms = 0;
+        while self.open_count.get() > 0 && waited_ms < limit_ms {
+            compio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+            waited_ms += DRAIN_POLL_MS;
+        }
+        drop(self.task);
+        self.open_count.get()
+    }
+}
+
+struct OpenGuard(Rc<Cell<usize>>);
+
+impl OpenGuard {
+    fn open(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept_loop<H: HttpHandler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    stop: StopSignal,
+    open_count: Rc<Cell<usize>>,
+) {
+    loop {
+        let accepting = listener.accept().fuse();
+        let stopping = stop.clone().fuse();
+        pin_mut!(accepting, stopping);
+        let accepted = select! {
+            accepted = accepting => accepted,
+            _ = stopping => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            compio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+            continue;
+        };
+        if open_count.get() >= MAX_CONNECTIONS || socket_options::apply(&stream).is_err() {
+            continue;
+        }
+        let guard = OpenGuard::open(&open_count);
+        let serving = serve_connection(stream, peer, Rc::clone(&handler), stop.clone());
+        compio::runtime::spawn(async move {
+            serving.await;
+            drop(guard);
+        })
+        .detach();
+    }
+}
+
+async fn serve_connection<H: HttpHandler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Rc<H>,
+    stop: StopSignal,
+) {
+    let handler = SendWrapper::new(handler);
+    let service = service_fn(move |request| {
+        let answering = Rc::clone(&handler).handle(peer, request);
+        SendWrapper::new(async move {
+            let response = answering.await;
+            match response.extensions().get::<AbortConnection>() {
+                Some(_) => Err(ConnectionAborted),
+                None => Ok(response),
+            }
+        })
+    });
+    let mut builder = auto::Builder::new(CompioExecutor);
+    builder
+        .http1()
+        .timer(CompioTimer)
+        .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .max_buf_size(MAX_HEADER_BYTES);
+    builder
+        .http2()
+        .timer(CompioTimer)
+        .keep_alive_interval(Duration::from_millis(PING_MS))
+        .keep_alive_timeout(Duration::from_millis(PING_MS))
+        .max_header_list_size(u32::try_from(MAX_HEADER_BYTES).unwrap_or(u32::MAX));
+    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let mut stopping = stop.fuse();
+    pin_mut!(connection);
+    let stopped = {
+        let mut running = connection.as_mut().fuse();
+        select! {
+            _ = running => false,
+            _ = stopping => true,
+        }
+    };
+    if stopped {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP plumbing over compio: one server loop and one client for peers.
+
+mod errors;
+mod http_body;
+mod http_server;
+mod peer_client;
+mod socket_options;
+
+pub use errors::NetError;
+pub use http_body::{
+    BodyError, HttpBody, empty_body, full_body, json_response, read_body, stream_body,
+};
+pub use http_server::{AbortConnection, HttpHandler, HttpServer, HttpServing};
+pub use peer_client::PeerClient;
--- /dev/null
+++ b/src/placement/planner_input.rs
@@ -0,0 +1,55 @@
+//! What a planner decides from.
+
+use std::collections::BTreeMap;
+
+use super::PlacementRow;
+use crate::prelude::*;
+use crate::rpc::ReplicaState;
+use crate::table::RowRevision;
+
+/// One upstream as its agent reported it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamView {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// Accelerator memory in megabytes.
+    pub memory_mb: u64,
+    /// May take new slots: answers, stays, and serves models.
+    pub usable: bool,
+    /// Checkpoints in its memory or on its disk.
+    pub cached: Vec<ReplicaName>,
+    /// State of its replicas.
+    pub states: BTreeMap<ReplicaName, ReplicaState>,
+}
+
+/// Demand for one replica over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ReplicaDemand {
+    /// Requests per second in thousandths.
+    pub arrivals_milli: u64,
+    /// Refusals per second for want of capacity, in thousandths.
+    pub refusals_milli: u64,
+    /// Mean milliseconds that a request runs.
+    pub service_ms: u64,
+    /// Requests that one upstream runs at once.
+    pub limit: u32,
+}
+
+/// Everything that a round of planning looks at.
+#[derive(Debug, Clone, Default)]
+pub struct PlannerInput {
+    /// Upstreams with a report.
+    pub upstreams: Vec<UpstreamView>,
+    /// Instances that are gone for longer than the list lags.
+    pub gone: Vec<InstanceName>,
+    /// Instances about to go.
+    pub leaving: Vec<InstanceName>,
+    /// Rows as the table has them.
+    pub rows: BTreeMap<ReplicaName, (RowRevision, PlacementRow)>,
+    /// Demand.
+    pub demand: BTreeMap<ReplicaName, ReplicaDemand>,
+}
--- /dev/null
+++ b/src/placement/residency_policy.rs
@@ -0,0 +1,54 @@
+//! How long a replica stays on the accelerator.
+
+/// Idle milliseconds, in multiples of the load time, at which keeping costs as much as
+/// reloading.
+const BREAK_EVEN_LOADS: u64 = 3;
+
+/// Longest stay in multiples of the load time.
+const MAX_LOADS: u64 = 20;
+
+/// Least stay in multiples of the load time before another replica may push it out.
+const MIN_HOLD_LOADS: u64 = 1;
+
+/// Which rule holds; all but `Slots` serve as baselines for measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum HoldingPolicy {
+    /// Load on demand within slots, unload after a time worked out from cost and demand.
+    #[default]
+    Slots,
+    /// Never unload for idleness.
+    AlwaysLoaded,
+}
+
+/// Times of stay for one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResidencyPolicy {
+    /// Rule in force.
+    pub holding: HoldingPolicy,
+    /// Shortest idle milliseconds before an unload.
+    pub min_idle_ms: u64,
+}
+
+impl ResidencyPolicy {
+    /// Idle milliseconds after which a replica is unloaded, given its load time and the
+    /// mean milliseconds between its recent requests. A replica whose next request is
+    /// expected before the break-even time is kept twice as long as the mean gap.
+    #[must_use]
+    pub fn idle_limit_ms(&self, load_ms: u64, mean_gap_ms: Option<u64>) -> u64 {
+        if self.holding == HoldingPolicy::AlwaysLoaded {
+            return u64::MAX;
+        }
+        let break_even_ms = load_ms * BREAK_EVEN_LOADS;
+        let expected_ms = match mean_gap_ms {
+            Some(gap_ms) if gap_ms <= break_even_ms => (gap_ms * 2).max(break_even_ms),
+            _ => break_even_ms,
+        };
+        expected_ms.min(load_ms * MAX_LOADS).max(self.min_idle_ms)
+    }
+
+    /// Milliseconds after its load during which other replicas may not push it out.
+    #[must_use]
+    pub const fn min_hold_ms(&self, load_ms: u64) -> u64 {
+        load_ms * MIN_HOLD_LOADS
+    }
+}
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that most modules use.
+
+pub use crate::ids::{
+    AdapterName, AttemptId, InstanceName, KindName, ModelName, RankName, RegionName, ReplicaName,
+    ServiceName, TeamName, ZoneName,
+};
+pub use crate::refusal::{RefusalOutcome, RefusalReason, RequestRefusal};
+pub use crate::time::MonoTime;
--- /dev/null
+++ b/src/refusal/request_refusal.rs
@@ -0,0 +1,46 @@
+//! A refused request.
+
+use derive_more::Error;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+use super::RefusalReason;
+
+/// What is known about the refused request's effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalOutcome {
+    /// not_run
+    NotRun,
+    /// unknown
+    Unknown,
+}
+
+/// {reason} ({outcome})
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
+pub struct RequestRefusal {
+    /// Why the request was refused.
+    pub reason: RefusalReason,
+    /// `NotRun` only where it is proved that no upstream ran or will run the attempt.
+    pub outcome: RefusalOutcome,
+}
+
+impl RequestRefusal {
+    /// A refusal of a request that no upstream has run or will run.
+    #[must_use]
+    pub const fn not_run(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            outcome: RefusalOutcome::NotRun,
+        }
+    }
+
+    /// A refusal of a request that an upstream may have run.
+    #[must_use]
+    pub const fn unknown(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            outcome: RefusalOutcome::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/rendezvous.rs
@@ -0,0 +1,17 @@
+//! Rendezvous hashing.
+
+use sha2::{Digest, Sha256};
+
+/// Weight of a node for a key; the node with the highest weight is the key's first choice.
+/// The same on every process.
+#[must_use]
+pub fn rendezvous_weight(key: &str, node: &str) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(key.as_bytes());
+    hasher.update([0]);
+    hasher.update(node.as_bytes());
+    let digest = hasher.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(head)
+}
--- /dev/null
+++ b/src/routing/route_chooser.rs
@@ -0,0 +1,138 @@
+//! The routing decision.
+
+use serde::Serialize;
+
+use super::{Locality, RouteTarget, rendezvous_weight};
+use crate::prelude::*;
+use crate::rpc::ReplicaState;
+
+/// Milliseconds by which a loaded upstream may be worse than the best one and still be
+/// taken for affinity.
+const AFFINITY_SLACK_MS: u64 = 30;
+
+/// Percent of the mean load up to which affinity may fill an upstream.
+const BOUNDED_LOAD_PERCENT: u64 = 125;
+
+/// Load, in requests, below which an upstream never counts as overfilled.
+const FREE_LOAD: u64 = 2;
+
+/// Milliseconds to which forecast load times are rounded, so that all entries agree.
+const READY_BUCKET_MS: u64 = 500;
+
+/// What the decision is about.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteContext<'a> {
+    /// Milliseconds until the deadline.
+    pub remaining_ms: u64,
+    /// Requests with the same key go to the same upstream where load allows it.
+    pub affinity: &'a str,
+    /// Key on which all entries agree where a cold replica is woken.
+    pub wake: &'a str,
+}
+
+/// Why an upstream was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteReason {
+    /// First choice of the affinity key.
+    Affinity,
+    /// Least loaded of those nearly as good as the best.
+    LeastLoaded,
+    /// Nothing loaded can meet the deadline; wakes a replica.
+    Wake,
+}
+
+/// A decision for an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RouteChoice {
+    /// Index of the chosen target.
+    pub index: usize,
+    /// Why.
+    pub reason: RouteReason,
+    /// Forecast milliseconds until the answer is whole.
+    pub finish_ms: u64,
+}
+
+/// Chooses among targets.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RouteChooser;
+
+impl RouteChooser {
+    /// Chooses an upstream, or refuses if none can meet the deadline. Another region is
+    /// taken only if no upstream of the own region can meet it.
+    ///
+    /// # Errors
+    /// `NoReplica` without targets, `DeadlineUnreachable` if none is fast enough.
+    pub fn choose(
+        self,
+        targets: &[RouteTarget],
+        context: RouteContext<'_>,
+    ) -> Result<RouteChoice, RequestRefusal> {
+        if targets.is_empty() {
+            return Err(RequestRefusal::not_run(RefusalReason::NoReplica));
+        }
+        let feasible: Vec<usize> = (0..targets.len())
+            .filter(|index| targets[*index].finish_ms() <= context.remaining_ms)
+            .collect();
+        let is_local = |index: &usize| targets[*index].locality != Locality::Remote;
+        let local: Vec<usize> = feasible.iter().copied().filter(is_local).collect();
+        let pool = if local.is_empty() { feasible } else { local };
+        if pool.is_empty() {
+            return Err(RequestRefusal::not_run(RefusalReason::DeadlineUnreachable));
+        }
+        let loaded: Vec<usize> = pool
+            .iter()
+            .copied()
+            .filter(|index| targets[*index].state == ReplicaState::Loaded)
+            .collect();
+        let (index, reason) = if loaded.is_empty() {
+            (wake_target(targets, &pool, context.wake), RouteReason::Wake)
+        } else {
+            loaded_target(targets, &loaded, context.affinity)
+        };
+        Ok(RouteChoice {
+            index,
+            reason,
+            finish_ms: targets[index].finish_ms(),
+        })
+    }
+}
+
+/// Every entry picks the same holder, so that a burst makes one load.
+fn wake_target(targets: &[RouteTarget], pool: &[usize], key: &str) -> usize {
+    let cost = |index: &usize| {
+        let target = &targets[*index];
+        let loading = target.state == ReplicaState::Loading;
+        let bucket = target.start_ms() / READY_BUCKET_MS;
+        let weight = rendezvous_weight(key, target.instance.as_str());
+        (!loading, bucket, u64::MAX - weight)
+    };
+    pool.iter().copied().min_by_key(cost).unwrap_or_default()
+}
+
+fn loaded_target(targets: &[RouteTarget], loaded: &[usize], key: &str) -> (usize, RouteReason) {
+    let best_ms = loaded.iter().map(|i| targets[*i].finish_ms()).min();
+    let limit_ms = best_ms.unwrap_or(0) + AFFINITY_SLACK_MS;
+    let near: Vec<usize> = loaded
+        .iter()
+        .copied()
+        .filter(|index| targets[*index].finish_ms() <= limit_ms)
+        .collect();
+    let total_load: u64 = near.iter().map(|i| u64::from(targets[*i].load)).sum();
+    let mean_load_percent = (total_load + 1) * BOUNDED_LOAD_PERCENT / near.len().max(1) as u64;
+    let fits = |index: &usize| {
+        let load = u64::from(targets[*index].load);
+        load < FREE_LOAD || load * 100 <= mean_load_percent
+    };
+    let weight = |index: &usize| rendezvous_weight(key, targets[*index].instance.as_str());
+    let preferred = near.iter().copied().filter(fits).max_by_key(weight);
+    if let Some(index) = preferred {
+        return (index, RouteReason::Affinity);
+    }
+    let fill = |index: &usize| {
+        let target = &targets[*index];
+        u64::from(target.load) * 1_000 / u64::from(target.limit.max(1))
+    };
+    let least = near.iter().copied().min_by_key(fill);
+    (least.unwrap_or_default(), RouteReason::LeastLoaded)
+}
--- /dev/null
+++ b/src/rpc/messages.rs
@@ -0,0 +1,143 @@
+//! Messages of the control interface.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::quarantine::RequestFingerprint;
+
+/// How far a replica is on one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaState {
+    /// A slot is held, nothing is loaded.
+    Granted,
+    /// The load order is on its way.
+    Loading,
+    /// Requests can run.
+    Loaded,
+    /// The slot is being given up.
+    Draining,
+}
+
+/// One replica slot as its agent sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaReport {
+    /// The model and version.
+    pub replica: ReplicaName,
+    /// How far it is.
+    pub state: ReplicaState,
+    /// Forecast milliseconds until requests can run; zero when loaded.
+    pub ready_ms: u64,
+    /// Requests handed over and not answered.
+    pub running: u32,
+    /// Requests that wait for this replica.
+    pub waiting: u32,
+    /// Requests that arrived since the agent started.
+    pub arrived: u64,
+}
+
+/// Forecast wait of one rank on one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankLoad {
+    /// The rank.
+    pub rank: RankName,
+    /// Forecast milliseconds that a new request would wait.
+    pub wait_ms: u64,
+}
+
+/// A request seen in flight when an upstream crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request's fingerprint.
+    pub fingerprint: RequestFingerprint,
+    /// Number of the crash, unique in the fleet.
+    pub crash: u64,
+}
+
+/// What an agent tells entries about its upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentReport {
+    /// The agent's instance.
+    pub instance: InstanceName,
+    /// Drawn at the agent's start; a report of another start replaces all.
+    pub start_id: u64,
+    /// Rises with each report of one start.
+    pub sequence: u64,
+    /// Where entries reach the agent.
+    pub address: SocketAddr,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The region.
+    pub region: RegionName,
+    /// The plain service of the upstream, or `None` for a model engine.
+    pub service: Option<ServiceName>,
+    /// The agent accepts no new work.
+    pub leaving: bool,
+    /// The upstream answers.
+    pub healthy: bool,
+    /// Accelerator memory in megabytes.
+    pub memory_mb: u64,
+    /// Highest settings revision in force.
+    pub settings_revision: u64,
+    /// Requests handed over and not answered.
+    pub running: u32,
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Mean milliseconds to the first token, or of the whole call of a plain service.
+    pub first_ms: u64,
+    /// Mean microseconds of upstream time per token asked for.
+    pub token_us: u64,
+    /// Mean milliseconds that a request runs.
+    pub mean_ms: u64,
+    /// Forecast waits.
+    pub ranks: Vec<RankLoad>,
+    /// Replica slots.
+    pub replicas: Vec<ReplicaReport>,
+    /// Checkpoints in the instance's memory or on its disk.
+    pub cached: Vec<ReplicaName>,
+    /// Recent crashes of the upstream.
+    pub crashes: Vec<CrashReport>,
+}
+
+/// Demand that one entry saw for one replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The model and version.
+    pub replica: ReplicaName,
+    /// Requests per second, averaged over some ten seconds, in thousandths.
+    pub arrivals_milli: u64,
+    /// Refusals per second for want of capacity, in thousandths.
+    pub refusals_milli: u64,
+}
+
+/// What an entry tells planners.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EntryView {
+    /// The last report of each live agent.
+    pub reports: Vec<AgentReport>,
+    /// Demand seen here.
+    pub demand: Vec<DemandReport>,
+}
+
+/// A wish for a place on the weight store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Order of the most urgent waiting rank; lower is more urgent.
+    pub rank_order: u32,
+    /// Milliseconds until the earliest waiting deadline.
+    pub remaining_ms: u64,
+}
+
+/// The issuer's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PermitAnswer {
+    /// The load may start; the number is given back at its end.
+    Granted(u64),
+    /// This process does not issue permits.
+    NotIssuer,
+    /// No permit came free in the time asked for.
+    TimedOut,
+}
--- /dev/null
+++ b/src/rpc/rpc_endpoint.rs
@@ -0,0 +1,49 @@
+//! Server side of the control interface.
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use jsonrpsee::core::server::Methods;
+
+use crate::net::{HttpBody, empty_body, full_body, read_body};
+
+/// Largest JSON-RPC call in bytes.
+const MAX_CALL_BYTES: usize = 8 * 1024 * 1024;
+
+/// Milliseconds that a call's body may take to arrive.
+const CALL_BODY_MS: u64 = 2_000;
+
+/// Answers JSON-RPC calls that arrive as HTTP requests.
+#[derive(Debug, Clone)]
+pub struct RpcEndpoint {
+    methods: Methods,
+}
+
+impl RpcEndpoint {
+    /// Opens an endpoint for a set of methods.
+    #[must_use]
+    pub fn open(methods: impl Into<Methods>) -> Self {
+        Self {
+            methods: methods.into(),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let Ok(body) = read_body(request.into_body(), MAX_CALL_BYTES, CALL_BODY_MS).await else {
+            return bad_request();
+        };
+        let Ok(text) = std::str::from_utf8(&body) else {
+            return bad_request();
+        };
+        match self.methods.raw_json_request(text, 1).await {
+            Ok((answer, _)) => Response::new(full_body(answer.get().to_owned())),
+            Err(_) => bad_request(),
+        }
+    }
+}
+
+fn bad_request() -> Response<HttpBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
--- /dev/null
+++ b/src/settings/section_reader.rs
@@ -0,0 +1,101 @@
+//! Reads typed values from one INI section and collects all faults.
+
+use std::collections::BTreeSet;
+use std::str::FromStr;
+
+use ini::Properties;
+
+use super::{FaultCause, SettingsFault};
+
+/// Reads one section; each fault is recorded and reading goes on.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    file: &'a str,
+    section: &'a str,
+    properties: &'a Properties,
+    known: BTreeSet<&'static str>,
+    faults: &'a mut Vec<SettingsFault>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Opens a section for reading.
+    pub const fn open(
+        file: &'a str,
+        section: &'a str,
+        properties: &'a Properties,
+        faults: &'a mut Vec<SettingsFault>,
+    ) -> Self {
+        Self {
+            file,
+            section,
+            properties,
+            known: BTreeSet::new(),
+            faults,
+        }
+    }
+
+    /// Records a fault of a key.
+    pub fn fault(&mut self, key: &str, cause: FaultCause) {
+        self.faults.push(SettingsFault {
+            file: self.file.to_owned(),
+            section: self.section.to_owned(),
+            key: key.to_owned(),
+            cause,
+        });
+    }
+
+    /// Reads an optional value; a bad one is a fault and counts as absent.
+    pub fn optional<T: FromStr>(&mut self, key: &'static str, expected: &str) -> Option<T> {
+        self.known.insert(key);
+        let text = self.properties.get(key)?;
+        let value = text.trim().parse().ok();
+        if value.is_none() {
+            self.fault(key, FaultCause::WrongValue(expected.to_owned()));
+        }
+        value
+    }
+
+    /// Reads a value or takes the default.
+    pub fn or_default<T: FromStr>(&mut self, key: &'static str, expected: &str, default: T) -> T {
+        self.optional(key, expected).unwrap_or(default)
+    }
+
+    /// Reads a value that must be there; a fault yields the fallback.
+    pub fn required<T: FromStr>(&mut self, key: &'static str, expected: &str, fallback: T) -> T {
+        if self.properties.get(key).is_none() {
+            self.known.insert(key);
+            self.fault(key, FaultCause::MissingKey(expected.to_owned()));
+            return fallback;
+        }
+        self.or_default(key, expected, fallback)
+    }
+
+    /// Reads required text.
+    pub fn text(&mut self, key: &'static str, expected: &str) -> String {
+        self.required(key, expected, String::new())
+    }
+
+    /// Reads a comma-separated list; an absent key is an empty list.
+    pub fn list<T: for<'t> From<&'t str>>(&mut self, key: &'static str) -> Vec<T> {
+        self.known.insert(key);
+        let text = self.properties.get(key).unwrap_or_default();
+        text.split(',')
+            .map(str::trim)
+            .filter(|item| !item.is_empty())
+            .map(T::from)
+            .collect()
+    }
+
+    /// Ends reading; keys that were never asked for are faults.
+    pub fn close(mut self) {
+        let unknown: Vec<String> = self
+            .properties
+            .iter()
+            .map(|(key, _)| key.to_owned())
+            .filter(|key| !self.known.contains(key.as_str()))
+            .collect();
+        for key in unknown {
+            self.fault(&key, FaultCause::UnknownKey);
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/tree_parser.rs
@@ -0,0 +1,268 @@
+//! Turns the texts of all subtrees into one checked tree.
+
+use std::collections::BTreeMap;
+
+use ini::{Ini, Properties};
+
+use super::{
+    AdapterSettings, FaultCause, FleetLimits, FleetSettings, KindSettings, ModelSettings,
+    RankSettings, SectionReader, SettingsFault, SettingsRow, SubtreeName, WorkTarget,
+};
+use crate::prelude::*;
+
+const COUNT: &str = "a whole number";
+const MILLIS: &str = "a whole number of milliseconds";
+const MEGABYTES: &str = "a whole number of megabytes";
+
+struct TreeBuilder {
+    settings: FleetSettings,
+    faults: Vec<SettingsFault>,
+}
+
+/// Parses all subtrees and checks them as a whole.
+///
+/// # Errors
+/// Every fault found, none hidden by another.
+pub fn parse_tree(rows: &[SettingsRow]) -> Result<FleetSettings, Vec<SettingsFault>> {
+    let mut builder = TreeBuilder::open();
+    let mut ordered: Vec<&SettingsRow> = rows.iter().collect();
+    ordered.sort_by(|a, b| a.subtree.cmp(&b.subtree));
+    for row in ordered {
+        builder.settings.revision = builder.settings.revision.max(row.revision);
+        builder.read_subtree(row);
+    }
+    builder.check_references();
+    if builder.faults.is_empty() {
+        Ok(builder.settings)
+    } else {
+        Err(builder.faults)
+    }
+}
+
+impl TreeBuilder {
+    fn open() -> Self {
+        let empty = Properties::default();
+        let mut faults = Vec::new();
+        let mut reader = SectionReader::open("root", "fleet", &empty, &mut faults);
+        let limits = read_limits(&mut reader);
+        let settings = FleetSettings {
+            revision: 0,
+            operator_sha256: String::new(),
+            limits,
+            ranks: BTreeMap::new(),
+            models: BTreeMap::new(),
+            teams: BTreeMap::new(),
+        };
+        Self {
+            settings,
+            faults: Vec::new(),
+        }
+    }
+
+    fn read_subtree(&mut self, row: &SettingsRow) {
+        let file = row.subtree.to_string();
+        let document = match Ini::load_from_str(&row.text) {
+            Ok(document) => document,
+            Err(error) => {
+                self.fault(&file, "", "", FaultCause::Syntax(error.to_string()));
+                return;
+            }
+        };
+        for (section, properties) in &document {
+            let Some(section) = section else {
+                if !properties.is_empty() {
+                    self.fault(&file, "", "", FaultCause::UnknownSection);
+                }
+                continue;
+            };
+            self.read_section(&row.subtree, &file, section, properties);
+        }
+    }
+
+    fn read_section(
+        &mut self,
+        subtree: &SubtreeName,
+        file: &str,
+        section: &str,
+        properties: &Properties,
+    ) {
+        let parts: Vec<&str> = section.splitn(4, '.').collect();
+        match (subtree, parts.as_slice()) {
+            (SubtreeName::Root, ["fleet"]) => self.read_fleet(file, section, properties),
+            (SubtreeName::Root, ["rank", name]) => self.read_rank(file, section, name, properties),
+            (SubtreeName::Root, ["model", ..]) => {
+                let name = section.trim_start_matches("model.");
+                self.read_model(file, section, name, properties);
+            }
+            (SubtreeName::Root, ["team", name]) => self.read_team(file, section, name, properties),
+            (SubtreeName::Team(team), ["team", name, "kind", kind]) if team.as_str() == *name => {
+                self.read_kind(file, section, team, kind, properties);
+            }
+            (SubtreeName::Team(team), ["team", name, "adapter", adapter])
+                if team.as_str() == *name =>
+            {
+                self.read_adapter(file, section, team, adapter, properties);
+            }
+            (SubtreeName::Team(_), ["team" | "fleet" | "rank" | "model", ..])
+            | (SubtreeName::Root, ["team", _, _, _]) => {
+                self.fault(file, section, "", FaultCause::ForeignSection);
+            }
+            _ => self.fault(file, section, "", FaultCause::UnknownSection),
+        }
+    }
+
+    fn read_fleet(&mut self, file: &str, section: &str, properties: &Properties) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        self.settings.limits = read_limits(&mut reader);
+        self.settings.operator_sha256 = reader.text("operator_sha256", "a SHA-256 in hexadecimal");
+        reader.close();
+    }
+
+    fn read_rank(&mut self, file: &str, section: &str, name: &str, properties: &Properties) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        let rank = RankSettings {
+            order: reader.required("order", COUNT, 0),
+            worth: reader.or_default("worth", COUNT, 1),
+            floor_percent: reader.or_default("floor_percent", "a percentage", 0),
+            deadline_ms: reader.required("deadline_ms", MILLIS, 1_000),
+        };
+        reader.close();
+        self.settings.ranks.insert(RankName::from(name), rank);
+    }
+
+    fn read_model(&mut self, file: &str, section: &str, name: &str, properties: &Properties) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        let model = ModelSettings {
+            version: reader.or_default("version", COUNT, 1),
+            memory_mb: reader.required("memory_mb", MEGABYTES, 1),
+            load_ms: reader.required("load_ms", MILLIS, 1_000),
+            regions: reader.list("regions"),
+            teams: reader.list("teams"),
+        };
+        reader.close();
+        self.settings.models.insert(ModelName::from(name), model);
+    }
+
+    fn read_team(&mut self, file: &str, section: &str, name: &str, properties: &Properties) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        let digest = reader.text("credential_sha256", "a SHA-256 in hexadecimal");
+        let share = reader.or_default("share", "a whole number of at least 1", 1);
+        if share == 0 {
+            reader.fault("share", FaultCause::WrongValue("at least 1".to_owned()));
+        }
+        reader.close();
+        let team = self.settings.teams.entry(TeamName::from(name)).or_default();
+        team.credential_sha256 = digest;
+        team.share = share;
+    }
+
+    fn read_kind(
+        &mut self,
+        file: &str,
+        section: &str,
+        team: &TeamName,
+        name: &str,
+        properties: &Properties,
+    ) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        let rank = reader.text("rank", "the name of a rank");
+        let service: Option<String> = reader.optional("service", "the name of a service");
+        let kind = KindSettings {
+            rank: RankName::from(rank.as_str()),
+            idempotent: reader.or_default("idempotent", "true or false", true),
+            target: service.map_or(WorkTarget::Engine, |name| {
+                WorkTarget::Service(ServiceName::from(name.as_str()))
+            }),
+            deadline_ms: reader.optional("deadline_ms", MILLIS),
+        };
+        reader.close();
+        let team = self.settings.teams.entry(team.clone()).or_default();
+        team.kinds.insert(KindName::from(name), kind);
+    }
+
+    fn read_adapter(
+        &mut self,
+        file: &str,
+        section: &str,
+        team: &TeamName,
+        name: &str,
+        properties: &Properties,
+    ) {
+        let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
+        let model = reader.text("model", "the name of a model");
+        let adapter = AdapterSettings {
+            model: ModelName::from(model.as_str()),
+            version: reader.or_default("version", COUNT, 1),
+            memory_mb: reader.or_default("memory_mb", MEGABYTES, 64),
+        };
+        reader.close();
+        let team = self.settings.teams.entry(team.clone()).or_default();
+        team.adapters.insert(AdapterName::from(name), adapter);
+    }
+
+    fn check_references(&mut self) {
+        let floors: u32 = self.settings.ranks.values().map(|r| r.floor_percent).sum();
+        if floors > 100 {
+            let cause = FaultCause::WrongValue("floors of all ranks within 100".to_owned());
+            self.fault("root", "rank", "floor_percent", cause);
+        }
+        let mut dangling = Vec::new();
+        for (team_name, team) in &self.settings.teams {
+            if team.credential_sha256.is_empty() {
+                dangling.push((
+                    team_name,
+                    format!("team.{team_name}"),
+                    "",
+                    "the team in root",
+                ));
+            }
+            for (name, kind) in &team.kinds {
+                if !self.settings.ranks.contains_key(&kind.rank) {
+                    let section = format!("team.{team_name}.kind.{name}");
+                    dangling.push((team_name, section, "rank", kind.rank.as_str()));
+                }
+            }
+            for (name, adapter) in &team.adapters {
+                if !self.settings.models.contains_key(&adapter.model) {
+                    let section = format!("team.{team_name}.adapter.{name}");
+                    dangling.push((team_name, section, "model", adapter.model.as_str()));
+                }
+            }
+        }
+        let faults: Vec<SettingsFault> = dangling
+            .into_iter()
+            .map(|(team, section, key, target)| SettingsFault {
+                file: format!("team.{team}"),
+                section,
+                key: key.to_owned(),
+                cause: FaultCause::DanglingReference(target.to_owned()),
+            })
+            .collect();
+        self.faults.extend(faults);
+    }
+
+    fn fault(&mut self, file: &str, section: &str, key: &str, cause: FaultCause) {
+        self.faults.push(SettingsFault {
+            file: file.to_owned(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            cause,
+        });
+    }
+}
+
+fn read_limits(reader: &mut SectionReader<'_>) -> FleetLimits {
+    FleetLimits {
+        loads_per_ks: reader.or_default("loads_per_1000_s", COUNT, 10_000),
+        loads_at_once: reader.or_default("loads_at_once", COUNT, 4),
+        adapter_loads_at_once: reader.or_default("adapter_loads_at_once", COUNT, 32),
+        standby_slots: reader.or_default("standby_slots", COUNT, 2),
+        max_slots: reader.or_default("max_slots", COUNT, 8),
+        partitions: reader.or_default("partitions", COUNT, 4),
+        lease_ms: reader.or_default("lease_ms", MILLIS, 6_000),
+        gone_after_ms: reader.or_default("gone_after_ms", MILLIS, 10_000),
+        min_idle_ms: reader.or_default("min_idle_ms", MILLIS, 10_000),
+        quarantine_ms: reader.or_default("quarantine_ms", MILLIS, 600_000),
+        record_ms: reader.or_default("record_ms", MILLIS, 86_400_000),
+    }
+}
--- /dev/null
+++ b/src/table/errors.rs
@@ -0,0 +1,17 @@
+//! Failures of table calls.
+
+use derive_more::Error;
+use displaydoc::Display;
+
+/// A table call without a usable answer; a transaction may or may not have taken effect.
+#[derive(Debug, Display, Error)]
+pub enum TableError {
+    /// the table service did not answer within {0} ms
+    Timeout(#[error(not(source))] u64),
+    /// the table service cannot be reached: {0}
+    Transport(cyper::Error),
+    /// the table service answered with status {0}
+    Status(#[error(not(source))] u16),
+    /// a table row cannot be decoded: {0}
+    Decode(serde_json::Error),
+}
--- /dev/null
+++ b/src/table/table_service.rs
@@ -0,0 +1,23 @@
+//! The table as the controllers use it.
+
+use futures_util::future::LocalBoxFuture;
+
+use super::{RowRevision, TableError, TableRow, TableTxn, TxnOutcome};
+
+/// A transactional table with compare-and-set.
+///
+/// An error from [`TableService::commit`] says nothing about the effect: the caller reads back.
+pub trait TableService {
+    /// Commits a transaction.
+    fn commit(&self, txn: TableTxn) -> LocalBoxFuture<'_, Result<TxnOutcome, TableError>>;
+
+    /// Reads one row; a missing row has [`RowRevision::ABSENT`].
+    fn read(&self, key: String) -> LocalBoxFuture<'_, Result<TableRow, TableError>>;
+
+    /// Reads the rows under a prefix that were written after `since`, deleted ones included.
+    fn scan(
+        &self,
+        prefix: String,
+        since: RowRevision,
+    ) -> LocalBoxFuture<'_, Result<Vec<TableRow>, TableError>>;
+}
--- /dev/null
+++ b/src/time/mod.rs
@@ -0,0 +1,7 @@
+//! Time as the state machines see it.
+
+mod mono_clock;
+mod mono_time;
+
+pub use mono_clock::MonoClock;
+pub use mono_time::MonoTime;
--- /dev/null
+++ b/standins/src/bin/quetzalpin-standin.rs
@@ -0,0 +1,103 @@
+//! Runs one stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use quetzalpin_standins::{
+    EngineOptions, EngineStandin, PlatformStandin, ServiceOptions, ServiceStandin, StandinError,
+    WeightLimits,
+};
+
+mod flags {
+    #![allow(missing_docs, clippy::all, clippy::pedantic)]
+
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Runs one stand-in for a system that quetzalpin meets.
+        cmd quetzalpin-standin {
+            /// Table, list of instances and weight store.
+            cmd platform {
+                /// Address to listen on.
+                required --listen address: SocketAddr
+                /// Model loads per thousand seconds.
+                optional --loads-per-ks count: u64
+            }
+            /// A model engine.
+            cmd engine {
+                /// Address to listen on.
+                required --listen address: SocketAddr
+                /// Address of the weight store.
+                optional --weights address: SocketAddr
+                /// Accelerator memory in megabytes.
+                optional --memory-mb megabytes: u64
+                /// Ignore fencing numbers.
+                optional --ignore-fence
+            }
+            /// A plain service.
+            cmd service {
+                /// Address to listen on.
+                required --listen address: SocketAddr
+                /// Milliseconds that a call takes.
+                optional --call-ms millis: u64
+            }
+        }
+    }
+}
+
+/// Exit code for a failed start.
+const EXIT_START: u8 = 3;
+
+fn main() -> ExitCode {
+    let flags = flags::QuetzalpinStandin::from_env_or_exit();
+    match run(flags.subcommand) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn run(command: flags::QuetzalpinStandinCmd) -> Result<(), StandinError> {
+    let runtime = compio::runtime::Runtime::new()?;
+    runtime.block_on(serve(command))
+}
+
+async fn serve(command: flags::QuetzalpinStandinCmd) -> Result<(), StandinError> {
+    match command {
+        flags::QuetzalpinStandinCmd::Platform(platform) => {
+            let limits = WeightLimits {
+                loads_per_ks: platform.loads_per_ks.unwrap_or(10_000),
+                loads_at_once: 4,
+                adapter_loads_at_once: 32,
+            };
+            let serving = PlatformStandin::spawn(platform.listen, limits).await?;
+            run_for_ever(serving.address()).await;
+        }
+        flags::QuetzalpinStandinCmd::Engine(engine) => {
+            let defaults = EngineOptions::default();
+            let options = EngineOptions {
+                memory_mb: engine.memory_mb.unwrap_or(defaults.memory_mb),
+                checks_fence: !engine.ignore_fence,
+                weights: engine.weights,
+                ..defaults
+            };
+            let serving = EngineStandin::spawn(engine.listen, options).await?;
+            run_for_ever(serving.address()).await;
+        }
+        flags::QuetzalpinStandinCmd::Service(service) => {
+            let options = ServiceOptions {
+                call_ms: service.call_ms.unwrap_or(20),
+            };
+            let serving = ServiceStandin::spawn(service.listen, options).await?;
+            run_for_ever(serving.address()).await;
+        }
+    }
+    Ok(())
+}
+
+async fn run_for_ever(address: SocketAddr) {
+    println!("listening on {address}");
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/standins/src/engine_standin.rs
@@ -0,0 +1,622 @@
+//! A model engine: continuous batching, loads within memory, crashes on command.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use quetzalpin::engine::{EngineState, LoadCommand, UnloadCommand};
+use quetzalpin::memory::MemoryUnit;
+use quetzalpin::net::{
+    BodyError, HttpBody, HttpHandler, HttpServer, json_response, read_body, stream_body,
+};
+use quetzalpin::placement::EngineHolding;
+use quetzalpin::prelude::*;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::errors::StandinError;
+use crate::fault_switch::{FaultSwitch, abort_response};
+use crate::platform_standin::StandinServing;
+use crate::prompt_words::{POISON_WORD, answer_word};
+
+/// Largest request in bytes.
+const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Milliseconds that a request may take to arrive.
+const REQUEST_MS: u64 = 5_000;
+
+/// Milliseconds between looks while waiting for a place in the batch.
+const BATCH_LOOK_MS: u64 = 2;
+
+/// Prefixes that the prompt cache holds.
+const CACHED_PREFIXES: usize = 64;
+
+/// Bytes of a prompt that make its cached prefix.
+const PREFIX_BYTES: usize = 64;
+
+/// Percent of the prefill time that a cached prefix leaves.
+const CACHED_PREFILL_PERCENT: u64 = 30;
+
+/// How the engine behaves.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Accelerator memory in megabytes.
+    pub memory_mb: u64,
+    /// Requests that it batches at most.
+    pub max_batch: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fence: bool,
+    /// Milliseconds to the first token on an idle engine.
+    pub first_ms: u64,
+    /// Microseconds per token on an idle engine.
+    pub token_us: u64,
+    /// Microseconds per token that each further request in the batch adds.
+    pub crowd_us: u64,
+    /// Microseconds per megabyte to load from the weight store.
+    pub remote_us_per_mb: u64,
+    /// Microseconds per megabyte to load from the instance's memory or disk.
+    pub cached_us_per_mb: u64,
+    /// Checkpoints that the instance keeps near.
+    pub cached_checkpoints: usize,
+    /// Milliseconds for an adapter's load.
+    pub adapter_ms: u64,
+    /// Milliseconds that a crashed engine is down.
+    pub restart_ms: u64,
+    /// Milliseconds by which its report lags.
+    pub lag_ms: u64,
+    /// Where the weight store listens; without it, loads take their bare time.
+    pub weights: Option<SocketAddr>,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            memory_mb: 80_000,
+            max_batch: 16,
+            checks_fence: true,
+            first_ms: 40,
+            token_us: 10_000,
+            crowd_us: 500,
+            remote_us_per_mb: 50,
+            cached_us_per_mb: 15,
+            cached_checkpoints: 6,
+            adapter_ms: 5,
+            restart_ms: 1_000,
+            lag_ms: 100,
+            weights: None,
+        }
+    }
+}
+
+/// A change of what the engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldingChange {
+    /// Milliseconds since the engine's first start.
+    pub at_ms: u64,
+    /// What.
+    pub unit: MemoryUnit,
+    /// True from the load order on, false once unloaded.
+    pub is_held: bool,
+}
+
+/// What the engine did.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EngineAudit {
+    /// Loads that would have exceeded the memory.
+    pub overcommits: u32,
+    /// Orders refused for an old fencing number.
+    pub fenced: u32,
+    /// Crashes.
+    pub crashes: u32,
+    /// Megabyte-milliseconds held.
+    pub held_mb_ms: u64,
+    /// Changes of what it holds, oldest first.
+    pub changes: Vec<HoldingChange>,
+    /// How often each request was run, by attempt.
+    pub runs: BTreeMap<String, u32>,
+}
+
+#[derive(Debug, Clone)]
+struct HeldUnit {
+    memory_mb: u64,
+    is_ready: bool,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct ChatOrder {
+    model: ReplicaName,
+    adapter: Option<String>,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    /// Tokens of the answer that the asker already has.
+    #[serde(default)]
+    resume_tokens: u32,
+}
+
+impl ChatOrder {
+    fn prompt(&self) -> &str {
+        self.messages.last().map_or("", |m| m.content.as_str())
+    }
+
+    fn tokens(&self) -> u32 {
+        self.max_tokens.unwrap_or(16)
+    }
+}
+
+#[derive(Debug)]
+struct EngineInner {
+    held: BTreeMap<MemoryUnit, HeldUnit>,
+    cached: VecDeque<ReplicaName>,
+    prefixes: VecDeque<String>,
+    running: BTreeMap<AttemptId, u32>,
+    audit: EngineAudit,
+    held_since: Instant,
+}
+
+/// The engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    options: EngineOptions,
+    boot_id: Cell<u64>,
+    fence: Cell<u64>,
+    down_until: Cell<Option<Instant>>,
+    inner: RefCell<EngineInner>,
+    snapshot: RefCell<Option<(Instant, EngineState)>>,
+    client: cyper::Client,
+    started_at: Instant,
+    /// Percent of the usual time that each token takes.
+    pub slowness_percent: Cell<u64>,
+    /// Faults of the admin interface on command.
+    pub faults: FaultSwitch,
+}
+
+/// Counts a request in the batch until it ends.
+struct RunGuard {
+    engine: Rc<EngineStandin>,
+    attempt: AttemptId,
+}
+
+impl RunGuard {
+    fn enter(engine: &Rc<EngineStandin>, attempt: AttemptId) -> Self {
+        let mut inner = engine.inner.borrow_mut();
+        *inner.running.entry(attempt).or_insert(0) += 1;
+        Self {
+            engine: Rc::clone(engine),
+            attempt,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.engine.inner.borrow_mut().running.remove(&self.attempt);
+    }
+}
+
+/// A streamed answer under way.
+struct StreamState {
+    engine: Rc<EngineStandin>,
+    guard: RunGuard,
+    order: ChatOrder,
+    boot_id: u64,
+    next: u32,
+}
+
+impl EngineStandin {
+    /// Binds the address and starts serving.
+    ///
+    /// # Errors
+    /// [`StandinError`] if the address is taken.
+    pub async fn spawn(
+        address: SocketAddr,
+        options: EngineOptions,
+    ) -> Result<StandinServing<Self>, StandinError> {
+        let state = Rc::new(Self {
+            options,
+            boot_id: Cell::new(fastrand::u64(1..1 << 32) << 16),
+            fence: Cell::new(0),
+            down_until: Cell::new(None),
+            inner: RefCell::new(EngineInner {
+                held: BTreeMap::new(),
+                cached: VecDeque::new(),
+                prefixes: VecDeque::new(),
+                running: BTreeMap::new(),
+                audit: EngineAudit::default(),
+                held_since: Instant::now(),
+            }),
+            snapshot: RefCell::new(None),
+            client: cyper::Client::new()?,
+            started_at: Instant::now(),
+            slowness_percent: Cell::new(100),
+            faults: FaultSwitch::default(),
+        });
+        let server = HttpServer::bind(address).await?;
+        let serving = server.spawn(Rc::clone(&state))?;
+        Ok(StandinServing::open(state, serving))
+    }
+
+    /// Dies and comes back empty after the restart time.
+    pub fn crash(&self) {
+        self.account();
+        self.boot_id.set(self.boot_id.get() + 1);
+        let until = Instant::now() + Duration::from_millis(self.options.restart_ms);
+        self.down_until.set(Some(until));
+        self.fence.set(0);
+        *self.snapshot.borrow_mut() = None;
+        let units: Vec<MemoryUnit> = self.inner.borrow().held.keys().cloned().collect();
+        for unit in units {
+            self.note_change(&unit, false);
+        }
+        let mut inner = self.inner.borrow_mut();
+        inner.held.clear();
+        inner.prefixes.clear();
+        inner.audit.crashes += 1;
+    }
+
+    /// What the engine did.
+    pub fn audit(&self) -> EngineAudit {
+        self.account();
+        self.inner.borrow().audit.clone()
+    }
+
+    /// Replicas held now.
+    pub fn held_replicas(&self) -> Vec<ReplicaName> {
+        let inner = self.inner.borrow();
+        let units = inner.held.keys();
+        units
+            .filter_map(|unit| match unit {
+                MemoryUnit::Replica(replica) => Some(replica.clone()),
+                MemoryUnit::Adapter(_) => None,
+            })
+            .collect()
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until
+            .get()
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    fn used_mb(&self) -> u64 {
+        let inner = self.inner.borrow();
+        inner.held.values().map(|held| held.memory_mb).sum()
+    }
+
+    /// Adds the time since the last change to the held megabyte-milliseconds.
+    fn account(&self) {
+        let used_mb = self.used_mb();
+        let mut inner = self.inner.borrow_mut();
+        let elapsed_ms = u64::try_from(inner.held_since.elapsed().as_millis()).unwrap_or(0);
+        inner.audit.held_mb_ms += used_mb * elapsed_ms;
+        inner.held_since = Instant::now();
+    }
+
+    fn note_change(&self, unit: &MemoryUnit, is_held: bool) {
+        let at_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.inner.borrow_mut().audit.changes.push(HoldingChange {
+            at_ms,
+            unit: unit.clone(),
+            is_held,
+        });
+    }
+
+    async fn route(self: Rc<Self>, request: Request<Incoming>) -> Response<HttpBody> {
+        let request = match self.faults.take_order(request).await {
+            Ok(response) => return response,
+            Err(request) => request,
+        };
+        let path = request.uri().path().to_owned();
+        if path == "/audit" {
+            return json_response(StatusCode::OK, &self.audit());
+        }
+        if self.is_down() {
+            return abort_response();
+        }
+        if path == "/v1/chat/completions" && request.method() == Method::POST {
+            return self.chat(request).await;
+        }
+        if !self.faults.admit().await {
+            return abort_response();
+        }
+        let response = match path.as_str() {
+            "/admin/state" => json_response(StatusCode::OK, &self.state()),
+            "/admin/load" => self.load(request).await,
+            "/admin/unload" => self.unload(request).await,
+            _ => json_response(StatusCode::NOT_FOUND, &"no such path"),
+        };
+        self.faults.release(response)
+    }
+
+    /// The report, as it was some time ago.
+    fn state(&self) -> EngineState {
+        let mut snapshot = self.snapshot.borrow_mut();
+        let lag = Duration::from_millis(self.options.lag_ms);
+        if let Some((taken_at, state)) = &*snapshot
+            && taken_at.elapsed() < lag
+        {
+            return state.clone();
+        }
+        let state = self.fresh_state();
+        *snapshot = Some((Instant::now(), state.clone()));
+        state
+    }
+
+    fn fresh_state(&self) -> EngineState {
+        let inner = self.inner.borrow();
+        let held = inner.held.iter();
+        EngineState {
+            boot_id: self.boot_id.get(),
+            fence: self.options.checks_fence.then(|| self.fence.get()),
+            max_batch: self.options.max_batch,
+            holdings: held
+                .map(|(unit, held)| EngineHolding {
+                    unit: unit.clone(),
+                    memory_mb: held.memory_mb,
+                    ready: held.is_ready,
+                })
+                .collect(),
+            running: inner.running.keys().copied().collect(),
+            cached: inner.cached.iter().cloned().collect(),
+        }
+    }
+
+    fn accepts_fence(&self, fence: u64) -> bool {
+        if self.options.checks_fence && fence < self.fence.get() {
+            self.inner.borrow_mut().audit.fenced += 1;
+            return false;
+        }
+        self.fence.set(self.fence.get().max(fence));
+        true
+    }
+
+    async fn load(self: &Rc<Self>, request: Request<Incoming>) -> Response<HttpBody> {
+        let Some(command) = read_json::<LoadCommand>(request).await else {
+            return json_response(StatusCode::BAD_REQUEST, &"not a load order");
+        };
+        if !self.accepts_fence(command.fence) {
+            return json_response(StatusCode::CONFLICT, &"old fencing number");
+        }
+        if self.inner.borrow().held.contains_key(&command.unit) {
+            return json_response(StatusCode::OK, &"held already");
+        }
+        if self.used_mb() + command.memory_mb > self.options.memory_mb {
+            self.inner.borrow_mut().audit.overcommits += 1;
+            return json_response(StatusCode::CONFLICT, &"not enough memory");
+        }
+        self.account();
+        let held = HeldUnit {
+            memory_mb: command.memory_mb,
+            is_ready: false,
+        };
+        let unit = command.unit.clone();
+        self.inner.borrow_mut().held.insert(unit, held);
+        self.note_change(&command.unit, true);
+        let engine = Rc::clone(self);
+        let loading = compio::runtime::spawn(async move { engine.finish_load(command).await });
+        match loading.await {
+            Ok(true) => json_response(StatusCode::OK, &"loaded"),
+            _ => abort_response(),
+        }
+    }
+
+    /// Goes on when the asker gives up, as a real engine does.
+    async fn finish_load(&self, command: LoadCommand) -> bool {
+        let boot_id = self.boot_id.get();
+        self.wait_for_weights(&command).await;
+        if self.boot_id.get() != boot_id {
+            return false;
+        }
+        let mut inner = self.inner.borrow_mut();
+        if let Some(held) = inner.held.get_mut(&command.unit) {
+            held.is_ready = true;
+        }
+        if let MemoryUnit::Replica(replica) = &command.unit {
+            inner.cached.retain(|known| known != replica);
+            inner.cached.push_back(replica.clone());
+            if inner.cached.len() > self.options.cached_checkpoints {
+                inner.cached.pop_front();
+            }
+        }
+        true
+    }
+
+    async fn wait_for_weights(&self, command: &LoadCommand) {
+        let (millis, is_adapter, is_near) = match &command.unit {
+            MemoryUnit::Adapter(_) => (self.options.adapter_ms, true, false),
+            MemoryUnit::Replica(replica) => {
+                let is_near = self.inner.borrow().cached.contains(replica);
+                let us_per_mb = if is_near {
+                    self.options.cached_us_per_mb
+                } else {
+                    self.options.remote_us_per_mb
+                };
+                (command.memory_mb * us_per_mb / 1_000, false, is_near)
+            }
+        };
+        match self.options.weights {
+            Some(store) if !is_near => {
+                let url = format!("http://{store}/weights");
+                let order = json!({"millis": millis, "is_adapter": is_adapter});
+                let request = self.client.post(url).and_then(|r| r.json(&order));
+                if let Ok(request) = request {
+                    let _ = request.send().await;
+                }
+            }
+            _ => compio::time::sleep(Duration::from_millis(millis)).await,
+        }
+    }
+
+    async fn unload(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let Some(command) = read_json::<UnloadCommand>(request).await else {
+            return json_response(StatusCode::BAD_REQUEST, &"not an unload order");
+        };
+        if !self.accepts_fence(command.fence) {
+            return json_response(StatusCode::CONFLICT, &"old fencing number");
+        }
+        self.account();
+        let removed = self.inner.borrow_mut().held.remove(&command.unit);
+        if removed.is_some() {
+            self.note_change(&command.unit, false);
+        }
+        json_response(StatusCode::OK, &"unloaded")
+    }
+
+    fn holds_ready(&self, order: &ChatOrder) -> bool {
+        let inner = self.inner.borrow();
+        let is_ready = |unit: &MemoryUnit| inner.held.get(unit).is_some_and(|h| h.is_ready);
+        let has_model = is_ready(&MemoryUnit::Replica(order.model.clone()));
+        let has_adapter = order.adapter.as_ref().is_none_or(|name| {
+            let mut units = inner.held.keys();
+            units.any(|unit| unit.to_string() == *name && is_ready(unit))
+        });
+        has_model && has_adapter
+    }
+
+    async fn chat(self: &Rc<Self>, request: Request<Incoming>) -> Response<HttpBody> {
+        let attempt = request.headers().get("x-request-id");
+        let attempt = attempt.and_then(|value| value.to_str().ok()?.parse().ok());
+        let attempt = attempt.unwrap_or_else(AttemptId::random);
+        let Some(order) = read_json::<ChatOrder>(request).await else {
+            return json_response(StatusCode::BAD_REQUEST, &"not a chat request");
+        };
+        if !self.holds_ready(&order) {
+            return json_response(StatusCode::NOT_FOUND, &"not loaded");
+        }
+        while self.batch_is_full() {
+            compio::time::sleep(Duration::from_millis(BATCH_LOOK_MS)).await;
+        }
+        let guard = RunGuard::enter(self, attempt);
+        self.count_run(attempt);
+        let boot_id = self.boot_id.get();
+        compio::time::sleep(self.prefill_time(order.prompt())).await;
+        if order.prompt().contains(POISON_WORD) && self.boot_id.get() == boot_id {
+            self.crash();
+        }
+        if self.boot_id.get() != boot_id {
+            return abort_response();
+        }
+        let next = order.resume_tokens;
+        let state = StreamState {
+            engine: Rc::clone(self),
+            guard,
+            order,
+            boot_id,
+            next,
+        };
+        if state.order.stream {
+            stream_answer(state)
+        } else {
+            whole_answer(state).await
+        }
+    }
+
+    fn batch_is_full(&self) -> bool {
+        let running = self.inner.borrow().running.len();
+        running >= self.options.max_batch as usize
+    }
+
+    fn count_run(&self, attempt: AttemptId) {
+        let mut inner = self.inner.borrow_mut();
+        *inner.audit.runs.entry(attempt.to_string()).or_insert(0) += 1;
+    }
+
+    fn prefill_time(&self, prompt: &str) -> Duration {
+        let prefix: String = prompt.chars().take(PREFIX_BYTES).collect();
+        let mut inner = self.inner.borrow_mut();
+        let is_cached = inner.prefixes.contains(&prefix);
+        inner.prefixes.retain(|known| *known != prefix);
+        inner.prefixes.push_back(prefix);
+        if inner.prefixes.len() > CACHED_PREFIXES {
+            inner.prefixes.pop_front();
+        }
+        let percent = if is_cached {
+            CACHED_PREFILL_PERCENT
+        } else {
+            100
+        };
+        let millis = self.options.first_ms * percent * self.slowness_percent.get() / 10_000;
+        Duration::from_millis(millis)
+    }
+
+    fn token_time(&self) -> Duration {
+        let running = self.inner.borrow().running.len() as u64;
+        let crowd_us = self.options.crowd_us * running.saturating_sub(1);
+        let micros = (self.options.token_us + crowd_us) * self.slowness_percent.get() / 100;
+        Duration::from_micros(micros)
+    }
+}
+
+fn stream_answer(state: StreamState) -> Response<HttpBody> {
+    let chunks = stream::unfold(Some(state), |state| async move {
+        let mut state = state?;
+        if state.next > state.order.tokens() {
+            return None;
+        }
+        if state.next == state.order.tokens() {
+            state.next += 1;
+            return Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), Some(state)));
+        }
+        if state.next > state.order.resume_tokens {
+            compio::time::sleep(state.engine.token_time()).await;
+        }
+        if state.engine.boot_id.get() != state.boot_id {
+            return Some((Err(BodyError::Cut), None));
+        }
+        let word = answer_word(state.order.prompt(), state.next);
+        state.next += 1;
+        let event = json!({"choices": [{"delta": {"content": format!("{word} ")}}]});
+        Some((Ok(Bytes::from(format!("data: {event}\n\n"))), Some(state)))
+    });
+    let mut response = Response::new(stream_body(chunks));
+    let content_type = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+async fn whole_answer(state: StreamState) -> Response<HttpBody> {
+    let mut words = Vec::new();
+    for position in state.next..state.order.tokens() {
+        compio::time::sleep(state.engine.token_time()).await;
+        if state.engine.boot_id.get() != state.boot_id {
+            return abort_response();
+        }
+        words.push(answer_word(state.order.prompt(), position));
+    }
+    drop(state.guard);
+    let answer = json!({
+        "choices": [{"message": {"role": "assistant", "content": words.join(" ")}}],
+        "usage": {"completion_tokens": words.len()},
+    });
+    json_response(StatusCode::OK, &answer)
+}
+
+impl HttpHandler for EngineStandin {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(self.route(request))
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = read_body(request.into_body(), MAX_REQUEST_BYTES, REQUEST_MS).await;
+    serde_json::from_slice(&body.ok()?).ok()
+}
--- /dev/null
+++ b/standins/src/errors.rs
@@ -0,0 +1,25 @@
+//! Failures at the start of a stand-in.
+
+use derive_more::{Error, From};
+use displaydoc::Display;
+use quetzalpin::config::ConfigError;
+use quetzalpin::daemon::DaemonError;
+use quetzalpin::net::NetError;
+
+/// A stand-in could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum StandinError {
+    /// {0}
+    Net(NetError),
+    /// {0}
+    Daemon(DaemonError),
+    /// {0}
+    Config(ConfigError),
+    /// {0}
+    Io(std::io::Error),
+    /// {0}
+    Client(cyper::Error),
+    /// the fleet was not ready within {0} ms
+    #[from(ignore)]
+    NotReady(#[error(not(source))] u64),
+}
--- /dev/null
+++ b/standins/src/fault_proxy.rs
@@ -0,0 +1,127 @@
+//! A TCP proxy that delays, cuts and silences connections.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::JoinHandle;
+
+use crate::errors::StandinError;
+
+/// Bytes forwarded at a time.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Milliseconds between looks of a silenced connection.
+const SILENT_LOOK_MS: u64 = 50;
+
+#[derive(Debug, Default)]
+struct ProxyState {
+    /// Connections opened before this number are silent.
+    silent_before: Cell<u64>,
+    opened: Cell<u64>,
+    delay_ms: Cell<u64>,
+    is_refusing: Cell<bool>,
+    pumps: RefCell<Vec<JoinHandle<()>>>,
+}
+
+/// A running proxy; dropping it cuts all connections.
+#[derive(Debug)]
+pub struct FaultProxy {
+    state: Rc<ProxyState>,
+    address: SocketAddr,
+    _accepting: JoinHandle<()>,
+}
+
+impl FaultProxy {
+    /// Binds a free port on loopback and forwards to `target`.
+    ///
+    /// # Errors
+    /// [`StandinError::Io`] if no port can be bound.
+    pub async fn spawn(target: SocketAddr) -> Result<Self, StandinError> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(ProxyState::default());
+        let accepting = accept_loop(listener, target, Rc::clone(&state));
+        Ok(Self {
+            state,
+            address,
+            _accepting: compio::runtime::spawn(accepting),
+        })
+    }
+
+    /// Where the proxy listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Silences all open connections for good; new ones work.
+    pub fn silence(&self) {
+        self.state.silent_before.set(self.state.opened.get());
+    }
+
+    /// Cuts all open connections.
+    pub fn cut(&self) {
+        self.state.pumps.borrow_mut().clear();
+    }
+
+    /// Refuses new connections, or accepts them again.
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.state.is_refusing.set(is_refusing);
+    }
+
+    /// Delays each forwarded piece.
+    pub fn set_delay(&self, delay_ms: u64) {
+        self.state.delay_ms.set(delay_ms);
+    }
+}
+
+async fn accept_loop(listener: TcpListener, target: SocketAddr, state: Rc<ProxyState>) {
+    while let Ok((inward, _)) = listener.accept().await {
+        if state.is_refusing.get() {
+            continue;
+        }
+        let Ok(outward) = TcpStream::connect(target).await else {
+            continue;
+        };
+        let _ = inward.set_nodelay(true);
+        let _ = outward.set_nodelay(true);
+        let number = state.opened.get();
+        state.opened.set(number + 1);
+        let (inward_read, inward_write) = inward.into_split();
+        let (outward_read, outward_write) = outward.into_split();
+        let there = pump(inward_read, outward_write, number, Rc::clone(&state));
+        let back = pump(outward_read, inward_write, number, Rc::clone(&state));
+        let mut pumps = state.pumps.borrow_mut();
+        pumps.push(compio::runtime::spawn(there));
+        pumps.push(compio::runtime::spawn(back));
+    }
+}
+
+async fn pump(mut from: TcpStream, mut to: TcpStream, number: u64, state: Rc<ProxyState>) {
+    let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        buffer.clear();
+        let compio::BufResult(read, filled) = from.read(buffer).await;
+        buffer = filled;
+        let Ok(1..) = read else {
+            break;
+        };
+        let delay_ms = state.delay_ms.get();
+        if delay_ms > 0 {
+            compio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        while number < state.silent_before.get() {
+            compio::time::sleep(Duration::from_millis(SILENT_LOOK_MS)).await;
+        }
+        let compio::BufResult(written, returned) = to.write_all(buffer).await;
+        buffer = returned;
+        if written.is_err() {
+            break;
+        }
+    }
+    let _ = compio::io::AsyncWrite::shutdown(&mut to).await;
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,30 @@
+//! Small stand-ins for the systems that quetzalpin meets, served over real sockets.
+//!
+//! Each can be made slow, be taken down, or lose answers after they took effect.
+
+mod engine_standin;
+mod errors;
+mod fault_proxy;
+mod fault_switch;
+mod member_list;
+mod platform_standin;
+mod prompt_words;
+mod service_standin;
+mod standin_fleet;
+mod table_standin;
+mod weight_store;
+
+pub use engine_standin::{EngineAudit, EngineOptions, EngineStandin, HoldingChange};
+pub use errors::StandinError;
+pub use fault_proxy::FaultProxy;
+pub use fault_switch::{FaultOrder, FaultSwitch};
+pub use member_list::MemberList;
+pub use platform_standin::{PlatformStandin, StandinServing};
+pub use prompt_words::{POISON_WORD, answer_word};
+pub use service_standin::{ServiceAudit, ServiceOptions, ServiceStandin};
+pub use standin_fleet::{
+    FleetPlan, OPERATOR_CREDENTIAL, StandinFleet, UpstreamPlan, UpstreamStandin, any_port,
+    default_agent,
+};
+pub use table_standin::TableStandin;
+pub use weight_store::{WeightLimits, WeightStore};
