--- /dev/null
+++ b/standins/src/platform_standin.rs
@@ -0,0 +1,175 @@
+//! Table, list of instances and weight store behind one address.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use quetzalpin::net::{HttpBody, HttpHandler, HttpServer, HttpServing, json_response, read_body};
+use quetzalpin::table::TableTxn;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::errors::StandinError;
+use crate::fault_switch::{FaultSwitch, abort_response};
+use crate::member_list::MemberList;
+use crate::table_standin::{RowQuery, TableStandin};
+use crate::weight_store::{WeightLimits, WeightStore};
+
+/// Largest request in bytes.
+const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Milliseconds that a request may take to arrive.
+const REQUEST_MS: u64 = 5_000;
+
+/// A running stand-in; dropping it stops it at once.
+#[derive(Debug)]
+pub struct StandinServing<S> {
+    /// The stand-in's state.
+    pub state: Rc<S>,
+    serving: HttpServing,
+}
+
+impl<S> StandinServing<S> {
+    /// Wraps a served stand-in.
+    pub const fn open(state: Rc<S>, serving: HttpServing) -> Self {
+        Self { state, serving }
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.serving.address()
+    }
+}
+
+/// A checkpoint that an engine fetches.
+#[derive(Debug, Deserialize)]
+struct FetchOrder {
+    millis: u64,
+    is_adapter: bool,
+}
+
+/// The platform's side.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    /// The table.
+    pub table: TableStandin,
+    /// The list of instances.
+    pub members: MemberList,
+    /// The weight store.
+    pub weights: WeightStore,
+    /// Faults of the table.
+    pub table_faults: FaultSwitch,
+    /// Faults of the list.
+    pub member_faults: FaultSwitch,
+}
+
+impl PlatformStandin {
+    /// Binds the address and starts serving.
+    ///
+    /// # Errors
+    /// [`StandinError::Net`] if the address is taken.
+    pub async fn spawn(
+        address: SocketAddr,
+        limits: WeightLimits,
+    ) -> Result<StandinServing<Self>, StandinError> {
+        let state = Rc::new(Self {
+            table: TableStandin::default(),
+            members: MemberList::default(),
+            weights: WeightStore::open(limits),
+            table_faults: FaultSwitch::default(),
+            member_faults: FaultSwitch::default(),
+        });
+        let server = HttpServer::bind(address).await?;
+        let serving = server.spawn(Rc::clone(&state))?;
+        Ok(StandinServing::open(state, serving))
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let request = match self.table_faults.take_order(request).await {
+            Ok(response) => return response,
+            Err(request) => request,
+        };
+        let path = request.uri().path().to_owned();
+        if let Some(operation) = path.strip_prefix("/table/") {
+            return self.table_route(operation, request).await;
+        }
+        match path.as_str() {
+            "/members" => self.list_members().await,
+            "/members/update" => self.update_members(request).await,
+            "/weights" => self.fetch(request).await,
+            _ => not_found(),
+        }
+    }
+
+    async fn table_route(&self, operation: &str, request: Request<Incoming>) -> Response<HttpBody> {
+        if !self.table_faults.admit().await {
+            return abort_response();
+        }
+        let response = match operation {
+            "commit" => answer(request, |txn: TableTxn| self.table.commit(&txn)).await,
+            "read" => answer(request, |query: RowQuery| self.table.read(&query.key)).await,
+            "scan" => answer(request, |query: RowQuery| self.table.scan(&query)).await,
+            _ => not_found(),
+        };
+        self.table_faults.release(response)
+    }
+
+    async fn list_members(&self) -> Response<HttpBody> {
+        if self.member_faults.admit().await {
+            json_response(StatusCode::OK, &self.members.visible())
+        } else {
+            abort_response()
+        }
+    }
+
+    async fn update_members(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        answer(request, |members| {
+            self.members.update(|list| *list = members);
+        })
+        .await
+    }
+
+    async fn fetch(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let Some(order) = read_json::<FetchOrder>(request).await else {
+            return not_found();
+        };
+        if order.is_adapter {
+            self.weights.fetch_adapter(order.millis).await;
+        } else {
+            self.weights.fetch_model(order.millis).await;
+        }
+        json_response(StatusCode::OK, &())
+    }
+}
+
+impl HttpHandler for PlatformStandin {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(async move { self.route(request).await })
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = read_body(request.into_body(), MAX_REQUEST_BYTES, REQUEST_MS).await;
+    serde_json::from_slice(&body.ok()?).ok()
+}
+
+async fn answer<T: DeserializeOwned, R: serde::Serialize>(
+    request: Request<Incoming>,
+    work: impl FnOnce(T) -> R,
+) -> Response<HttpBody> {
+    match read_json(request).await {
+        Some(value) => json_response(StatusCode::OK, &work(value)),
+        None => json_response(StatusCode::BAD_REQUEST, &"not understood"),
+    }
+}
+
+fn not_found() -> Response<HttpBody> {
+    json_response(StatusCode::NOT_FOUND, &"no such path")
+}
--- /dev/null
+++ b/standins/src/weight_store.rs
@@ -0,0 +1,110 @@
+//! The rate-limited weight store.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Limits of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct WeightLimits {
+    /// Loads per thousand seconds.
+    pub loads_per_ks: u64,
+    /// Loads at once at full speed; beyond, all slow down in proportion.
+    pub loads_at_once: u32,
+    /// Adapter loads at once at full speed.
+    pub adapter_loads_at_once: u32,
+}
+
+/// Serves checkpoints in the time that the limits allow.
+#[derive(Debug)]
+pub struct WeightStore {
+    limits: WeightLimits,
+    active: Cell<u32>,
+    adapters_active: Cell<u32>,
+    next_start: Cell<Option<Instant>>,
+    /// Percent of the usual time that each load takes.
+    pub slowness_percent: Cell<u64>,
+    most_active: Cell<u32>,
+    fetches: Cell<u64>,
+}
+
+/// Milliseconds between progress steps of a fetch.
+const STEP_MS: u64 = 5;
+
+struct ActiveGuard<'a>(&'a Cell<u32>);
+
+impl<'a> ActiveGuard<'a> {
+    fn enter(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for ActiveGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl WeightStore {
+    /// Opens a store.
+    #[must_use]
+    pub const fn open(limits: WeightLimits) -> Self {
+        Self {
+            limits,
+            active: Cell::new(0),
+            adapters_active: Cell::new(0),
+            next_start: Cell::new(None),
+            slowness_percent: Cell::new(100),
+            most_active: Cell::new(0),
+            fetches: Cell::new(0),
+        }
+    }
+
+    /// Fetches a checkpoint that takes `millis` at full speed.
+    pub async fn fetch_model(&self, millis: u64) {
+        self.fetches.set(self.fetches.get() + 1);
+        self.wait_for_start().await;
+        let guard = ActiveGuard::enter(&self.active);
+        self.most_active
+            .set(self.most_active.get().max(self.active.get()));
+        self.progress(millis, &self.active, self.limits.loads_at_once)
+            .await;
+        drop(guard);
+    }
+
+    /// Fetches an adapter that takes `millis` at full speed.
+    pub async fn fetch_adapter(&self, millis: u64) {
+        let guard = ActiveGuard::enter(&self.adapters_active);
+        let limit = self.limits.adapter_loads_at_once;
+        self.progress(millis, &self.adapters_active, limit).await;
+        drop(guard);
+    }
+
+    /// Most model loads seen at once, and model loads in all.
+    #[must_use]
+    pub const fn counts(&self) -> (u32, u64) {
+        (self.most_active.get(), self.fetches.get())
+    }
+
+    async fn wait_for_start(&self) {
+        let gap_us = 1_000_000_000 / self.limits.loads_per_ks.max(1);
+        let now = Instant::now();
+        let start = self.next_start.get().map_or(now, |next| next.max(now));
+        self.next_start
+            .set(Some(start + Duration::from_micros(gap_us)));
+        compio::time::sleep_until(start).await;
+    }
+
+    async fn progress(&self, millis: u64, active: &Cell<u32>, at_once: u32) {
+        let mut left_us = millis * 1_000;
+        let mut last = Instant::now();
+        while left_us > 0 {
+            compio::time::sleep(Duration::from_millis(STEP_MS)).await;
+            let elapsed_us = u64::try_from(last.elapsed().as_micros()).unwrap_or(u64::MAX);
+            last = Instant::now();
+            let crowd_percent = u64::from(active.get().max(at_once)) * 100 / u64::from(at_once);
+            let slowness = crowd_percent * self.slowness_percent.get() / 100;
+            left_us = left_us.saturating_sub(elapsed_us * 100 / slowness.max(1));
+        }
+    }
+}
