Prove the state machines by properties and the daemons by faults

Cause: the promises were built but nothing showed that they hold when answers are lost, processes freeze or die, and operators race.

Change: property tests of run record, admission queue, holder, planners with leases over one table, permits, membership, routing and settings; a fleet of real daemon processes behind fault proxies with 17 cases. A dangling reference is no longer reported for a key that is missing anyway.

--- a/cli/src/bench/cold_bench.rs
+++ b/cli/src/bench/cold_bench.rs
@@ -5,12 +5,13 @@
 
 use futures_util::future::join_all;
 use quetzalpin::placement::HoldingPolicy;
-use quetzalpin_standins::{StandinFleet, WeightLimits};
+use quetzalpin_standins::{
+    CallOutcome, CallerClient, ChatCall, StandinError, StandinFleet, WeightLimits,
+};
 
 use super::example_fleet::{ChatRank, ExampleFleet};
 use super::fleet_thread::{FleetAddresses, FleetThread};
 use super::latency_table::{LatencyTable, millis_text};
-use crate::client::{CallOutcome, CallerClient, ChatCall};
 use crate::errors::ToolError;
 use crate::flags::Cold;
 
@@ -171,10 +172,11 @@
     });
     let outcomes = join_all(waves).await;
     println!("  burst over after {} ms", began_at.elapsed().as_millis());
-    outcomes
+    let whole: Result<Vec<Vec<CallOutcome>>, StandinError> = outcomes
         .into_iter()
         .map(|wave| wave.into_iter().collect())
-        .collect()
+        .collect();
+    Ok(whole?)
 }
 
 /// Times at which the store alone could have ended the loads: `loads_at_once` at full speed,
--- a/cli/src/bench/example_fleet.rs
+++ b/cli/src/bench/example_fleet.rs
@@ -135,6 +135,7 @@
             weights: self.weights(),
             settings: self.settings(),
             agent: default_agent(),
+            poll_ms: 1_000,
         }
     }
 
--- a/cli/src/bench/warm_bench.rs
+++ b/cli/src/bench/warm_bench.rs
@@ -3,12 +3,11 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use quetzalpin_standins::{EngineOptions, UpstreamPlan};
+use quetzalpin_standins::{CallerClient, ChatCall, EngineOptions, UpstreamPlan};
 
 use super::example_fleet::{ExampleFleet, FleetSize};
 use super::fleet_thread::FleetThread;
 use super::latency_table::{LatencyTable, millis_text};
-use crate::client::{CallerClient, ChatCall};
 use crate::errors::{CheckFailure, ToolError};
 use crate::flags::Warm;
 
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -9,9 +9,9 @@
 use std::process::ExitCode;
 
 use crate::bench;
-use crate::client::OperatorClient;
 use crate::errors::ToolError;
 use crate::flags::{Quetzalpin, QuetzalpinCmd};
+use crate::operator_client::OperatorClient;
 
 /// Address of an entry where none is given.
 const DEFAULT_ENTRY: ([u8; 4], u16) = ([127, 0, 0, 1], 7100);
--- a/cli/src/commands/quickstart_command.rs
+++ b/cli/src/commands/quickstart_command.rs
@@ -3,10 +3,11 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
-use quetzalpin_standins::{StandinFleet, answer_word};
+use quetzalpin_standins::{
+    CallOutcome, CallerClient, ChatCall, ServiceCall, StandinFleet, answer_word,
+};
 
 use crate::bench::example_fleet::{ExampleFleet, FleetSize};
-use crate::client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
 use crate::errors::{CheckFailure, ToolError};
 
 /// Milliseconds for the fleet's start.
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,10 +1,10 @@
 //! The command-line tool: settings, status, explanations, quickstart and benchmarks.
 
 mod bench;
-mod client;
 mod commands;
 mod errors;
 mod flags;
+mod operator_client;
 
 use std::process::ExitCode;
 
--- a/src/config/daemon_config.rs
+++ b/src/config/daemon_config.rs
@@ -51,6 +51,8 @@
     pub region: RegionName,
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Address under which peers reach the process, where it is not `listen`.
+    pub advertise: Option<SocketAddr>,
     /// Milliseconds that a shutdown waits for open work.
     pub drain_ms: u64,
     /// Address of the table service.
@@ -182,6 +184,7 @@
                 zone: name(reader, "zone"),
                 region: name(reader, "region"),
                 listen: reader.required("listen", ADDRESS, unset),
+                advertise: reader.optional("advertise", ADDRESS),
                 drain_ms: reader.or_default("drain_ms", MILLIS, 30_000),
                 table: unset,
                 members: unset,
--- a/src/daemon/node_context.rs
+++ b/src/daemon/node_context.rs
@@ -65,7 +65,7 @@
         let member_list = ListClient::open(config.members, config.timeout_ms)?;
         let random = fastrand::u64(..1 << START_RANDOM_BITS);
         Ok(Rc::new(Self {
-            address,
+            address: config.advertise.unwrap_or(address),
             start_id: (unix_ms() << START_RANDOM_BITS) | random,
             clock: MonoClock::open(),
             settings: RefCell::new(SettingsFollower::open()),
--- a/src/settings/tree_parser.rs
+++ b/src/settings/tree_parser.rs
@@ -217,13 +217,15 @@
                 ));
             }
             for (name, kind) in &team.kinds {
-                if !self.settings.ranks.contains_key(&kind.rank) {
+                let is_named = !kind.rank.as_str().is_empty();
+                if is_named && !self.settings.ranks.contains_key(&kind.rank) {
                     let section = format!("team.{team_name}.kind.{name}");
                     dangling.push((team_name, section, "rank", kind.rank.as_str()));
                 }
             }
             for (name, adapter) in &team.adapters {
-                if !self.settings.models.contains_key(&adapter.model) {
+                let is_named = !adapter.model.as_str().is_empty();
+                if is_named && !self.settings.models.contains_key(&adapter.model) {
                     let section = format!("team.{team_name}.adapter.{name}");
                     dangling.push((team_name, section, "model", adapter.model.as_str()));
                 }
--- a/cli/src/client/caller_client.rs
+++ b/standins/src/caller_client.rs
@@ -7,7 +7,7 @@
 use quetzalpin::refusal::ProblemDocument;
 use serde_json::json;
 
-use crate::errors::ToolError;
+use crate::errors::StandinError;
 
 /// A chat request.
 #[derive(Debug, Clone)]
@@ -64,11 +64,13 @@
 
 impl CallOutcome {
     /// Whether the call was answered whole.
+    #[must_use]
     pub const fn is_answer(&self) -> bool {
         self.status == 200 && self.is_whole
     }
 
     /// The refusal, if it was one.
+    #[must_use]
     pub fn refusal(&self) -> Option<ProblemDocument> {
         serde_json::from_str(&self.text).ok()
     }
@@ -85,8 +87,8 @@
     /// Opens a caller of the process at an address.
     ///
     /// # Errors
-    /// [`ToolError::Transport`] if the HTTP client cannot be set up.
-    pub fn open(address: SocketAddr) -> Result<Self, ToolError> {
+    /// [`StandinError::Client`] if the HTTP client cannot be set up.
+    pub fn open(address: SocketAddr) -> Result<Self, StandinError> {
         Ok(Self {
             client: cyper::Client::new()?,
             base: format!("http://{address}"),
@@ -94,7 +96,10 @@
     }
 
     /// Sends a chat request.
-    pub async fn chat(&self, call: &ChatCall) -> Result<CallOutcome, ToolError> {
+    ///
+    /// # Errors
+    /// [`StandinError::Client`] if no answer begins.
+    pub async fn chat(&self, call: &ChatCall) -> Result<CallOutcome, StandinError> {
         let mut body = json!({
             "model": call.model,
             "messages": [{"role": "user", "content": call.prompt}],
@@ -116,7 +121,10 @@
     }
 
     /// Calls a plain service.
-    pub async fn service(&self, call: &ServiceCall) -> Result<CallOutcome, ToolError> {
+    ///
+    /// # Errors
+    /// [`StandinError::Client`] if no answer begins.
+    pub async fn service(&self, call: &ServiceCall) -> Result<CallOutcome, StandinError> {
         let request = self
             .client
             .post(format!("{}/svc/{}", self.base, call.path))?
@@ -128,7 +136,7 @@
     }
 }
 
-async fn read_outcome(request: cyper::RequestBuilder) -> Result<CallOutcome, ToolError> {
+async fn read_outcome(request: cyper::RequestBuilder) -> Result<CallOutcome, StandinError> {
     let began_at = Instant::now();
     let response = request.send().await?;
     let status = response.status().as_u16();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,24 +2,28 @@
 //!
 //! Each can be made slow, be taken down, or lose answers after they took effect.
 
+mod caller_client;
 mod engine_standin;
 mod errors;
 mod fault_proxy;
 mod fault_switch;
 mod member_list;
 mod platform_standin;
+mod process_fleet;
 mod prompt_words;
 mod service_standin;
 mod standin_fleet;
 mod table_standin;
 mod weight_store;
 
+pub use caller_client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
 pub use engine_standin::{EngineAudit, EngineOptions, EngineStandin, HoldingChange};
 pub use errors::StandinError;
 pub use fault_proxy::FaultProxy;
 pub use fault_switch::{FaultOrder, FaultSwitch};
 pub use member_list::MemberList;
 pub use platform_standin::{PlatformStandin, StandinServing};
+pub use process_fleet::{DaemonProcess, ProcessFleet};
 pub use prompt_words::{POISON_WORD, answer_word};
 pub use service_standin::{ServiceAudit, ServiceOptions, ServiceStandin};
 pub use standin_fleet::{
--- /dev/null
+++ b/standins/src/process_fleet.rs
@@ -0,0 +1,414 @@
+//! A fleet of real daemon processes behind fault proxies; the stand-ins run in the calling
+//! process.
+
+use std::fmt::Write as _;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use quetzalpin::config::AgentConfig;
+use quetzalpin::entry::EntryStatus;
+use quetzalpin::membership::{MemberEntry, MemberRole, MemberState};
+use quetzalpin::prelude::*;
+use quetzalpin::settings::credential_digest;
+
+use crate::engine_standin::EngineStandin;
+use crate::errors::StandinError;
+use crate::fault_proxy::FaultProxy;
+use crate::platform_standin::{PlatformStandin, StandinServing};
+use crate::service_standin::ServiceStandin;
+use crate::standin_fleet::{
+    FleetPlan, OPERATOR_CREDENTIAL, UpstreamPlan, UpstreamStandin, any_port, seed_settings,
+};
+
+/// Milliseconds between looks at a fleet that starts.
+const READY_LOOK_MS: u64 = 50;
+
+/// A signal for a process, by its name.
+#[derive(Debug, Clone, Copy)]
+enum ProcessSignal {
+    Stop,
+    Continue,
+    Terminate,
+}
+
+impl ProcessSignal {
+    const fn flag(self) -> &'static str {
+        match self {
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+            Self::Terminate => "-TERM",
+        }
+    }
+}
+
+/// One daemon as a process; dropping it kills it.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    daemon: PathBuf,
+    config: PathBuf,
+    log: PathBuf,
+    /// Where it listens.
+    pub address: SocketAddr,
+    child: Option<Child>,
+}
+
+impl DaemonProcess {
+    /// Starts the process.
+    ///
+    /// # Errors
+    /// [`StandinError::Io`] if it cannot be started.
+    pub fn start(&mut self) -> Result<(), StandinError> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.daemon)
+            .arg("--config")
+            .arg(&self.config)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(ProcessSignal::Stop);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(ProcessSignal::Continue);
+    }
+
+    /// Asks the process to shut down gracefully.
+    pub fn terminate(&self) {
+        self.signal(ProcessSignal::Terminate);
+    }
+
+    /// Whether the process has ended, and how.
+    pub fn try_wait(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten();
+        if status.is_some() {
+            self.child = None;
+        }
+        status
+    }
+
+    /// Waits for the process to end; `None` after `limit_ms`.
+    pub async fn wait(&mut self, limit_ms: u64) -> Option<ExitStatus> {
+        let until = Instant::now() + Duration::from_millis(limit_ms);
+        while Instant::now() < until {
+            if let Some(status) = self.try_wait() {
+                return Some(status);
+            }
+            compio::time::sleep(Duration::from_millis(READY_LOOK_MS)).await;
+        }
+        None
+    }
+
+    /// Whether the process was started and has not been killed or seen to end.
+    #[must_use]
+    pub const fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Its settings file.
+    #[must_use]
+    pub fn config_path(&self) -> &Path {
+        &self.config
+    }
+
+    /// Its log so far.
+    #[must_use]
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: ProcessSignal) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").args([signal.flag(), &id]).status();
+        }
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Daemons as processes, each agent, upstream and the platform behind a proxy.
+pub struct ProcessFleet {
+    /// Table, list and weight store.
+    pub platform: StandinServing<PlatformStandin>,
+    /// Proxy in front of the platform.
+    pub platform_proxy: FaultProxy,
+    /// Upstreams in the order of the plan.
+    pub upstreams: Vec<UpstreamStandin>,
+    /// Proxies in front of upstreams.
+    pub upstream_proxies: Vec<FaultProxy>,
+    /// Agents in the same order.
+    pub agents: Vec<DaemonProcess>,
+    /// Proxies in front of agents.
+    pub agent_proxies: Vec<FaultProxy>,
+    /// Entries.
+    pub entries: Vec<DaemonProcess>,
+    daemon: PathBuf,
+    folder: PathBuf,
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        for process in self.agents.iter_mut().chain(&mut self.entries) {
+            process.kill();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl ProcessFleet {
+    /// Starts a fleet from the daemon's program.
+    ///
+    /// # Errors
+    /// [`StandinError`] if a part cannot start.
+    pub async fn spawn(daemon: &Path, plan: &FleetPlan) -> Result<Self, StandinError> {
+        let platform = PlatformStandin::spawn(any_port(), plan.weights).await?;
+        seed_settings(&platform.state, &plan.settings);
+        let platform_proxy = FaultProxy::spawn(platform.address()).await?;
+        let folder = std::env::temp_dir().join(format!("quetzalpin-{:016x}", fastrand::u64(..)));
+        std::fs::create_dir_all(&folder)?;
+        let mut fleet = Self {
+            platform,
+            platform_proxy,
+            upstreams: Vec::new(),
+            upstream_proxies: Vec::new(),
+            agents: Vec::new(),
+            agent_proxies: Vec::new(),
+            entries: Vec::new(),
+            daemon: daemon.to_owned(),
+            folder,
+        };
+        for number in 0..plan.entries {
+            fleet.add_entry(plan, number)?;
+        }
+        for (number, upstream) in plan.upstreams.iter().enumerate() {
+            fleet.add_upstream(plan, number, upstream).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Waits until each entry knows all running agents and the given number of replicas.
+    ///
+    /// # Errors
+    /// [`StandinError::NotReady`] after `limit_ms`.
+    pub async fn wait_ready(&self, replicas: usize, limit_ms: u64) -> Result<(), StandinError> {
+        let client = cyper::Client::new()?;
+        let until = Instant::now() + Duration::from_millis(limit_ms);
+        while Instant::now() < until {
+            if self.is_ready(&client, replicas).await {
+                return Ok(());
+            }
+            compio::time::sleep(Duration::from_millis(READY_LOOK_MS)).await;
+        }
+        Err(StandinError::NotReady(limit_ms))
+    }
+
+    /// The fleet as one entry sees it; `None` if the entry does not answer.
+    pub async fn status(&self, client: &cyper::Client, entry: usize) -> Option<EntryStatus> {
+        let url = format!("http://{}/ops/status", self.entries[entry].address);
+        let asking = async {
+            let request = client
+                .get(url)
+                .ok()?
+                .bearer_auth(OPERATOR_CREDENTIAL)
+                .ok()?;
+            request.send().await.ok()?.json().await.ok()
+        };
+        let limit = Duration::from_secs(2);
+        compio::time::timeout(limit, asking).await.ok().flatten()
+    }
+
+    /// All engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineStandin> {
+        self.upstreams.iter().filter_map(|upstream| match upstream {
+            UpstreamStandin::Engine(engine) => Some(engine.state.as_ref()),
+            UpstreamStandin::Service(_) => None,
+        })
+    }
+
+    /// All plain services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceStandin> {
+        self.upstreams.iter().filter_map(|upstream| match upstream {
+            UpstreamStandin::Service(service) => Some(service.state.as_ref()),
+            UpstreamStandin::Engine(_) => None,
+        })
+    }
+
+    /// Runs of a batch's stamp over all services.
+    #[must_use]
+    pub fn stamps(&self, batch: &str) -> u32 {
+        let audits = self.services().map(ServiceStandin::audit);
+        audits
+            .filter_map(|audit| audit.stamps.get(batch).copied())
+            .sum()
+    }
+
+    /// Index of the agent with the given instance name.
+    #[must_use]
+    pub fn agent_index(instance: &str) -> Option<usize> {
+        instance.strip_prefix("worker-")?.parse().ok()
+    }
+
+    async fn is_ready(&self, client: &cyper::Client, replicas: usize) -> bool {
+        let running = self.agents.iter().filter(|a| a.is_running()).count();
+        for number in 0..self.entries.len() {
+            if !self.entries[number].is_running() {
+                continue;
+            }
+            let Some(status) = self.status(client, number).await else {
+                return false;
+            };
+            let reports = status.agents.iter().map(|agent| &agent.report);
+            let healthy = reports.clone().filter(|r| r.healthy && !r.leaving).count();
+            let mut known: Vec<&ReplicaName> = reports
+                .flat_map(|report| report.replicas.iter().map(|held| &held.replica))
+                .collect();
+            known.sort();
+            known.dedup();
+            if healthy < running || known.len() < replicas {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn add_entry(&mut self, plan: &FleetPlan, number: usize) -> Result<(), StandinError> {
+        let instance = format!("entry-{number}");
+        let address = free_port()?;
+        let mut text = self.node_text(plan, "entry", number, &instance, address, address);
+        let digest = credential_digest(OPERATOR_CREDENTIAL);
+        let _ = write!(
+            text,
+            "\n[entry]\nfirst_operator_sha256 = {digest}\nbody_ms = 2000\n"
+        );
+        let process = self.write_process(&instance, &text, address)?;
+        self.list(&instance, MemberRole::Entry, address);
+        self.entries.push(process);
+        Ok(())
+    }
+
+    async fn add_upstream(
+        &mut self,
+        plan: &FleetPlan,
+        number: usize,
+        upstream: &UpstreamPlan,
+    ) -> Result<(), StandinError> {
+        let (standin, kind_text) = match upstream {
+            UpstreamPlan::Engine(options) => {
+                let mut options = options.clone();
+                options.weights = Some(self.platform.address());
+                let kind = format!("kind = engine\nmemory_mb = {}\n", options.memory_mb);
+                let engine = EngineStandin::spawn(any_port(), options).await?;
+                (UpstreamStandin::Engine(engine), kind)
+            }
+            UpstreamPlan::Service(name, options) => {
+                let service = ServiceStandin::spawn(any_port(), *options).await?;
+                let kind = format!("kind = service\nservice = {name}\n");
+                (UpstreamStandin::Service(service), kind)
+            }
+        };
+        let upstream_proxy = FaultProxy::spawn(standin.address()).await?;
+        let instance = format!("worker-{number}");
+        let address = free_port()?;
+        let agent_proxy = FaultProxy::spawn(address).await?;
+        let advertised = agent_proxy.address();
+        let mut text = self.node_text(plan, "agent", number, &instance, address, advertised);
+        text.push_str(&upstream_text(
+            &plan.agent,
+            upstream_proxy.address(),
+            &kind_text,
+        ));
+        let process = self.write_process(&instance, &text, address)?;
+        self.list(&instance, MemberRole::Agent, advertised);
+        self.upstreams.push(standin);
+        self.upstream_proxies.push(upstream_proxy);
+        self.agent_proxies.push(agent_proxy);
+        self.agents.push(process);
+        Ok(())
+    }
+
+    fn node_text(
+        &self,
+        plan: &FleetPlan,
+        role: &str,
+        number: usize,
+        instance: &str,
+        listen: SocketAddr,
+        advertise: SocketAddr,
+    ) -> String {
+        let (region, zone) = &plan.zones[number % plan.zones.len()];
+        let platform = self.platform_proxy.address();
+        format!(
+            "[daemon]\nrole = {role}\ninstance = {instance}\nzone = {zone}\nregion = {region}\n\
+             listen = {listen}\nadvertise = {advertise}\ndrain_ms = 10000\n\n\
+             [platform]\ntable = {platform}\nmembers = {platform}\ntimeout_ms = 500\n\
+             poll_ms = {}\n",
+            plan.poll_ms
+        )
+    }
+
+    fn write_process(
+        &self,
+        instance: &str,
+        text: &str,
+        address: SocketAddr,
+    ) -> Result<DaemonProcess, StandinError> {
+        let config = self.folder.join(format!("{instance}.ini"));
+        std::fs::write(&config, text)?;
+        let mut process = DaemonProcess {
+            daemon: self.daemon.clone(),
+            config,
+            log: self.folder.join(format!("{instance}.log")),
+            address,
+            child: None,
+        };
+        process.start()?;
+        Ok(process)
+    }
+
+    fn list(&self, instance: &str, role: MemberRole, address: SocketAddr) {
+        self.platform.state.members.update(|members| {
+            members.push(MemberEntry {
+                instance: InstanceName::from(instance),
+                role,
+                address,
+                state: MemberState::Live,
+            });
+        });
+    }
+}
+
+fn upstream_text(agent: &AgentConfig, address: SocketAddr, kind_text: &str) -> String {
+    format!(
+        "\n[upstream]\n{kind_text}address = {address}\nqueue_capacity = {}\n\
+         concurrency = {}\ntarget_unit_us = {}\nreport_ms = {}\n",
+        agent.queue_capacity, agent.concurrency, agent.target_unit_us, agent.report_ms
+    )
+}
+
+/// A port that was free a moment ago.
+fn free_port() -> Result<SocketAddr, StandinError> {
+    Ok(TcpListener::bind(any_port())?.local_addr()?)
+}
--- a/standins/src/standin_fleet.rs
+++ b/standins/src/standin_fleet.rs
@@ -51,6 +51,8 @@
     pub settings: Vec<(SubtreeName, String)>,
     /// Changes to each agent's settings.
     pub agent: AgentConfig,
+    /// Milliseconds between reads of settings and list.
+    pub poll_ms: u64,
 }
 
 /// A running upstream stand-in.
@@ -289,11 +291,12 @@
             zone,
             region,
             listen: any_port(),
+            advertise: None,
             drain_ms: 20_000,
             table: self.platform.address(),
             members: self.platform.address(),
             timeout_ms: 1_000,
-            poll_ms: 1_000,
+            poll_ms: plan.poll_ms,
         }
     }
 
@@ -310,7 +313,7 @@
 }
 
 /// Writes the first settings straight into the table.
-fn seed_settings(platform: &PlatformStandin, texts: &[(SubtreeName, String)]) {
+pub fn seed_settings(platform: &PlatformStandin, texts: &[(SubtreeName, String)]) {
     let mut txn = TableTxn::default();
     for (index, (subtree, text)) in texts.iter().enumerate() {
         let row = SettingsRow {
--- /dev/null
+++ b/tests/controls.rs
@@ -0,0 +1,269 @@
+//! Example and property tests of quarantine, permits, retries, membership and routing.
+
+use proptest::prelude::*;
+use quetzalpin::membership::{MemberEntry, MemberRole, MemberState, MembershipView};
+use quetzalpin::permits::{FallbackShare, PermitIssuer};
+use quetzalpin::prelude::*;
+use quetzalpin::quarantine::{QuarantineBook, QuarantineVerdict, RequestFingerprint};
+use quetzalpin::retry::RetryBudget;
+use quetzalpin::routing::{Locality, RouteChooser, RouteContext, RouteReason, RouteTarget};
+use quetzalpin::rpc::ReplicaState;
+
+const HOLD_MS: u64 = 1_000;
+
+const fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn a_request_is_held_back_after_two_crashes_and_freed_by_time() {
+    let mut book = QuarantineBook::open();
+    let request = RequestFingerprint(1);
+    assert!(book.record(at(0), request, 10));
+    assert!(!book.record(at(0), request, 10), "one crash counts once");
+    assert_eq!(
+        book.verdict(at(1), request, HOLD_MS),
+        QuarantineVerdict::Suspect
+    );
+    book.record(at(5), request, 11);
+    assert_eq!(
+        book.verdict(at(6), request, HOLD_MS),
+        QuarantineVerdict::HeldBack
+    );
+    assert_eq!(
+        book.verdict(at(1_006), request, HOLD_MS),
+        QuarantineVerdict::Clear
+    );
+}
+
+#[test]
+fn a_pardoned_crash_never_counts_again() {
+    let mut book = QuarantineBook::open();
+    let request = RequestFingerprint(1);
+    book.record(at(0), request, 10);
+    book.record(at(0), request, 11);
+    assert_eq!(book.release(at(1), request).len(), 2);
+    book.record(at(2), request, 10);
+    assert_eq!(
+        book.verdict(at(3), request, HOLD_MS),
+        QuarantineVerdict::Clear
+    );
+}
+
+#[test]
+fn permits_go_by_rank_then_deadline() {
+    let mut issuer = PermitIssuer::open(at(0), 1_000_000, 1);
+    let late = issuer.request(1, at(100));
+    let soon = issuer.request(1, at(50));
+    let urgent = issuer.request(0, at(900));
+    let mut order = Vec::new();
+    for step in 1..=3 {
+        for (ticket, permit) in issuer.grant(at(step * 10)) {
+            order.push(ticket);
+            issuer.release(permit);
+        }
+    }
+    assert_eq!(order, [urgent, soon, late]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Neither the rate nor the number at once is ever exceeded.
+    #[test]
+    fn permits_stay_within_the_limits(steps in proptest::collection::vec((0..3_u8, 0..400_u64), 1..200)) {
+        let mut issuer = PermitIssuer::open(at(0), 10_000, 4);
+        let mut held = Vec::new();
+        let mut granted = 0;
+        let mut now = 0;
+        for (kind, millis) in steps {
+            now += millis;
+            match kind {
+                0 => { issuer.request(0, at(now)); }
+                1 => {
+                    if let Some(permit) = held.pop() {
+                        issuer.release(permit);
+                    }
+                }
+                _ => {}
+            }
+            let grants = issuer.grant(at(now));
+            granted += grants.len() as u64;
+            held.extend(grants.into_iter().map(|(_, permit)| permit));
+            prop_assert!(held.len() <= 4);
+            prop_assert!(granted <= now / 100 + 1, "{granted} loads in {now} ms");
+        }
+    }
+}
+
+#[test]
+fn the_fallback_share_divides_the_rate() {
+    let mut share = FallbackShare::default();
+    assert!(share.try_take(at(0), 10_000, 20));
+    share.give_back();
+    assert!(
+        !share.try_take(at(1_000), 10_000, 20),
+        "one load in two seconds"
+    );
+    assert!(share.try_take(at(2_000), 10_000, 20));
+    assert!(!share.try_take(at(9_000), 10_000, 20), "one load at a time");
+}
+
+#[test]
+fn retries_stay_within_a_fifth_of_requests() {
+    let mut budget = RetryBudget::open();
+    let team = TeamName::from("a");
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn(&team);
+        while budget.try_spend(&team) {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 220, "{retries} retries for 1000 requests");
+}
+
+fn member(name: &str, state: MemberState) -> MemberEntry {
+    MemberEntry {
+        instance: InstanceName::from(name),
+        role: MemberRole::Agent,
+        address: ([127, 0, 0, 1], 1).into(),
+        state,
+    }
+}
+
+#[test]
+fn an_instance_is_gone_only_after_the_lag_and_only_by_successful_reads() {
+    let mut view = MembershipView::open();
+    let name = InstanceName::from("a");
+    view.take(
+        at(0),
+        vec![
+            member("a", MemberState::Live),
+            member("b", MemberState::Live),
+        ],
+    );
+    view.take(at(1_000), vec![member("b", MemberState::Live)]);
+    assert!(!view.is_gone(&name, 10_000));
+    view.take(at(9_000), vec![member("b", MemberState::Live)]);
+    assert!(!view.is_gone(&name, 10_000));
+    view.take(at(60_000), vec![member("b", MemberState::Live)]);
+    assert!(view.is_gone(&name, 10_000));
+    view.take(
+        at(61_000),
+        vec![
+            member("a", MemberState::Live),
+            member("b", MemberState::Live),
+        ],
+    );
+    assert!(!view.is_gone(&name, 10_000), "it came back");
+}
+
+#[test]
+fn an_empty_list_is_not_believed() {
+    let mut view = MembershipView::open();
+    view.take(at(0), vec![member("a", MemberState::Leaving)]);
+    view.take(at(60_000), Vec::new());
+    assert!(view.is_leaving(&InstanceName::from("a")));
+    assert!(!view.is_gone(&InstanceName::from("a"), 1_000));
+}
+
+fn target(name: &str, locality: Locality, state: ReplicaState) -> RouteTarget {
+    RouteTarget {
+        instance: InstanceName::from(name),
+        locality,
+        state,
+        ready_ms: if state == ReplicaState::Loaded {
+            0
+        } else {
+            800
+        },
+        wait_ms: 0,
+        needed_ms: 100,
+        load: 0,
+        limit: 16,
+    }
+}
+
+const fn context(remaining_ms: u64) -> RouteContext<'static> {
+    RouteContext {
+        remaining_ms,
+        affinity: "prompt",
+        wake: "m@1",
+    }
+}
+
+#[test]
+fn another_region_is_taken_only_when_the_deadline_asks_for_it() {
+    let mut near = target("near", Locality::Zone, ReplicaState::Loaded);
+    near.wait_ms = 500;
+    let far = target("far", Locality::Remote, ReplicaState::Loaded);
+    let targets = [far, near];
+    let relaxed = RouteChooser
+        .choose(&targets, context(1_000))
+        .expect("a choice");
+    assert_eq!(relaxed.index, 1);
+    let tight = RouteChooser
+        .choose(&targets, context(300))
+        .expect("a choice");
+    assert_eq!(tight.index, 0);
+}
+
+#[test]
+fn a_slow_upstream_loses_its_work() {
+    let mut slow = target("slow", Locality::Zone, ReplicaState::Loaded);
+    slow.needed_ms = 1_000;
+    let good = target("good", Locality::Region, ReplicaState::Loaded);
+    for prompt in ["a", "b", "c", "d", "e", "f"] {
+        let context = RouteContext {
+            affinity: prompt,
+            ..context(5_000)
+        };
+        let choice = RouteChooser.choose(&[slow.clone(), good.clone()], context);
+        assert_eq!(choice.expect("a choice").index, 1);
+    }
+}
+
+#[test]
+fn affinity_gives_way_to_load() {
+    let names = ["a", "b", "c"];
+    let mut targets = names.map(|name| target(name, Locality::Zone, ReplicaState::Loaded));
+    let first = RouteChooser
+        .choose(&targets, context(5_000))
+        .expect("a choice");
+    assert_eq!(first.reason, RouteReason::Affinity);
+    targets[first.index].load = 10;
+    let second = RouteChooser
+        .choose(&targets, context(5_000))
+        .expect("a choice");
+    assert_ne!(second.index, first.index);
+}
+
+#[test]
+fn all_entries_wake_the_same_replica() {
+    let names = ["a", "b", "c"];
+    let cold = names.map(|name| target(name, Locality::Zone, ReplicaState::Granted));
+    let other_view = names.map(|name| target(name, Locality::Region, ReplicaState::Granted));
+    let first = RouteChooser
+        .choose(&cold, context(5_000))
+        .expect("a choice");
+    let second = RouteChooser
+        .choose(&other_view, context(5_000))
+        .expect("a choice");
+    assert_eq!(first.index, second.index);
+    assert_eq!(first.reason, RouteReason::Wake);
+}
+
+#[test]
+fn hopeless_deadlines_are_refused_as_not_run() {
+    let targets = [target("a", Locality::Zone, ReplicaState::Granted)];
+    let refusal = RouteChooser
+        .choose(&targets, context(500))
+        .expect_err("too late");
+    assert_eq!(
+        refusal,
+        RequestRefusal::not_run(RefusalReason::DeadlineUnreachable)
+    );
+    let refusal = RouteChooser.choose(&[], context(500)).expect_err("nowhere");
+    assert_eq!(refusal, RequestRefusal::not_run(RefusalReason::NoReplica));
+}
--- /dev/null
+++ b/tests/process_cases/input_cases.rs
@@ -0,0 +1,167 @@
+//! What callers and operators see.
+
+use quetzalpin::prelude::*;
+use quetzalpin_standins::{ChatCall, OPERATOR_CREDENTIAL, answer_word};
+use serde_json::Value;
+
+use super::FaultCase;
+use super::fault_case::CREDENTIAL;
+
+/// A cold model answers its own prompt, and the decision log tells why it went there.
+pub async fn a_cold_model_answers_and_explains_itself(case: FaultCase) {
+    let outcome = case.ask(0, &FaultCase::question("m0", "why?")).await;
+    assert!(outcome.text.contains(&answer_word("why?", 0)));
+    let with_adapter = ChatCall {
+        adapter: Some("blue".to_owned()),
+        ..FaultCase::question("m1", "how?")
+    };
+    case.ask(1, &with_adapter).await;
+    let url = format!(
+        "http://{}/ops/decisions?request={}",
+        case.fleet.entries[0].address, outcome.id
+    );
+    let request = case.client.get(url).expect("a request");
+    let request = request.bearer_auth(OPERATOR_CREDENTIAL).expect("a request");
+    let records: Vec<Value> = request
+        .send()
+        .await
+        .expect("sent")
+        .json()
+        .await
+        .expect("records");
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0]["decision"], "route");
+    assert_eq!(records[0]["choice"]["reason"], "wake");
+    let log = case.fleet.entries[0].log();
+    let logged = log
+        .lines()
+        .any(|line| line.contains(&outcome.id) && line.contains("route"));
+    assert!(logged, "the decision is in the log");
+}
+
+struct BadInput {
+    path: &'static str,
+    credential: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    reason: RefusalReason,
+}
+
+const GOOD_BODY: &str = r#"{"model":"m0","messages":[{"role":"user","content":"x"}]}"#;
+const CHAT: &str = "/v1/chat/completions";
+
+const BAD_INPUTS: [BadInput; 11] = [
+    BadInput {
+        path: CHAT,
+        credential: "wrong",
+        headers: &[],
+        body: GOOD_BODY,
+        reason: RefusalReason::WrongCredential,
+    },
+    BadInput {
+        path: "/nowhere",
+        credential: CREDENTIAL,
+        headers: &[],
+        body: GOOD_BODY,
+        reason: RefusalReason::UnknownRoute,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[],
+        body: "{\"model\":",
+        reason: RefusalReason::MalformedBody,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[],
+        body: "{\"messages\":[]}",
+        reason: RefusalReason::MalformedBody,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[],
+        body: r#"{"model":"none","messages":[]}"#,
+        reason: RefusalReason::UnknownModel,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[],
+        body: r#"{"model":"m0","adapter":"none","messages":[]}"#,
+        reason: RefusalReason::UnknownModel,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[("x-work-kind", "none")],
+        body: GOOD_BODY,
+        reason: RefusalReason::UnknownKind,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[("x-deadline-ms", "soon")],
+        body: GOOD_BODY,
+        reason: RefusalReason::MalformedHeader,
+    },
+    BadInput {
+        path: CHAT,
+        credential: CREDENTIAL,
+        headers: &[("x-deadline-ms", "5")],
+        body: GOOD_BODY,
+        reason: RefusalReason::DeadlineUnreachable,
+    },
+    BadInput {
+        path: "/svc/registry/stamp",
+        credential: CREDENTIAL,
+        headers: &[("x-work-kind", "stamp")],
+        body: r#"{"batch":"x"}"#,
+        reason: RefusalReason::MissingKey,
+    },
+    BadInput {
+        path: "/svc/other/stamp",
+        credential: CREDENTIAL,
+        headers: &[("x-work-kind", "stamp"), ("idempotency-key", "k")],
+        body: r#"{"batch":"x"}"#,
+        reason: RefusalReason::UnknownKind,
+    },
+];
+
+/// Each kind of bad input gets its own typed refusal, and nothing runs.
+pub async fn bad_input_gets_its_own_refusal(case: FaultCase) {
+    for input in &BAD_INPUTS {
+        let url = format!("http://{}{}", case.fleet.entries[0].address, input.path);
+        let mut request = case.client.post(url).expect("a request");
+        request = request.bearer_auth(input.credential).expect("a request");
+        for (name, value) in input.headers {
+            request = request.header(*name, *value).expect("a header");
+        }
+        let response = request.body(input.body).send().await.expect("an answer");
+        assert_eq!(
+            response.status().as_u16(),
+            input.reason.status(),
+            "{:?}",
+            input.reason
+        );
+        let document: Value = response.json().await.expect("a problem document");
+        let expected = serde_json::to_value(input.reason).expect("a reason");
+        assert_eq!(document["reason"], expected);
+        assert_eq!(document["outcome"], "not_run");
+    }
+    refuse_large_body(&case).await;
+    assert_eq!(case.fleet.stamps("x"), 0);
+    case.ask(0, &FaultCase::question("m0", "still there?"))
+        .await;
+}
+
+async fn refuse_large_body(case: &FaultCase) {
+    let url = format!("http://{}{CHAT}", case.fleet.entries[0].address);
+    let request = case.client.post(url).expect("a request");
+    let request = request.bearer_auth(CREDENTIAL).expect("a request");
+    let body = "x".repeat(1_100_000);
+    let response = request.body(body).send().await.expect("an answer");
+    assert_eq!(response.status().as_u16(), 413);
+}
