Give test daemons ports that nothing else takes

Cause: in one of two full runs `a_burst_at_all_entries_makes_one_load` ended with a fleet that was not ready after 60 s. A port was probed as free among the ports that the system hands to connections, and between probe and start another fleet's connection took it.

Ruled out: a daemon that fails to become ready (the agent's log ended at the bind), load on the machine (the 16 other cases passed in the same run).

Change: ports come from a range below the system's own, each given out once per process and probed.

--- a/standins/src/process_fleet.rs
+++ b/standins/src/process_fleet.rs
@@ -3,9 +3,13 @@
 
 use std::fmt::Write as _;
 use std::fs::File;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 
 use quetzalpin::config::AgentConfig;
@@ -26,6 +30,9 @@
 /// Milliseconds between looks at a fleet that starts.
 const READY_LOOK_MS: u64 = 50;
 
+/// Ports for daemons.
+const PORTS: Range<u16> = 10_000..32_000;
+
 /// A signal for a process, by its name.
 #[derive(Debug, Clone, Copy)]
 enum ProcessSignal {
@@ -408,7 +415,22 @@
     )
 }
 
-/// A port that was free a moment ago.
+/// A port that no other fleet of this process takes and that is free now. It lies below the
+/// range from which the system takes ports for connections.
 fn free_port() -> Result<SocketAddr, StandinError> {
-    Ok(TcpListener::bind(any_port())?.local_addr()?)
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+    let _ = NEXT_PORT.compare_exchange(0, fastrand::u16(PORTS), Relaxed, Relaxed);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Relaxed);
+        if !PORTS.contains(&port) {
+            NEXT_PORT.store(PORTS.start, Relaxed);
+            continue;
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        match TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
 }
