Let each rank keep its floor: forecast the floor's turn, wake replicas sooner

Cause, found by the new `quetzalpin bench flood` (67 requests/s of capacity, 10 times that in flood): - In a flood of urgent work normal work kept 29 % of its floor and background work 46 %. The queue paid the floors; the forecast did not: it divided the whole urgent backlog by the floor's share, so that entries refused requests for which the queue had a turn. - In calm times background work had a p95 of 5.8 s and was refused after 7.5 s: two models sat on one engine while others idled, since a loaded replica that could just meet the deadline was always preferred, and a queued request was refused only when nothing could save it.

Change: the forecast takes the sooner of the end of all more urgent work and the floor's turn; an entry wakes another replica when the loaded ones are half as far behind again; an agent hands back requests whose forecast misses the deadline by a quarter; planners count requests that wait.

Ruled out: the queue's credits (`each_rank_keeps_its_floor_under_a_flood_of_ urgent_work` passed all along).

--- a/cli/src/bench/latency_table.rs
+++ b/cli/src/bench/latency_table.rs
@@ -8,6 +8,7 @@
 const DIGITS: u8 = 3;
 
 /// Latencies with percentiles.
+#[derive(Clone)]
 pub struct LatencyTable {
     histogram: Histogram<u64>,
 }
--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -3,6 +3,8 @@
 mod cold_bench;
 pub mod example_fleet;
 mod fleet_thread;
+mod flood_bench;
+mod flood_report;
 mod latency_table;
 mod warm_bench;
 
@@ -19,5 +21,6 @@
     match command {
         BenchCmd::Warm(warm) => warm_bench::run(&warm).await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
+        BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
     }
 }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -72,6 +72,17 @@
                 /// Seconds.
                 optional --seconds count: u64
             }
+            /// Service by rank before, in and after a flood.
+            cmd flood {
+                /// background, urgent or both
+                optional --of rank: String
+                /// Multiple of the fleet's capacity.
+                optional --times factor: u32
+                /// Seconds of each phase.
+                optional --seconds count: u64
+                /// Also run the baselines.
+                optional --baselines
+            }
             /// Cold starts in a burst over many idle models.
             cmd cold {
                 /// office or nocturne
--- a/src/admission/wait_forecast.rs
+++ b/src/admission/wait_forecast.rs
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Forecast milliseconds until the request is handed over.
+    /// Forecast milliseconds until the request is handed over: the sooner of the end of all
+    /// more urgent work and the turn that the rank's floor gives it.
     #[must_use]
     #[allow(
         clippy::cast_precision_loss,
@@ -79,9 +80,9 @@
         let limit = f64::from(input.limit.max(1));
         let urgent_share: f64 = self.shares.iter().take(input.rank.0).sum();
         let floor = f64::from(input.floor_percent) / 100.0;
-        let own_share = (1.0 - urgent_share).max(floor).max(MIN_SHARE);
+        let after_urgent_ms = ahead_ms as f64 / limit / (1.0 - urgent_share).max(MIN_SHARE);
+        let by_floor_ms = input.own_ms as f64 / limit / floor.max(MIN_SHARE);
         let next_free_ms = input.service_ms as f64 / limit;
-        let wait = next_free_ms + ahead_ms as f64 / limit / own_share;
-        wait as u64
+        (next_free_ms + after_urgent_ms.min(by_floor_ms)) as u64
     }
 }
--- a/src/admission/work_queue.rs
+++ b/src/admission/work_queue.rs
@@ -208,6 +208,19 @@
             .collect()
     }
 
+    /// Requests of a rank in the order of their deadlines, each with the service milliseconds
+    /// of its rank that go first.
+    pub fn lane(&self, rank: RankKey) -> impl Iterator<Item = (WorkKey, &WorkItem, u64)> {
+        let mut own_ms = 0;
+        let order = self.lanes.get(rank.0).into_iter().flat_map(|l| &l.order);
+        order.map(move |(_, _, key)| {
+            let item = &self.items[*key].item;
+            let before_ms = own_ms;
+            own_ms += item.service_ms;
+            (*key, item, before_ms)
+        })
+    }
+
     /// Service milliseconds waiting in ranks more urgent than `rank`, and in `rank` itself
     /// with a deadline not after `deadline`.
     #[must_use]
--- a/src/agent/admission_controller.rs
+++ b/src/agent/admission_controller.rs
@@ -9,6 +9,9 @@
 use crate::prelude::*;
 use crate::rpc::{WorkCall, WorkHead};
 
+/// Percent of a forecast wait that is taken for sure.
+const SURE_PERCENT: u64 = 75;
+
 /// What a waiting request is told.
 pub type GrantResult = Result<RunTicket, RequestRefusal>;
 
@@ -135,10 +138,20 @@
 
 /// Forecast milliseconds that a new request of a rank would wait in the queue.
 pub fn forecast_wait_ms(context: &AgentContext, rank: RankKey, deadline: MonoTime) -> u64 {
+    let (urgent_ms, own_ms) = context.queue.borrow().work_ahead(rank, deadline);
+    let input = forecast_input(context, rank, urgent_ms, own_ms);
+    context.forecast.borrow().wait_ms(input)
+}
+
+fn forecast_input(
+    context: &AgentContext,
+    rank: RankKey,
+    urgent_ms: u64,
+    own_ms: u64,
+) -> ForecastInput {
     let queue = context.queue.borrow();
-    let (urgent_ms, own_ms) = queue.work_ahead(rank, deadline);
     let floor = queue.ranks().find(|(key, _)| *key == rank);
-    let input = ForecastInput {
+    ForecastInput {
         rank,
         floor_percent: floor.map_or(0, |(_, share)| share.floor_percent),
         urgent_ms,
@@ -146,8 +159,30 @@
         running: context.running.get(),
         limit: context.limiter.borrow().limit(),
         service_ms: mean_service_ms(context),
-    };
-    context.forecast.borrow().wait_ms(input)
+    }
+}
+
+/// Waiting requests whose forecast misses their deadline by a margin, so that the entry can
+/// try another upstream while there is time.
+pub fn forecast_misses(context: &AgentContext) -> Vec<WorkKey> {
+    let now = context.now();
+    let ranks: Vec<RankKey> = context.queue.borrow().ranks().map(|(key, _)| key).collect();
+    let mut misses = Vec::new();
+    for rank in ranks {
+        let (urgent_ms, _) = context.queue.borrow().work_ahead(rank, now);
+        let input = forecast_input(context, rank, urgent_ms, 0);
+        let forecast = context.forecast.borrow();
+        let queue = context.queue.borrow();
+        let late = queue.lane(rank).filter(|(_, item, own_ms)| {
+            let wait_ms = forecast.wait_ms(ForecastInput {
+                own_ms: *own_ms,
+                ..input
+            });
+            now + wait_ms * SURE_PERCENT / 100 + item.needed_ms > item.deadline
+        });
+        misses.extend(late.map(|(key, _, _)| key));
+    }
+    misses
 }
 
 /// Mean milliseconds that the waiting requests will run.
--- a/src/agent/dispatch_controller.rs
+++ b/src/agent/dispatch_controller.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use super::admission_controller::{RunTicket, refuse_waiting};
+use super::admission_controller::{RunTicket, forecast_misses, refuse_waiting};
 use super::agent_context::AgentContext;
 use super::order_controller::execute_order;
 use crate::admission::WorkItem;
@@ -74,7 +74,7 @@
             .unwrap_or(0)
     };
     let hopeless = context.queue.borrow().hopeless(now, ready_ms);
-    for key in hopeless {
+    for key in hopeless.into_iter().chain(forecast_misses(context)) {
         refuse_waiting(context, key, RefusalReason::DeadlineUnreachable);
     }
 }
--- a/src/agent/planner_controller.rs
+++ b/src/agent/planner_controller.rs
@@ -10,7 +10,7 @@
     PlacementChange, PlacementPlanner, PlacementRow, PlannerInput, ReplicaDemand, UpstreamView,
 };
 use crate::prelude::*;
-use crate::rpc::{AgentReport, ControlApiClient, EntryView};
+use crate::rpc::{AgentReport, ControlApiClient, EntryView, ReplicaState};
 use crate::settings::FleetSettings;
 use crate::table::{TableError, TableTxn, TxnOutcome};
 
@@ -157,6 +157,12 @@
         for report in holders {
             sum.service_ms = sum.service_ms.max(report.mean_ms);
             sum.limit = sum.limit.max(report.limit);
+            let loaded = report
+                .replicas
+                .iter()
+                .find(|held| held.replica == *replica && held.state == ReplicaState::Loaded);
+            sum.running += loaded.map_or(0, |held| held.running);
+            sum.waiting += loaded.map_or(0, |held| held.waiting);
         }
     }
     merged
--- a/src/placement/placement_planner.rs
+++ b/src/placement/placement_planner.rs
@@ -322,17 +322,19 @@
     slots.filter(|s| s.state != SlotState::Revoked).count()
 }
 
-/// Replicas that sustained demand fills; zero for demand that one cold replica can serve.
+/// Replicas that sustained demand fills, one more where more requests wait than run; zero
+/// for demand that one cold replica can serve.
 fn busy_replicas(demand: ReplicaDemand) -> u32 {
     let concurrency_milli = demand.arrivals_milli * demand.service_ms / 1_000;
     let per_replica_milli = u64::from(demand.limit.max(1)) * 10 * TARGET_FILL_PERCENT;
     let mut busy = concurrency_milli.div_ceil(per_replica_milli.max(1));
-    if demand.refusals_milli > 0 {
-        busy += 1;
-    }
-    if concurrency_milli * 10 < per_replica_milli && demand.refusals_milli == 0 {
+    let is_short = demand.refusals_milli > 0 || demand.waiting > demand.running;
+    if concurrency_milli * 10 < per_replica_milli && !is_short {
         return 0;
     }
+    if is_short {
+        busy += 1;
+    }
     u32::try_from(busy).unwrap_or(u32::MAX)
 }
 
--- a/src/placement/planner_input.rs
+++ b/src/placement/planner_input.rs
@@ -37,6 +37,10 @@
     pub service_ms: u64,
     /// Requests that one upstream runs at once.
     pub limit: u32,
+    /// Requests at upstreams that run.
+    pub running: u32,
+    /// Requests that wait at upstreams that have the replica loaded.
+    pub waiting: u32,
 }
 
 /// Everything that a round of planning looks at.
--- a/src/routing/route_chooser.rs
+++ b/src/routing/route_chooser.rs
@@ -16,6 +16,10 @@
 /// Load, in requests, below which an upstream never counts as overfilled.
 const FREE_LOAD: u64 = 2;
 
+/// Percent of a cold upstream's forecast that the loaded ones must exceed before another
+/// replica is woken.
+const WAKE_GAIN_PERCENT: u64 = 150;
+
 /// Milliseconds to which forecast load times are rounded, so that all entries agree.
 const READY_BUCKET_MS: u64 = 500;
 
@@ -38,7 +42,7 @@
     Affinity,
     /// Least loaded of those nearly as good as the best.
     LeastLoaded,
-    /// Nothing loaded can meet the deadline; wakes a replica.
+    /// Wakes a replica, since nothing loaded can answer or all of it is far behind.
     Wake,
 }
 
@@ -85,8 +89,13 @@
             .copied()
             .filter(|index| targets[*index].state == ReplicaState::Loaded)
             .collect();
-        let (index, reason) = if loaded.is_empty() {
-            (wake_target(targets, &pool, context.wake), RouteReason::Wake)
+        let cold: Vec<usize> = pool
+            .iter()
+            .copied()
+            .filter(|index| targets[*index].state != ReplicaState::Loaded)
+            .collect();
+        let (index, reason) = if is_wake_worth(targets, &loaded, &cold) {
+            (wake_target(targets, &cold, context.wake), RouteReason::Wake)
         } else {
             loaded_target(targets, &loaded, context.affinity)
         };
@@ -98,6 +107,19 @@
     }
 }
 
+/// Whether to wake a replica: nothing is loaded, or the loaded ones are so far behind that
+/// the answer comes much sooner even with the load.
+fn is_wake_worth(targets: &[RouteTarget], loaded: &[usize], cold: &[usize]) -> bool {
+    let best = |pool: &[usize]| pool.iter().map(|i| targets[*i].finish_ms()).min();
+    match (best(loaded), best(cold)) {
+        (None, _) => true,
+        (_, None) => false,
+        (Some(loaded_ms), Some(cold_ms)) => {
+            loaded_ms > cold_ms * WAKE_GAIN_PERCENT / 100 + AFFINITY_SLACK_MS
+        }
+    }
+}
+
 /// Every entry picks the same holder, so that a burst makes one load.
 fn wake_target(targets: &[RouteTarget], pool: &[usize], key: &str) -> usize {
     let cost = |index: &usize| {
--- a/tests/controls.rs
+++ b/tests/controls.rs
@@ -267,3 +267,20 @@
     let refusal = RouteChooser.choose(&[], context(500)).expect_err("nowhere");
     assert_eq!(refusal, RequestRefusal::not_run(RefusalReason::NoReplica));
 }
+
+#[test]
+fn a_replica_is_woken_before_the_queue_at_the_loaded_one_costs_more_than_the_load() {
+    let mut loaded = target("loaded", Locality::Zone, ReplicaState::Loaded);
+    let cold = target("cold", Locality::Zone, ReplicaState::Granted);
+    loaded.wait_ms = 900;
+    let choose = |loaded: &RouteTarget| {
+        let targets = [loaded.clone(), cold.clone()];
+        RouteChooser
+            .choose(&targets, context(8_000))
+            .expect("a choice")
+            .index
+    };
+    assert_eq!(choose(&loaded), 0);
+    loaded.wait_ms = 1_500;
+    assert_eq!(choose(&loaded), 1);
+}
--- a/tests/placement_fleet.rs
+++ b/tests/placement_fleet.rs
@@ -209,6 +209,8 @@
             refusals_milli: 0,
             service_ms: 500,
             limit: 16,
+            running: 0,
+            waiting: 0,
         };
         PlannerInput {
             upstreams,
