Send heartbeats for unchanged reports, read the table less

Cause, found by the new `quetzalpin bench capacity` (fleets of 5, 10, 20 and 40 agents and 2 entries as processes, idle): an agent sent 3.5 to 16.5 KB/s of control to 2 entries, since each report went out whole twice a second, and made 3.2 table calls a second, since each agent looked at all leases every second and at the settings every second. At the planned 670 agents that is 2,170 table calls a second, above what the table serves.

Change: a report that has not changed is replaced by a heartbeat with its sequence; an entry that lacks the report says so and gets it. Agents that are no candidate for a lease look once in a term; agents look at the settings every fourth poll, since entries tell them of newer ones in each answer.

--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -1,11 +1,14 @@
 //! Measurements.
 
+mod capacity_bench;
 mod cold_bench;
 pub mod example_fleet;
 mod fleet_thread;
 mod flood_bench;
 mod flood_report;
 mod latency_table;
+mod process_slopes;
+mod slope_fit;
 mod warm_bench;
 
 use std::process::ExitCode;
@@ -20,6 +23,7 @@
 pub async fn run(command: BenchCmd) -> Result<ExitCode, ToolError> {
     match command {
         BenchCmd::Warm(warm) => warm_bench::run(&warm).await,
+        BenchCmd::Capacity(_) => capacity_bench::run().await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
     }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -72,6 +72,8 @@
                 /// Seconds.
                 optional --seconds count: u64
             }
+            /// Slopes of the cost of control over size; runs real daemons.
+            cmd capacity {}
             /// Service by rank before, in and after a flood.
             cmd flood {
                 /// background, urgent or both
--- a/src/agent/agent_context.rs
+++ b/src/agent/agent_context.rs
@@ -9,6 +9,7 @@
 use super::engine_view::EngineView;
 use super::lease_controller::LeaseDesk;
 use super::permit_desk::PermitDesk;
+use super::report_controller::ReportBook;
 use super::slot_controller::SlotBook;
 use crate::admission::{ConcurrencyLimiter, RankShare, ServiceEstimate, WaitForecast, WorkQueue};
 use crate::config::{AgentConfig, UpstreamKind};
@@ -72,6 +73,8 @@
     pub suspects_running: Cell<u32>,
     /// Set once the agent accepts no new work; never cleared.
     pub leaving: Cell<bool>,
+    /// The last report, and who has it.
+    pub reports: RefCell<ReportBook>,
     /// Number of the newest report.
     pub report_sequence: Cell<u64>,
     /// Wakes the dispatch loop.
@@ -128,6 +131,7 @@
             running: Cell::new(0),
             suspects_running: Cell::new(0),
             leaving: Cell::new(false),
+            reports: RefCell::default(),
             report_sequence: Cell::new(0),
             dispatch: WakeSignal::default(),
             report: WakeSignal::default(),
--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -25,6 +25,9 @@
 /// Milliseconds that connections have to close once no work is open.
 const CLOSE_MS: u64 = 2_000;
 
+/// List reads per look at the settings: agents hear of changes from entries.
+const SETTINGS_POLLS: u64 = 4;
+
 /// A running agent; dropping it ends its loops at once.
 pub struct AgentHandle {
     context: Rc<AgentContext>,
@@ -42,7 +45,7 @@
         let node = NodeContext::open(node, server.local_addr()?)?;
         let context = AgentContext::open(node, config)?;
         let serving = server.spawn(AgentServer::open(Rc::clone(&context)))?;
-        let mut loops = spawn_node_loops(&context.node);
+        let mut loops = spawn_node_loops(&context.node, SETTINGS_POLLS);
         loops.extend([
             compio::runtime::spawn(follow_settings(Rc::clone(&context))),
             compio::runtime::spawn(run_monitor(Rc::clone(&context))),
--- a/src/agent/agent_rpc.rs
+++ b/src/agent/agent_rpc.rs
@@ -9,7 +9,10 @@
 
 use super::agent_context::AgentContext;
 use super::permit_controller::{serve_wish, take_back};
-use crate::rpc::{AgentReport, ControlApiServer, EntryView, PermitAnswer, PermitRequest};
+use crate::rpc::{
+    AgentHeartbeat, AgentReport, ControlApiServer, EntryView, HeartbeatAnswer, PermitAnswer,
+    PermitRequest,
+};
 use crate::settings::SettingsRow;
 
 /// Answers control calls to an agent.
@@ -37,6 +40,10 @@
         Err(not_here())
     }
 
+    fn heartbeat(&self, _heartbeat: AgentHeartbeat) -> RpcResult<HeartbeatAnswer> {
+        Err(not_here())
+    }
+
     fn view(&self) -> RpcResult<EntryView> {
         Err(not_here())
     }
--- a/src/agent/lease_controller.rs
+++ b/src/agent/lease_controller.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::agent_context::AgentContext;
 use crate::decision::DecisionEvent;
@@ -21,7 +22,8 @@
 /// Agents that may take a lapsed lease; the first by rendezvous hashing.
 const CANDIDATES: usize = 3;
 
-/// Part of the term between two looks at the leases, as a divisor.
+/// Part of the term between two looks of a candidate at the leases, as a divisor; others
+/// look once in a term.
 const LOOK_DIVISOR: u64 = 6;
 
 /// Term in milliseconds before the settings give one.
@@ -96,8 +98,14 @@
         };
         context.permits.set_issuing(now, is_issuer);
         context.planner.notify();
-        let pause = std::time::Duration::from_millis(term_ms / LOOK_DIVISOR);
-        compio::time::sleep(pause).await;
+        let names = lease_names(&context);
+        let is_involved = names.iter().any(|name| is_candidate(&context, name));
+        let pause_ms = if is_involved {
+            term_ms / LOOK_DIVISOR
+        } else {
+            term_ms
+        };
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/src/agent/report_controller.rs
+++ b/src/agent/report_controller.rs
@@ -1,5 +1,6 @@
 //! Tells entries what this agent holds.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,14 +9,54 @@
 use crate::daemon::pull_settings;
 use crate::placement::UpstreamHolder;
 use crate::prelude::*;
-use crate::rpc::{AgentReport, ControlApiClient, RankLoad, ReplicaReport};
+use crate::rpc::{AgentHeartbeat, AgentReport, ControlApiClient, RankLoad, ReplicaReport};
 
 /// Shortest milliseconds between two reports.
 const MIN_GAP_MS: u64 = 20;
 
+/// Bytes that a heartbeat is counted with.
+const HEARTBEAT_BYTES: u64 = 128;
+
 /// A deadline later than any real one, for forecasts of a request that goes last.
 const FAR_MS: u64 = 1 << 40;
 
+/// The last report, and who has it.
+#[derive(Debug, Default)]
+pub struct ReportBook {
+    last: Option<AgentReport>,
+    known_by: BTreeSet<SocketAddr>,
+}
+
+impl ReportBook {
+    /// Takes the current report. One that differs from the last is news for all entries;
+    /// else the last one, with its sequence, still holds.
+    fn renew(&mut self, report: AgentReport) -> AgentReport {
+        if let Some(last) = &self.last {
+            let numbered = AgentReport {
+                sequence: last.sequence,
+                ..report.clone()
+            };
+            if numbered == *last {
+                return numbered;
+            }
+        }
+        self.known_by.clear();
+        self.last = Some(report.clone());
+        report
+    }
+
+    /// An entry has the report with this sequence.
+    fn note_known(&mut self, entry: SocketAddr, sequence: u64) {
+        if self
+            .last
+            .as_ref()
+            .is_some_and(|last| last.sequence == sequence)
+        {
+            self.known_by.insert(entry);
+        }
+    }
+}
+
 /// Reports for ever, at a steady pace and at once when something changed.
 pub async fn run_reports(context: Rc<AgentContext>) {
     loop {
@@ -25,7 +66,7 @@
     }
 }
 
-/// Sends one report to all entries.
+/// Tells all entries the current report, or that it still holds.
 pub async fn send_report(context: &Rc<AgentContext>) {
     let is_listed_leaving = {
         let members = context.node.members.borrow();
@@ -35,25 +76,61 @@
         context.leaving.set(true);
     }
     let report = build_report(context);
-    let entries = context.node.members.borrow().entry_addresses();
+    let report = context.reports.borrow_mut().renew(report);
     let bytes = serde_json::to_vec(&report).map_or(0, |text| text.len() as u64);
-    let sends = entries
-        .into_iter()
-        .map(|entry| send_to_entry(context, entry, report.clone(), bytes));
+    let entries = context.node.members.borrow().entry_addresses();
+    let sends = entries.into_iter().map(|entry| {
+        let report = report.clone();
+        async move {
+            let is_known = context.reports.borrow().known_by.contains(&entry);
+            if !(is_known && send_heartbeat(context, entry, &report).await) {
+                send_to_entry(context, entry, report, bytes).await;
+            }
+        }
+    });
     futures_util::future::join_all(sends).await;
 }
 
+/// Tells an entry that the report still holds; false if the entry does not have it.
+async fn send_heartbeat(context: &AgentContext, entry: SocketAddr, report: &AgentReport) -> bool {
+    context.node.metrics.control_bytes.inc_by(HEARTBEAT_BYTES);
+    let heartbeat = AgentHeartbeat {
+        instance: report.instance.clone(),
+        start_id: report.start_id,
+        sequence: report.sequence,
+    };
+    match context.node.rpc(entry).heartbeat(heartbeat).await {
+        Ok(answer) => {
+            follow_settings(context, entry, answer.settings_revision).await;
+            answer.is_known
+        }
+        Err(error) => {
+            log::debug!(entry:% = entry, error:% = error; "heartbeat not taken");
+            true
+        }
+    }
+}
+
 async fn send_to_entry(context: &AgentContext, entry: SocketAddr, report: AgentReport, bytes: u64) {
     context.node.metrics.control_bytes.inc_by(bytes);
+    let sequence = report.sequence;
     match context.node.rpc(entry).report(report).await {
-        Ok(revision) if revision > context.node.settings.borrow().revision() => {
-            pull_settings(&context.node, entry).await;
+        Ok(revision) => {
+            context.reports.borrow_mut().note_known(entry, sequence);
+            follow_settings(context, entry, revision).await;
         }
-        Ok(_) => {}
         Err(error) => log::debug!(entry:% = entry, error:% = error; "report not taken"),
     }
 }
 
+/// Asks an entry for its settings where they are newer.
+async fn follow_settings(context: &AgentContext, entry: SocketAddr, revision: u64) {
+    let known = context.node.settings.borrow().revision();
+    if revision > known {
+        pull_settings(&context.node, entry).await;
+    }
+}
+
 /// Builds the current report.
 pub fn build_report(context: &AgentContext) -> AgentReport {
     let now = context.now();
--- a/src/daemon/node_loops.rs
+++ b/src/daemon/node_loops.rs
@@ -10,15 +10,17 @@
 use crate::table::{RowRevision, TableError, TableRow};
 
 /// Starts following settings and the list of instances; dropping a handle ends its loop.
+/// The settings are looked at once in `settings_polls` list reads: a process that hears of
+/// changes from its peers needs the table less often.
 #[must_use]
-pub fn spawn_node_loops(node: &Rc<NodeContext>) -> Vec<JoinHandle<()>> {
+pub fn spawn_node_loops(node: &Rc<NodeContext>, settings_polls: u64) -> Vec<JoinHandle<()>> {
     vec![
-        compio::runtime::spawn(follow_settings(Rc::clone(node))),
+        compio::runtime::spawn(follow_settings(Rc::clone(node), settings_polls)),
         compio::runtime::spawn(follow_members(Rc::clone(node))),
     ]
 }
 
-async fn follow_settings(node: Rc<NodeContext>) {
+async fn follow_settings(node: Rc<NodeContext>, settings_polls: u64) {
     loop {
         let read = read_settings(&node).await;
         if let Err(error) = read {
@@ -27,7 +29,10 @@
                 pull_from_any_peer(&node).await;
             }
         }
-        node.settings_hint.wait(jittered(node.config.poll_ms)).await;
+        let is_new = node.settings.borrow().revision() == 0;
+        let polls = if is_new { 1 } else { settings_polls };
+        let pause_ms = jittered(node.config.poll_ms * polls);
+        node.settings_hint.wait(pause_ms).await;
     }
 }
 
--- a/src/entry/agent_book.rs
+++ b/src/entry/agent_book.rs
@@ -5,7 +5,7 @@
 
 use crate::prelude::*;
 use crate::routing::{Locality, RouteTarget};
-use crate::rpc::{AgentReport, RankLoad, ReplicaReport, ReplicaState};
+use crate::rpc::{AgentHeartbeat, AgentReport, RankLoad, ReplicaReport, ReplicaState};
 
 /// Milliseconds after which an agent that stopped reporting gets no requests.
 const STALE_MS: u64 = 2_500;
@@ -91,6 +91,23 @@
         true
     }
 
+    /// Takes an agent's word that its last report still holds; returns whether that report
+    /// is the one known here.
+    pub fn heard(&mut self, now: MonoTime, heartbeat: &AgentHeartbeat) -> bool {
+        let Some(known) = self.agents.get_mut(&heartbeat.instance) else {
+            return false;
+        };
+        let report = &known.report;
+        let is_same =
+            (report.start_id, report.sequence) == (heartbeat.start_id, heartbeat.sequence);
+        if is_same {
+            known.heard_at = now;
+            known.sent_since = 0;
+            known.sent_ms = 0;
+        }
+        is_same
+    }
+
     /// All known reports with the milliseconds since each was heard.
     #[must_use]
     pub fn reports(&self, now: MonoTime) -> Vec<(u64, AgentReport)> {
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -13,6 +13,9 @@
 use crate::net::{HttpServer, HttpServing};
 use crate::rpc::AgentReport;
 
+/// List reads per look at the settings: entries are the first to hear of a change.
+const SETTINGS_POLLS: u64 = 1;
+
 /// A running entry; dropping it ends its loops at once.
 pub struct EntryHandle {
     context: Rc<EntryContext>,
@@ -30,7 +33,7 @@
         let node = NodeContext::open(node, server.local_addr()?)?;
         let context = EntryContext::open(node, config);
         let serving = server.spawn(EntryServer::open(Rc::clone(&context)))?;
-        let mut loops = spawn_node_loops(&context.node);
+        let mut loops = spawn_node_loops(&context.node, SETTINGS_POLLS);
         loops.push(compio::runtime::spawn(run_quarantine(Rc::clone(&context))));
         Ok(Self {
             context,
--- a/src/entry/entry_rpc.rs
+++ b/src/entry/entry_rpc.rs
@@ -9,7 +9,10 @@
 
 use super::entry_context::EntryContext;
 use crate::daemon::pull_settings;
-use crate::rpc::{AgentReport, ControlApiServer, EntryView, PermitAnswer, PermitRequest};
+use crate::rpc::{
+    AgentHeartbeat, AgentReport, ControlApiServer, EntryView, HeartbeatAnswer, PermitAnswer,
+    PermitRequest,
+};
 use crate::settings::SettingsRow;
 
 /// Answers control calls to an entry.
@@ -50,6 +53,15 @@
         Ok(self.context.node.settings.borrow().revision())
     }
 
+    fn heartbeat(&self, heartbeat: AgentHeartbeat) -> RpcResult<HeartbeatAnswer> {
+        let now = self.context.now();
+        let mut agents = self.context.agents.borrow_mut();
+        Ok(HeartbeatAnswer {
+            is_known: agents.heard(now, &heartbeat),
+            settings_revision: self.context.node.settings.borrow().revision(),
+        })
+    }
+
     fn view(&self) -> RpcResult<EntryView> {
         let now = self.context.now();
         let mut demand = self.context.demand.borrow_mut();
--- a/src/rpc/control_api.rs
+++ b/src/rpc/control_api.rs
@@ -3,7 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
-use super::{AgentReport, EntryView, PermitAnswer, PermitRequest};
+use super::{AgentHeartbeat, AgentReport, EntryView, HeartbeatAnswer, PermitAnswer, PermitRequest};
 use crate::settings::SettingsRow;
 
 /// Control interface; each role answers the calls that concern it.
@@ -16,6 +16,13 @@
     #[method(name = "report")]
     fn report(&self, report: AgentReport) -> RpcResult<u64>;
 
+    /// An agent tells an entry that its last report still holds.
+    ///
+    /// # Errors
+    /// A JSON-RPC error where the role does not answer the call.
+    #[method(name = "heartbeat")]
+    fn heartbeat(&self, heartbeat: AgentHeartbeat) -> RpcResult<HeartbeatAnswer>;
+
     /// A planner asks an entry for reports and demand.
     ///
     /// # Errors
--- a/src/rpc/messages.rs
+++ b/src/rpc/messages.rs
@@ -101,6 +101,26 @@
     pub crashes: Vec<CrashReport>,
 }
 
+/// Stands for a report that has not changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentHeartbeat {
+    /// The agent's instance.
+    pub instance: InstanceName,
+    /// Start of its process.
+    pub start_id: u64,
+    /// Sequence of the report that still holds.
+    pub sequence: u64,
+}
+
+/// An entry's answer to a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// The entry has the report.
+    pub is_known: bool,
+    /// The entry's settings revision.
+    pub settings_revision: u64,
+}
+
 /// Demand that one entry saw for one replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -10,8 +10,8 @@
 pub use chat_head::ChatHead;
 pub use control_api::{ControlApiClient, ControlApiServer};
 pub use messages::{
-    AgentReport, CrashReport, DemandReport, EntryView, PermitAnswer, PermitRequest, RankLoad,
-    ReplicaReport, ReplicaState,
+    AgentHeartbeat, AgentReport, CrashReport, DemandReport, EntryView, HeartbeatAnswer,
+    PermitAnswer, PermitRequest, RankLoad, ReplicaReport, ReplicaState,
 };
 pub use peer_rpc::PeerRpc;
 pub use rpc_endpoint::RpcEndpoint;
--- a/standins/src/process_fleet.rs
+++ b/standins/src/process_fleet.rs
@@ -130,6 +130,12 @@
         self.child.is_some()
     }
 
+    /// Its process id, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Its settings file.
     #[must_use]
     pub fn config_path(&self) -> &Path {
