--- a/cli/src/bench/capacity_bench.rs
+++ b/cli/src/bench/capacity_bench.rs
@@ -89,6 +89,7 @@
         service: None,
         leaving: false,
         healthy: true,
+        boot_id: Some(1 << 40),
         memory_mb: 80_000,
         settings_revision: 3_500,
         running: 8,
--- a/cli/src/bench/cold_bench.rs
+++ b/cli/src/bench/cold_bench.rs
@@ -165,6 +165,7 @@
                 tokens: 2,
                 stream: true,
                 deadline_ms: Some(DEADLINE_MS),
+                id: String::new(),
             };
             async move { caller.chat(&call).await }
         });
--- a/cli/src/bench/flood_bench.rs
+++ b/cli/src/bench/flood_bench.rs
@@ -262,6 +262,7 @@
             tokens: TOKENS,
             stream: false,
             deadline_ms: Some(deadline_ms(rank)),
+            id: String::new(),
         }
     }
 }
--- a/cli/src/bench/warm_bench.rs
+++ b/cli/src/bench/warm_bench.rs
@@ -65,6 +65,7 @@
         tokens: 1,
         stream: false,
         deadline_ms: None,
+        id: String::new(),
     }
 }
 
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+mod campaign_command;
 mod explain_command;
 mod quickstart_command;
 mod settings_command;
@@ -63,6 +64,7 @@
                 explain_command::release(&context, &release.fingerprint).await
             }
             QuetzalpinCmd::Quickstart(_) => quickstart_command::run().await,
+            QuetzalpinCmd::Campaign(campaign) => campaign_command::run(&campaign).await,
             QuetzalpinCmd::Bench(bench) => bench::run(bench.subcommand).await,
         }
     })
--- a/cli/src/commands/quickstart_command.rs
+++ b/cli/src/commands/quickstart_command.rs
@@ -52,6 +52,7 @@
         tokens: 8,
         stream: false,
         deadline_ms: None,
+        id: String::new(),
     }
 }
 
@@ -101,6 +102,7 @@
         path: "registry/stamp".to_owned(),
         key: "batch-17".to_owned(),
         body: r#"{"batch":"batch-17"}"#.to_owned(),
+        id: String::new(),
     };
     let first = caller.service(&call).await?;
     let second = caller.service(&call).await?;
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -7,7 +7,7 @@
 
 xflags::xflags! {
     /// Operates quetzalpin. Exit codes: 0 done, 2 wrong input, 3 conflict or invalid
-    /// settings, 4 refused, 5 entry not reached.
+    /// settings, 4 refused, 5 entry not reached, 6 a promise was broken.
     cmd quetzalpin {
         /// Address of an entry; 127.0.0.1:7100 if absent.
         optional --entry address: SocketAddr
@@ -63,6 +63,17 @@
         }
         /// Run a small fleet in this process and show what it does.
         cmd quickstart {}
+        /// Inject random faults into a fleet of real processes and check every promise.
+        cmd campaign {
+            /// First seed.
+            optional --seed number: u64
+            /// Number of seeds, one campaign each.
+            optional --seeds count: u64
+            /// Seconds of faults in each campaign.
+            optional --seconds count: u64
+            /// Folder that keeps the daemons' logs of the last campaign.
+            optional --logs folder: PathBuf
+        }
         /// Measure.
         cmd bench {
             /// Overhead on a warm request against the engine alone.
--- a/src/agent/agent_context.rs
+++ b/src/agent/agent_context.rs
@@ -41,8 +41,6 @@
     pub config: AgentConfig,
     /// The engine, if the upstream is one.
     pub engine: Option<EngineClient>,
-    /// HTTP client for a plain service.
-    pub service: cyper::Client,
     /// Waiting requests.
     pub queue: RefCell<WorkQueue<WaitingWork>>,
     /// The engine's memory and slots.
@@ -98,7 +96,6 @@
             ),
             UpstreamKind::Service(_) => (None, 0),
         };
-        let service = cyper::Client::new().map_err(crate::engine::EngineError::Transport)?;
         let policy = ResidencyPolicy {
             holding: config.holding_policy,
             min_idle_ms: MIN_IDLE_MS,
@@ -111,7 +108,6 @@
         let limiter = ConcurrencyLimiter::open(config.concurrency, config.target_unit_us);
         Ok(Rc::new(Self {
             engine,
-            service,
             queue: RefCell::new(WorkQueue::open(
                 unranked(),
                 config.queue_capacity,
--- a/src/agent/engine_monitor.rs
+++ b/src/agent/engine_monitor.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use super::agent_context::AgentContext;
-use super::engine_view::{CrashVerdict, crash_number};
-use crate::decision::unix_ms;
+use super::engine_view::CrashVerdict;
+use crate::daemon::keep_crash;
 use crate::engine::{EngineClient, EngineState};
 use crate::prelude::*;
-use crate::quarantine::QuarantineRow;
+use crate::quarantine::crash_number;
 use crate::rpc::CrashReport;
-use crate::table::TableTxn;
 
 /// Milliseconds between two reads.
 const READ_MS: u64 = 250;
@@ -125,17 +124,7 @@
 /// Keeps the crash in the table for entries that start later; peers hear of it directly.
 async fn keep_crashes(context: Rc<AgentContext>, reports: Vec<CrashReport>) {
     for report in reports {
-        let key = QuarantineRow::row_key(report.fingerprint, report.crash);
-        let row = QuarantineRow {
-            fingerprint: report.fingerprint,
-            crash: report.crash,
-            at_unix_s: unix_ms() / 1_000,
-        };
-        let Ok(txn) = TableTxn::default().write(&key, &row) else {
-            continue;
-        };
-        if let Err(error) = context.node.table.commit(txn).await {
-            log::warn!(error:% = error; "crash not kept in the table");
-        }
+        let node = Rc::clone(&context.node);
+        keep_crash(node, report.fingerprint, report.crash).await;
     }
 }
--- a/src/agent/engine_run.rs
+++ b/src/agent/engine_run.rs
@@ -9,6 +9,9 @@
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use futures_util::{StreamExt, pin_mut};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
 use serde_json::value::RawValue;
 
 use super::agent_context::AgentContext;
@@ -31,6 +34,9 @@
 /// Milliseconds for which the answer to a non-idempotent call is awaited.
 const KEYED_LIMIT_MS: u64 = 120_000;
 
+/// Milliseconds for which an abandoned request still counts as in flight at a crash.
+const LINGER_MS: u64 = 1_500;
+
 /// Longest milliseconds between two chunks of a stream.
 const CHUNK_LIMIT_MS: u64 = 30_000;
 
@@ -41,12 +47,24 @@
     boot_id: u64,
     began_at: MonoTime,
     lost: oneshot::Receiver<()>,
+    /// Stays on the books for a while, since a crash may come to light later.
+    lingers: bool,
 }
 
 impl Drop for EngineRun<'_> {
     fn drop(&mut self) {
-        let mut view = self.context.engine_view.borrow_mut();
-        view.in_flight.remove(&self.attempt);
+        if !self.lingers {
+            let mut view = self.context.engine_view.borrow_mut();
+            view.in_flight.remove(&self.attempt);
+            return;
+        }
+        let context = Rc::clone(self.context);
+        let attempt = self.attempt;
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(LINGER_MS)).await;
+            context.engine_view.borrow_mut().in_flight.remove(&attempt);
+        })
+        .detach();
     }
 }
 
@@ -117,6 +135,11 @@
     let end = exchange(&mut run, job, body, relay).await;
     match end {
         Ok(end) => end,
+        Err(RunTrouble::Abandoned) => {
+            run.lingers = true;
+            let refusal = RequestRefusal::unknown(RefusalReason::UpstreamLost);
+            RunEnd::Refused(refusal, None)
+        }
         Err(trouble) => end_in_trouble(&run, trouble, relay).await,
     }
 }
@@ -143,6 +166,7 @@
         boot_id,
         began_at: now,
         lost,
+        lingers: false,
     })
 }
 
@@ -159,7 +183,7 @@
     };
     let priority = context.queue.borrow().rank_key(&job.head.rank).0;
     let priority = u32::try_from(priority).unwrap_or(u32::MAX);
-    let sending = engine.generate(job.head.attempt, priority, body);
+    let sending = engine.generate(job.head.attempt, priority, body, job.head.run_key.is_none());
     let response = await_first(run, job, relay, sending).await?;
     let response = response.map_err(|_| RunTrouble::Broken)?;
     let status = response.status().as_u16();
@@ -231,11 +255,10 @@
     job: &RunJob,
     status: u16,
     content_type: String,
-    response: cyper::Response,
+    response: Response<Incoming>,
     relay: &mut AnswerRelay,
 ) -> Result<RunEnd, RunTrouble> {
-    let chunks = response.bytes_stream();
-    pin_mut!(chunks);
+    let mut chunks = response.into_body().into_data_stream();
     let mut first_at = None;
     let mut tokens = 0;
     loop {
@@ -271,12 +294,12 @@
     job: &RunJob,
     status: u16,
     content_type: String,
-    response: cyper::Response,
+    response: Response<Incoming>,
     relay: &AnswerRelay,
 ) -> Result<RunEnd, RunTrouble> {
-    let reading = response.bytes();
+    let reading = response.into_body().collect();
     let body = await_first(run, job, relay, reading).await?;
-    let body = body.map_err(|_| RunTrouble::Broken)?;
+    let body = body.map_err(|_| RunTrouble::Broken)?.to_bytes();
     take_sample(run, job, None, u64::from(job.head.tokens));
     Ok(RunEnd::Whole(RecordedAnswer {
         status,
--- a/src/agent/engine_view.rs
+++ b/src/agent/engine_view.rs
@@ -5,8 +5,7 @@
 use futures_channel::oneshot;
 
 use crate::prelude::*;
-use crate::quarantine::RequestFingerprint;
-use crate::routing::rendezvous_weight;
+use crate::quarantine::{RequestFingerprint, crash_number};
 use crate::rpc::CrashReport;
 
 /// Failed reads in a row after which the engine counts as down.
@@ -162,9 +161,3 @@
         }
     }
 }
-
-/// Number of the crash that ended one start of one instance's engine.
-#[must_use]
-pub fn crash_number(instance: &InstanceName, boot_id: u64) -> u64 {
-    rendezvous_weight(instance.as_str(), &boot_id.to_string())
-}
--- a/src/agent/report_controller.rs
+++ b/src/agent/report_controller.rs
@@ -150,6 +150,7 @@
         service: context.service_name().cloned(),
         leaving: context.leaving.get(),
         healthy: context.engine.is_none() || engine_view.is_healthy(),
+        boot_id: engine_view.boot_id,
         memory_mb: holder.ledger().capacity_mb(),
         settings_revision: context.node.settings.borrow().revision(),
         running: context.running.get(),
--- a/src/agent/service_run.rs
+++ b/src/agent/service_run.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use hyper::Method;
+use hyper::Request;
+use hyper::header::{CONTENT_TYPE, HOST};
 
 use super::agent_context::AgentContext;
 use super::answer_relay::AnswerRelay;
 use super::run_controller::{RunEnd, RunJob};
 use crate::admission::ServiceSample;
+use crate::net::{BodyError, NetError, PeerClient, full_body, read_body, send_fresh};
 use crate::prelude::*;
 use crate::run_once::RecordedAnswer;
 
@@ -33,11 +33,21 @@
     TooLarge,
 }
 
-impl From<cyper::Error> for CallFailure {
-    fn from(error: cyper::Error) -> Self {
+impl From<NetError> for CallFailure {
+    fn from(error: NetError) -> Self {
+        if PeerClient::was_unsent(&error) {
+            Self::NotSent
+        } else {
+            Self::Sent
+        }
+    }
+}
+
+impl From<BodyError> for CallFailure {
+    fn from(error: BodyError) -> Self {
         match error {
-            cyper::Error::HyperClient(error) if error.is_connect() => Self::NotSent,
-            _ => Self::Sent,
+            BodyError::TooLarge(_) => Self::TooLarge,
+            BodyError::TooSlow(_) | BodyError::Cut => Self::Sent,
         }
     }
 }
@@ -94,29 +104,30 @@
     }
 }
 
+/// Each call has a connection of its own: one kept from an earlier call may have gone
+/// silent, and a call that may not be repeated must not be lost on it.
 async fn call_service(
     context: &AgentContext,
     job: &RunJob,
     method: &str,
     path: &str,
 ) -> Result<RecordedAnswer, CallFailure> {
-    let method = method.parse().unwrap_or(Method::POST);
-    let url = format!("http://{}{path}", context.config.upstream_address);
-    let mut request = context
-        .service
-        .request(method, url)?
-        .header("x-request-id", job.head.request.as_str())?;
-    if !job.body.is_empty() {
-        request = request.header("content-type", job.head.content_type.as_str())?;
-    }
-    let response = request.body(job.body.clone()).send().await?;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, context.config.upstream_address.to_string())
+        .header("x-request-id", job.head.request.as_str())
+        .header(CONTENT_TYPE, job.head.content_type.as_str())
+        .body(full_body(job.body.clone()))
+        .map_err(NetError::Request)?;
+    let response = send_fresh(context.config.upstream_address, request).await?;
     let status = response.status().as_u16();
-    let content_type = response.headers().get("content-type");
+    let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let body = read_answer(response).await?;
+    let body = read_body(response.into_body(), MAX_ANSWER_BYTES, KEYED_LIMIT_MS).await?;
     Ok(RecordedAnswer {
         status,
         content_type,
@@ -124,20 +135,6 @@
     })
 }
 
-async fn read_answer(response: cyper::Response) -> Result<Bytes, CallFailure> {
-    let mut body = BytesMut::new();
-    let chunks = response.bytes_stream();
-    futures_util::pin_mut!(chunks);
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|_| CallFailure::Sent)?;
-        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-            return Err(CallFailure::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
 fn take_sample(context: &AgentContext, began_at: MonoTime) {
     let now = context.now();
     let first_us = now.millis_since(began_at) * 1_000;
--- /dev/null
+++ b/src/daemon/crash_records.rs
@@ -0,0 +1,32 @@
+//! Crashing requests in the table, for entries that did not hear of them directly.
+
+use std::rc::Rc;
+
+use super::NodeContext;
+use crate::decision::unix_ms;
+use crate::quarantine::{QuarantineRow, RequestFingerprint};
+use crate::table::TableTxn;
+
+/// Keeps a request at a crash in the table.
+pub async fn keep_crash(node: Rc<NodeContext>, fingerprint: RequestFingerprint, crash: u64) {
+    let key = QuarantineRow::row_key(fingerprint, crash);
+    let row = QuarantineRow {
+        fingerprint,
+        crash,
+        at_unix_s: unix_ms() / 1_000,
+    };
+    let Ok(txn) = TableTxn::default().write(&key, &row) else {
+        return;
+    };
+    if let Err(error) = node.table.commit(txn).await {
+        log::warn!(error:% = error; "crash not kept in the table");
+    }
+}
+
+/// Takes a request's part in a crash back.
+pub async fn forget_crash(node: Rc<NodeContext>, fingerprint: RequestFingerprint, crash: u64) {
+    let key = QuarantineRow::row_key(fingerprint, crash);
+    if let Err(error) = node.table.commit(TableTxn::default().delete(&key)).await {
+        log::warn!(error:% = error; "crash not taken back in the table");
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! Running daemons and what both roles share.
 
 mod common_routes;
+mod crash_records;
 mod daemon_handle;
 mod errors;
 mod gossip;
@@ -11,6 +12,7 @@
 mod wake_signal;
 
 pub use common_routes::{bearer_token, common_route, decision_page};
+pub use crash_records::{forget_crash, keep_crash};
 pub use daemon_handle::DaemonHandle;
 pub use errors::DaemonError;
 pub use gossip::pull_settings;
--- a/src/engine/engine_client.rs
+++ b/src/engine/engine_client.rs
@@ -4,19 +4,27 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Request, Response};
 use serde::Serialize;
 
 use super::{EngineError, EngineState, LoadCommand, UnloadCommand};
 use crate::ids::AttemptId;
+use crate::net::{CallPool, NetError, full_body, send_fresh};
 
 /// Milliseconds before a state read counts as unanswered.
 const STATE_TIMEOUT_MS: u64 = 1_000;
 
-/// Client of one engine.
+/// Client of one engine. State reads and requests share kept connections: the engine's
+/// state shows a request that was lost on one that went silent. Orders and requests that may
+/// not be repeated each have a connection of their own.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
-    client: cyper::Client,
-    base: String,
+    state_client: cyper::Client,
+    state_url: String,
+    requests: CallPool,
+    address: SocketAddr,
 }
 
 impl EngineClient {
@@ -26,8 +34,10 @@
     /// [`EngineError::Transport`] if the HTTP client cannot be set up.
     pub fn open(address: SocketAddr) -> Result<Self, EngineError> {
         Ok(Self {
-            client: cyper::Client::new().map_err(EngineError::Transport)?,
-            base: format!("http://{address}"),
+            state_client: cyper::Client::new().map_err(EngineError::Transport)?,
+            state_url: format!("http://{address}/admin/state"),
+            requests: CallPool::open(address),
+            address,
         })
     }
 
@@ -37,8 +47,7 @@
     /// [`EngineError`] if the engine does not answer in time.
     pub async fn state(&self) -> Result<EngineState, EngineError> {
         let reading = async {
-            let url = format!("{}/admin/state", self.base);
-            let response = self.client.get(url)?.send().await?;
+            let response = self.state_client.get(&self.state_url)?.send().await?;
             response.json().await
         };
         compio::time::timeout(Duration::from_millis(STATE_TIMEOUT_MS), reading)
@@ -66,23 +75,28 @@
     /// Hands a request over and returns once the response head is there.
     ///
     /// # Errors
-    /// [`EngineError::Transport`] if the connection breaks before the head.
+    /// [`EngineError::Exchange`] if the connection breaks before the head.
     pub async fn generate(
         &self,
         attempt: AttemptId,
         priority: u32,
         body: Bytes,
-    ) -> Result<cyper::Response, EngineError> {
-        let url = format!("{}/v1/chat/completions", self.base);
-        let request = self
-            .client
-            .post(url)
-            .and_then(|request| request.header("content-type", "application/json"))
-            .and_then(|request| request.header("x-request-id", attempt.to_string()))
-            .and_then(|request| request.header("x-priority", priority.to_string()))
-            .map_err(EngineError::Transport)?;
-        let response = request.body(body).send().await;
-        response.map_err(EngineError::Transport)
+        is_repeatable: bool,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let request = Request::post("/v1/chat/completions")
+            .header(HOST, self.address.to_string())
+            .header("content-type", "application/json")
+            .header("x-request-id", attempt.to_string())
+            .header("x-priority", priority)
+            .body(full_body(body))
+            .map_err(NetError::Request);
+        let request = request.map_err(EngineError::Exchange)?;
+        let sent = if is_repeatable {
+            self.requests.send(request).await
+        } else {
+            send_fresh(self.address, request).await
+        };
+        sent.map_err(EngineError::Exchange)
     }
 
     async fn order<C: Serialize>(
@@ -91,14 +105,18 @@
         command: &C,
         limit_ms: u64,
     ) -> Result<(), EngineError> {
-        let sending = async {
-            let url = format!("{}/admin/{name}", self.base);
-            self.client.post(url)?.json(command)?.send().await
-        };
+        let body = serde_json::to_vec(command).unwrap_or_default();
+        let request = Request::post(format!("/admin/{name}"))
+            .header(HOST, self.address.to_string())
+            .header("content-type", "application/json")
+            .body(full_body(body))
+            .map_err(NetError::Request);
+        let request = request.map_err(EngineError::Exchange)?;
+        let sending = send_fresh(self.address, request);
         let response = compio::time::timeout(Duration::from_millis(limit_ms), sending)
             .await
             .map_err(|_| EngineError::Timeout(limit_ms))?
-            .map_err(EngineError::Transport)?;
+            .map_err(EngineError::Exchange)?;
         match response.status().as_u16() {
             200 => Ok(()),
             status => Err(EngineError::Refused(status)),
--- a/src/entry/agent_book.rs
+++ b/src/entry/agent_book.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     /// Start of the process.
     pub start_id: u64,
+    /// Start of its engine, if it has one.
+    pub boot_id: Option<u64>,
 }
 
 /// The newest report of each agent.
@@ -184,6 +186,7 @@
         Some(AgentAddress {
             address: known.report.address,
             start_id: known.report.start_id,
+            boot_id: known.report.boot_id,
         })
     }
 
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Routes a request, retries it where that is safe, and answers it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::Response;
 
@@ -20,6 +21,15 @@
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// Part of the time left, as a divisor, for which a request waits for any holder.
+const PATIENCE_DIVISOR: u64 = 2;
+
+/// Longest such wait in milliseconds.
+const MAX_PATIENCE_MS: u64 = 3_000;
+
+/// Milliseconds between looks while waiting.
+const LOOK_MS: u64 = 50;
+
 /// Bytes of a prompt's head that requests with the same affinity share.
 const AFFINITY_BYTES: usize = 256;
 
@@ -29,6 +39,8 @@
     draft: RequestDraft,
     call: WorkCall,
     excluded: Vec<InstanceName>,
+    /// Upstreams weighed when none was chosen.
+    weighed: Vec<RouteTarget>,
     attempts: u32,
 }
 
@@ -61,6 +73,7 @@
             draft,
             call,
             excluded: Vec::new(),
+            weighed: Vec::new(),
             attempts: 0,
         })
     }
@@ -77,7 +90,7 @@
         loop {
             self.attempts += 1;
             let attempt = AttemptId::random();
-            let route = self.choose(attempt)?;
+            let route = self.choose_patiently(attempt).await?;
             let end =
                 send_attempt(self.context, &self.draft, &self.call, attempt, route.agent).await;
             match self.next_step(route, attempt, end).await? {
@@ -143,11 +156,12 @@
         let mut quarantine = self.context.quarantine.borrow_mut();
         quarantine.record(now, fingerprint, crash);
         drop(quarantine);
-        self.draft.suspect = true;
-        match self.context.judge(fingerprint) {
-            QuarantineVerdict::HeldBack => Err(RequestRefusal::unknown(RefusalReason::Quarantined)),
-            QuarantineVerdict::Suspect | QuarantineVerdict::Clear => Ok(()),
+        let is_second = std::mem::replace(&mut self.draft.suspect, true);
+        let is_held = self.context.judge(fingerprint) == QuarantineVerdict::HeldBack;
+        if is_held || is_second {
+            return Err(RequestRefusal::unknown(RefusalReason::Quarantined));
         }
+        Ok(())
     }
 
     async fn after_loss(
@@ -168,12 +182,30 @@
             }
             LostVerdict::Refused(refusal) => self.after_refusal(route, refusal, None),
             LostVerdict::Unknown if self.draft.run_key.is_none() => {
-                self.retry_elsewhere(route.instance, RequestRefusal::unknown(lost))
+                let refusal = RequestRefusal::unknown(lost);
+                self.presume_crash(&route, refusal)?;
+                self.retry_elsewhere(route.instance, refusal)
             }
             LostVerdict::Unknown => Err(RequestRefusal::unknown(RefusalReason::ResultUnknown)),
         }
     }
 
+    /// A request whose agent fell silent may have crashed the engine: it is retried once as
+    /// a suspect.
+    fn presume_crash(
+        &mut self,
+        route: &ChosenRoute,
+        refusal: RequestRefusal,
+    ) -> Result<(), RequestRefusal> {
+        let is_second = std::mem::replace(&mut self.draft.suspect, true);
+        if let Some(boot_id) = route.agent.boot_id {
+            let fingerprint = self.draft.fingerprint;
+            self.context
+                .presume_crash(fingerprint, &route.instance, boot_id);
+        }
+        if is_second { Err(refusal) } else { Ok(()) }
+    }
+
     /// Tries another upstream if number, time and budget allow it, else gives the refusal.
     fn retry_elsewhere(
         &mut self,
@@ -191,6 +223,30 @@
         }
     }
 
+    /// Chooses an upstream. While none may run the request at all, as when its holders
+    /// restart, part of the time left is spent waiting for one.
+    async fn choose_patiently(
+        &mut self,
+        attempt: AttemptId,
+    ) -> Result<ChosenRoute, RequestRefusal> {
+        let now = self.context.now();
+        let patience_ms = self.draft.deadline.millis_since(now) / PATIENCE_DIVISOR;
+        let until = now + patience_ms.min(MAX_PATIENCE_MS);
+        loop {
+            let refusal = match self.choose(attempt) {
+                Ok(route) => return Ok(route),
+                Err(refusal) => refusal,
+            };
+            let may_wait = refusal.reason == RefusalReason::NoReplica;
+            if !may_wait || self.context.now() + LOOK_MS > until {
+                self.log_refusal(refusal);
+                return Err(refusal);
+            }
+            compio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            self.excluded.clear();
+        }
+    }
+
     /// Chooses an upstream and logs the choice.
     fn choose(&mut self, attempt: AttemptId) -> Result<ChosenRoute, RequestRefusal> {
         self.prefer_loaded_version();
@@ -207,7 +263,7 @@
         let choice = match RouteChooser.choose(&targets, route_context) {
             Ok(choice) => choice,
             Err(refusal) => {
-                self.log_refusal(refusal, remaining_ms, targets);
+                self.weighed = targets;
                 return Err(refusal);
             }
         };
@@ -297,7 +353,8 @@
         String::from_utf8_lossy(head).into_owned()
     }
 
-    fn log_refusal(&self, refusal: RequestRefusal, remaining_ms: u64, targets: Vec<RouteTarget>) {
+    fn log_refusal(&self, refusal: RequestRefusal) {
+        let now = self.context.now();
         if let Some(replica) = self.call.replica() {
             self.context.demand.borrow_mut().refused(replica);
         }
@@ -305,8 +362,8 @@
             request: self.draft.id.clone(),
             team: Some(self.draft.team.clone()),
             refusal,
-            remaining_ms,
-            targets,
+            remaining_ms: self.draft.deadline.millis_since(now),
+            targets: self.weighed.clone(),
         });
     }
 }
--- a/src/entry/entry_context.rs
+++ b/src/entry/entry_context.rs
@@ -5,10 +5,12 @@
 
 use super::agent_book::{AgentBook, EntryPlace};
 use crate::config::EntryConfig;
-use crate::daemon::NodeContext;
+use crate::daemon::{NodeContext, forget_crash, keep_crash};
 use crate::placement::DemandTracker;
 use crate::prelude::*;
-use crate::quarantine::{QuarantineBook, QuarantineVerdict, RequestFingerprint};
+use crate::quarantine::{
+    LossWatch, QuarantineBook, QuarantineVerdict, RequestFingerprint, UnexplainedLoss, crash_number,
+};
 use crate::retry::RetryBudget;
 use crate::rpc::AgentReport;
 
@@ -27,6 +29,8 @@
     pub demand: RefCell<DemandTracker>,
     /// Crashing requests.
     pub quarantine: RefCell<QuarantineBook>,
+    /// Requests lost with their agents.
+    pub losses: RefCell<LossWatch>,
     /// Retry budgets.
     pub retries: RefCell<RetryBudget>,
     /// Requests in this process.
@@ -47,6 +51,7 @@
             agents: RefCell::new(AgentBook::open(place)),
             demand: RefCell::new(DemandTracker::open()),
             quarantine: RefCell::new(QuarantineBook::open()),
+            losses: RefCell::new(LossWatch::open()),
             retries: RefCell::new(RetryBudget::open()),
             open_requests: Cell::new(0),
         })
@@ -72,9 +77,50 @@
         quarantine.verdict(self.now(), fingerprint, self.hold_ms())
     }
 
+    /// Forgives requests that were lost with an agent whose engine has not crashed.
+    fn clear_losses(&self, report: &AgentReport) {
+        let Some(boot_id) = report.boot_id else {
+            return;
+        };
+        let cleared = self.losses.borrow_mut().heard(&report.instance, boot_id);
+        let now = self.now();
+        for loss in cleared {
+            let mut quarantine = self.quarantine.borrow_mut();
+            quarantine.pardon(now, loss.fingerprint, loss.crash);
+            drop(quarantine);
+            let node = Rc::clone(&self.node);
+            compio::runtime::spawn(forget_crash(node, loss.fingerprint, loss.crash)).detach();
+        }
+    }
+
+    /// Presumes that a request lost with its agent crashed the engine, until the agent's
+    /// next report tells.
+    pub fn presume_crash(
+        &self,
+        fingerprint: RequestFingerprint,
+        instance: &InstanceName,
+        boot_id: u64,
+    ) {
+        let now = self.now();
+        let crash = crash_number(instance, boot_id);
+        self.losses.borrow_mut().follow(UnexplainedLoss {
+            fingerprint,
+            instance: instance.clone(),
+            boot_id,
+            crash,
+            at: now,
+        });
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.record(now, fingerprint, crash);
+        drop(quarantine);
+        let node = Rc::clone(&self.node);
+        compio::runtime::spawn(keep_crash(node, fingerprint, crash)).detach();
+    }
+
     /// Takes an agent's report, with the crashes it names.
     pub fn take_report(&self, report: AgentReport) {
         let now = self.now();
+        self.clear_losses(&report);
         let crashes = report.crashes.clone();
         if !self.agents.borrow_mut().take(now, report) {
             return;
--- /dev/null
+++ b/src/net/fresh_call.rs
@@ -0,0 +1,50 @@
+//! One HTTP/1 exchange on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+
+use super::{HttpBody, NetError, socket_options};
+
+/// Milliseconds within which a connection is made.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Makes a connection.
+pub(super) async fn connect(address: SocketAddr) -> Result<SendRequest<HttpBody>, NetError> {
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = compio::time::timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| NetError::ConnectTimeout(CONNECT_TIMEOUT_MS))?
+        .map_err(NetError::Socket)?;
+    socket_options::apply(&stream).map_err(NetError::Socket)?;
+    let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        .await
+        .map_err(NetError::Http)?;
+    compio::runtime::spawn(async move {
+        let _ = connection.await;
+    })
+    .detach();
+    Ok(sender)
+}
+
+/// Sends a request on a new connection and returns once the response head is there. A
+/// connection kept from an earlier exchange may have gone silent; a new one has not.
+///
+/// # Errors
+/// [`NetError::Socket`] or [`NetError::ConnectTimeout`] if nothing was sent, else
+/// [`NetError::Http`].
+pub async fn send_fresh(
+    address: SocketAddr,
+    mut request: Request<HttpBody>,
+) -> Result<Response<Incoming>, NetError> {
+    let mut sender = connect(address).await?;
+    let close = HeaderValue::from_static("close");
+    request.headers_mut().insert(CONNECTION, close);
+    sender.send_request(request).await.map_err(NetError::Http)
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,12 +1,16 @@
 //! HTTP plumbing over compio: one server loop and one client for peers.
 
+mod call_pool;
 mod errors;
+mod fresh_call;
 mod http_body;
 mod http_server;
 mod peer_client;
 mod socket_options;
 
+pub use call_pool::CallPool;
 pub use errors::NetError;
+pub use fresh_call::send_fresh;
 pub use http_body::{
     BodyError, HttpBody, empty_body, full_body, json_response, read_body, stream_body,
 };
--- a/src/rpc/messages.rs
+++ b/src/rpc/messages.rs
@@ -77,6 +77,8 @@
     pub leaving: bool,
     /// The upstream answers.
     pub healthy: bool,
+    /// Start number of the engine, once known.
+    pub boot_id: Option<u64>,
     /// Accelerator memory in megabytes.
     pub memory_mb: u64,
     /// Highest settings revision in force.
--- a/standins/src/caller_client.rs
+++ b/standins/src/caller_client.rs
@@ -28,6 +28,8 @@
     pub stream: bool,
     /// Milliseconds that the caller waits; the kind's own if absent.
     pub deadline_ms: Option<u64>,
+    /// Identifier of the request; the entry chooses one if empty.
+    pub id: String,
 }
 
 /// A call to a plain service.
@@ -43,6 +45,8 @@
     pub key: String,
     /// JSON body.
     pub body: String,
+    /// Identifier of the request; the entry chooses one if empty.
+    pub id: String,
 }
 
 /// What the caller saw.
@@ -113,7 +117,8 @@
             .client
             .post(format!("{}/v1/chat/completions", self.base))?
             .bearer_auth(&call.credential)?
-            .header("x-work-kind", call.kind.as_str())?;
+            .header("x-work-kind", call.kind.as_str())?
+            .header("x-request-id", call.id.as_str())?;
         if let Some(deadline_ms) = call.deadline_ms {
             request = request.header("x-deadline-ms", deadline_ms.to_string())?;
         }
@@ -131,6 +136,7 @@
             .bearer_auth(&call.credential)?
             .header("x-work-kind", call.kind.as_str())?
             .header("idempotency-key", call.key.as_str())?
+            .header("x-request-id", call.id.as_str())?
             .header("content-type", "application/json")?;
         read_outcome(request.body(call.body.clone())).await
     }
--- /dev/null
+++ b/standins/src/campaign/campaign_runner.rs
@@ -0,0 +1,135 @@
+//! Runs a campaign.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::fault_injector::FaultInjector;
+use super::load_caller::CallerPool;
+use super::promise_check::{CampaignEvidence, CampaignReport};
+use super::slot_watch::SlotWatch;
+use crate::engine_standin::EngineStandin;
+use crate::errors::StandinError;
+use crate::process_fleet::ProcessFleet;
+use crate::service_standin::ServiceStandin;
+use crate::small_fleet::{SMALL_MODELS, small_plan};
+
+/// Milliseconds for the fleet's start, and for its recovery in the end.
+const READY_MS: u64 = 60_000;
+
+/// Milliseconds after the recovery before the last stamps are sent again.
+const CALM_MS: u64 = 6_000;
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct CampaignOptions {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// Seed of faults and calls.
+    pub seed: u64,
+    /// Time during which faults are injected.
+    pub duration: Duration,
+    /// Callers at once.
+    pub callers: usize,
+    /// Folder that keeps the daemons' logs; they are dropped if absent.
+    pub logs: Option<PathBuf>,
+}
+
+/// Runs a campaign and checks its history.
+///
+/// # Errors
+/// [`StandinError`] if the fleet does not start, or does not recover once faults have ended.
+pub async fn run_campaign(options: &CampaignOptions) -> Result<CampaignReport, StandinError> {
+    let fleet = ProcessFleet::spawn(&options.daemon, &small_plan()).await?;
+    fleet.wait_ready(SMALL_MODELS, READY_MS).await?;
+    let entries = entry_addresses(&fleet);
+    let fleet = Rc::new(RefCell::new(fleet));
+    let watch = Rc::new(SlotWatch::default());
+    let watching = compio::runtime::spawn(Rc::clone(&watch).run(Rc::clone(&fleet)));
+    let probed = Rc::clone(&fleet);
+    let probe = Box::new(move |batch: &str| probed.borrow().stamps(batch));
+    let pool = CallerPool::open(entries, options.seed, probe);
+    let callers: Vec<_> = (0..options.callers)
+        .map(|_| compio::runtime::spawn(Rc::clone(&pool).run_caller()))
+        .collect();
+    let mut injector = FaultInjector::open(Rc::clone(&fleet), options.seed);
+    let began_at = Instant::now();
+    while began_at.elapsed() < options.duration {
+        injector.step().await;
+    }
+    recover(&fleet, &injector).await?;
+    pool.end();
+    for caller in callers {
+        let _ = caller.await;
+    }
+    compio::time::sleep(Duration::from_millis(CALM_MS)).await;
+    pool.settle_stamps().await?;
+    watch.end();
+    let _ = watching.await;
+    if let Some(folder) = &options.logs {
+        fleet.borrow().keep_logs(folder)?;
+    }
+    let evidence = collect(&fleet.borrow(), &pool, &watch);
+    Ok(CampaignReport {
+        seed: options.seed,
+        ends: evidence.ends(),
+        faults: injector.injected,
+        checks: evidence.check(),
+    })
+}
+
+fn entry_addresses(fleet: &ProcessFleet) -> Vec<SocketAddr> {
+    fleet.entries.iter().map(|entry| entry.address).collect()
+}
+
+/// Ends all faults and waits until the fleet is whole again.
+async fn recover(
+    fleet: &Rc<RefCell<ProcessFleet>>,
+    injector: &FaultInjector,
+) -> Result<(), StandinError> {
+    const LOOK_MS: u64 = 500;
+    let client = cyper::Client::new()?;
+    let entries = entry_addresses(&fleet.borrow());
+    let agents = fleet.borrow().agents.len();
+    let until = Instant::now() + Duration::from_millis(READY_MS);
+    while Instant::now() < until {
+        injector.heal()?;
+        compio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        if is_whole(&client, &entries, agents).await {
+            return Ok(());
+        }
+    }
+    Err(StandinError::NotReady(READY_MS))
+}
+
+async fn is_whole(client: &cyper::Client, entries: &[SocketAddr], agents: usize) -> bool {
+    for entry in entries {
+        let Some(status) = ProcessFleet::status_at(client, *entry).await else {
+            return false;
+        };
+        let reports = status.agents.iter().filter(|agent| agent.age_ms < 2_000);
+        let usable = reports.filter(|agent| agent.report.healthy && !agent.report.leaving);
+        if usable.count() < agents {
+            return false;
+        }
+    }
+    true
+}
+
+fn collect(fleet: &ProcessFleet, pool: &CallerPool, watch: &SlotWatch) -> CampaignEvidence {
+    let mut stamps: BTreeMap<String, u32> = BTreeMap::new();
+    for audit in fleet.services().map(ServiceStandin::audit) {
+        for (batch, runs) in audit.stamps {
+            *stamps.entry(batch).or_insert(0) += runs;
+        }
+    }
+    CampaignEvidence {
+        history: pool.history.borrow().clone(),
+        stamps,
+        engines: fleet.engines().map(EngineStandin::audit).collect(),
+        slots: (watch.checked.get(), watch.violations.borrow().clone()),
+    }
+}
--- /dev/null
+++ b/standins/src/campaign/load_caller.rs
@@ -0,0 +1,226 @@
+//! Callers that ask, wait and send again.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::call_history::{CallEnd, CallRecord, CallSubject, call_end};
+use crate::caller_client::{CallerClient, ChatCall, ServiceCall};
+use crate::errors::StandinError;
+use crate::prompt_words::POISON_WORD;
+use crate::small_fleet::{SMALL_CREDENTIAL, SMALL_MODELS};
+
+/// Milliseconds that callers allow.
+const DEADLINE_MS: u64 = 6_000;
+
+/// Longest milliseconds for which a caller waits for an end.
+const PATIENCE_MS: u64 = 30_000;
+
+/// Longest milliseconds between a caller's calls.
+const PAUSE_MS: u64 = 300;
+
+/// One in so many calls crashes engines.
+const POISON_ONE_IN: u32 = 40;
+
+/// Tells how often a batch has been stamped so far.
+pub type StampProbe = Box<dyn Fn(&str) -> u32>;
+
+/// What all callers of a campaign share.
+pub struct CallerPool {
+    entries: Vec<SocketAddr>,
+    began_at: Instant,
+    rng: RefCell<fastrand::Rng>,
+    numbers: Cell<u64>,
+    is_over: Cell<bool>,
+    stamps: StampProbe,
+    /// All calls so far.
+    pub history: RefCell<Vec<CallRecord>>,
+    /// Batches whose stamp has no answer yet.
+    open_batches: RefCell<Vec<String>>,
+    /// Calls that crash engines; they are sent again as they were.
+    poisons: RefCell<Vec<PlannedCall>>,
+}
+
+impl CallerPool {
+    /// Opens a pool.
+    pub fn open(entries: Vec<SocketAddr>, seed: u64, stamps: StampProbe) -> Rc<Self> {
+        Rc::new(Self {
+            entries,
+            began_at: Instant::now(),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            numbers: Cell::new(0),
+            is_over: Cell::new(false),
+            stamps,
+            history: RefCell::new(Vec::new()),
+            open_batches: RefCell::new(Vec::new()),
+            poisons: RefCell::new(Vec::new()),
+        })
+    }
+
+    /// Lets callers end after their current call.
+    pub fn end(&self) {
+        self.is_over.set(true);
+    }
+
+    /// Calls until the end.
+    ///
+    /// # Errors
+    /// [`StandinError::Client`] if the HTTP client cannot be set up.
+    pub async fn run_caller(self: Rc<Self>) -> Result<(), StandinError> {
+        let mut clients = Vec::new();
+        for entry in &self.entries {
+            clients.push(CallerClient::open(*entry)?);
+        }
+        while !self.is_over.get() {
+            let entry = self.rng.borrow_mut().usize(..clients.len());
+            let is_stamp = self.rng.borrow_mut().u32(..10) < 4;
+            let call = if is_stamp {
+                self.stamp_some(entry)
+            } else {
+                self.ask_some(entry)
+            };
+            call.send(&self, &clients[entry]).await;
+            let pause_ms = self.rng.borrow_mut().u64(..PAUSE_MS);
+            compio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+        Ok(())
+    }
+
+    /// Sends each stamp again that has no answer, until it has one or its result is known
+    /// to be lost.
+    ///
+    /// # Errors
+    /// [`StandinError::Client`] if the HTTP client cannot be set up.
+    pub async fn settle_stamps(&self) -> Result<(), StandinError> {
+        let client = CallerClient::open(self.entries[0])?;
+        let batches = self.open_batches.borrow().clone();
+        for batch in batches {
+            PlannedCall::stamp(0, batch).send(self, &client).await;
+        }
+        Ok(())
+    }
+
+    fn next_number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    fn stamp_some(&self, entry: usize) -> PlannedCall {
+        let resends = self.rng.borrow_mut().bool();
+        let open = self.open_batches.borrow();
+        let index = self.rng.borrow_mut().usize(..open.len().max(1));
+        let batch = open.get(index).filter(|_| resends).cloned();
+        drop(open);
+        let batch = batch.unwrap_or_else(|| {
+            let batch = format!("batch-{}", self.next_number());
+            self.open_batches.borrow_mut().push(batch.clone());
+            batch
+        });
+        PlannedCall::stamp(entry, batch)
+    }
+
+    fn ask_some(&self, entry: usize) -> PlannedCall {
+        let number = self.next_number();
+        let mut rng = self.rng.borrow_mut();
+        let mut poisons = self.poisons.borrow_mut();
+        let is_poison = rng.u32(..POISON_ONE_IN) == 0;
+        if is_poison && !poisons.is_empty() && rng.bool() {
+            let again = poisons[rng.usize(..poisons.len())].clone();
+            return PlannedCall { entry, ..again };
+        }
+        let word = if is_poison { POISON_WORD } else { "prompt" };
+        let call = PlannedCall {
+            entry,
+            model: format!("m{}", rng.usize(..SMALL_MODELS)),
+            subject: CallSubject::Chat {
+                prompt: format!("{word} {number}"),
+                stream: rng.bool(),
+                tokens: rng.u32(1..20),
+            },
+        };
+        if is_poison {
+            poisons.push(call.clone());
+        }
+        call
+    }
+
+    fn note(&self, record: CallRecord) {
+        if let (CallSubject::Stamp { batch }, CallEnd::Answer(_)) = (&record.subject, &record.end) {
+            self.open_batches.borrow_mut().retain(|open| open != batch);
+        }
+        self.history.borrow_mut().push(record);
+    }
+}
+
+/// A call about to be sent.
+#[derive(Debug, Clone)]
+struct PlannedCall {
+    entry: usize,
+    model: String,
+    subject: CallSubject,
+}
+
+impl PlannedCall {
+    const fn stamp(entry: usize, batch: String) -> Self {
+        Self {
+            entry,
+            model: String::new(),
+            subject: CallSubject::Stamp { batch },
+        }
+    }
+
+    async fn send(self, pool: &CallerPool, client: &CallerClient) {
+        let began = pool.began_at.elapsed();
+        let id = format!("call-{}", pool.next_number());
+        let sending = async {
+            match &self.subject {
+                CallSubject::Stamp { batch } => client.service(&stamp_call(batch, &id)).await.ok(),
+                CallSubject::Chat {
+                    prompt,
+                    stream,
+                    tokens,
+                } => {
+                    let call = ChatCall {
+                        credential: SMALL_CREDENTIAL.to_owned(),
+                        kind: "ask".to_owned(),
+                        model: self.model.clone(),
+                        adapter: None,
+                        prompt: prompt.clone(),
+                        tokens: *tokens,
+                        stream: *stream,
+                        deadline_ms: Some(DEADLINE_MS),
+                        id: id.clone(),
+                    };
+                    client.chat(&call).await.ok()
+                }
+            }
+        };
+        let patience = Duration::from_millis(PATIENCE_MS);
+        let outcome = compio::time::timeout(patience, sending).await;
+        pool.note(CallRecord {
+            subject: self.subject.clone(),
+            id: id.clone(),
+            entry: self.entry,
+            began,
+            took: pool.began_at.elapsed().saturating_sub(began),
+            deadline_ms: DEADLINE_MS,
+            end: call_end(outcome.ok().flatten()),
+            runs_then: match &self.subject {
+                CallSubject::Stamp { batch } => (pool.stamps)(batch),
+                CallSubject::Chat { .. } => 0,
+            },
+        });
+    }
+}
+
+fn stamp_call(batch: &str, id: &str) -> ServiceCall {
+    ServiceCall {
+        credential: SMALL_CREDENTIAL.to_owned(),
+        kind: "stamp".to_owned(),
+        path: "registry/stamp".to_owned(),
+        key: batch.to_owned(),
+        body: format!(r#"{{"batch":"{batch}"}}"#),
+        id: id.to_owned(),
+    }
+}
--- /dev/null
+++ b/standins/src/campaign/promise_check.rs
@@ -0,0 +1,347 @@
+//! Checks the promises against a history.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use quetzalpin::prelude::*;
+
+use super::call_history::{CallEnd, CallRecord, CallSubject};
+use crate::engine_standin::EngineAudit;
+use crate::prompt_words::{POISON_WORD, answer_word};
+
+/// Milliseconds beyond its deadline within which each call must have ended.
+const END_GRACE_MS: u64 = 8_000;
+
+/// Engines that one prompt may crash.
+const MAX_CRASHES_PER_PROMPT: u32 = 2;
+
+/// Violations listed for each promise.
+const LISTED: usize = 5;
+
+/// One promise with what was checked.
+#[derive(Debug, Clone)]
+pub struct PromiseCheck {
+    /// The promise.
+    pub promise: &'static str,
+    /// Checks made.
+    pub checks: u64,
+    /// What broke it.
+    pub violations: Vec<String>,
+}
+
+/// What a campaign showed.
+#[derive(Debug, Clone)]
+pub struct CampaignReport {
+    /// The seed.
+    pub seed: u64,
+    /// Calls by how they ended.
+    pub ends: BTreeMap<String, u64>,
+    /// Faults injected.
+    pub faults: u64,
+    /// The promises.
+    pub checks: Vec<PromiseCheck>,
+}
+
+impl CampaignReport {
+    /// Whether every promise held.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.checks.iter().all(|check| check.violations.is_empty())
+    }
+}
+
+impl fmt::Display for CampaignReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "seed {}: {} faults", self.seed, self.faults)?;
+        for (end, count) in &self.ends {
+            writeln!(formatter, "  {count:>6} {end}")?;
+        }
+        writeln!(
+            formatter,
+            "{:<58} {:>8} {:>10}",
+            "promise", "checks", "violations"
+        )?;
+        for check in &self.checks {
+            let violations = check.violations.len();
+            writeln!(
+                formatter,
+                "{:<58} {:>8} {violations:>10}",
+                check.promise, check.checks
+            )?;
+            for violation in check.violations.iter().take(LISTED) {
+                writeln!(formatter, "    {violation}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What the stand-ins saw.
+pub struct CampaignEvidence {
+    /// All calls.
+    pub history: Vec<CallRecord>,
+    /// Runs of each batch's stamp.
+    pub stamps: BTreeMap<String, u32>,
+    /// What the engines did.
+    pub engines: Vec<EngineAudit>,
+    /// Replicas checked for a slot, and those without.
+    pub slots: (u64, Vec<String>),
+}
+
+impl CampaignEvidence {
+    /// Checks all promises.
+    pub fn check(&self) -> Vec<PromiseCheck> {
+        vec![
+            self.stamps_run_at_most_once(),
+            self.not_run_is_true(),
+            self.answered_stamps_ran(),
+            self.stamps_are_not_stranded(),
+            self.answers_are_own_and_whole(),
+            self.calls_end_in_time(),
+            self.refusals_are_typed(),
+            self.replicas_have_slots(),
+            self.memory_is_not_overcommitted(),
+            self.crashes_are_contained(),
+        ]
+    }
+
+    /// Calls by how they ended.
+    pub fn ends(&self) -> BTreeMap<String, u64> {
+        let mut ends = BTreeMap::new();
+        for record in &self.history {
+            let subject = match record.subject {
+                CallSubject::Chat { .. } => "chat",
+                CallSubject::Stamp { .. } => "stamp",
+            };
+            let end = match &record.end {
+                CallEnd::Answer(_) => "answered".to_owned(),
+                CallEnd::Cut => "cut".to_owned(),
+                CallEnd::Broken => "broken".to_owned(),
+                CallEnd::Untyped(status, _) => format!("status {status}"),
+                CallEnd::Refused(refusal) => refusal.to_string(),
+            };
+            *ends.entry(format!("{subject}: {end}")).or_insert(0) += 1;
+        }
+        ends
+    }
+
+    fn stamps_run_at_most_once(&self) -> PromiseCheck {
+        let doubled = self.stamps.iter().filter(|(_, runs)| **runs > 1);
+        PromiseCheck {
+            promise: "a non-idempotent stamp runs at most once",
+            checks: self.stamps.len() as u64,
+            violations: doubled
+                .map(|(batch, runs)| format!("{batch} ran {runs} times"))
+                .collect(),
+        }
+    }
+
+    fn by_batch(&self) -> BTreeMap<&str, Vec<&CallRecord>> {
+        let mut batches: BTreeMap<&str, Vec<&CallRecord>> = BTreeMap::new();
+        for record in &self.history {
+            if let CallSubject::Stamp { batch } = &record.subject {
+                batches.entry(batch).or_default().push(record);
+            }
+        }
+        batches
+    }
+
+    /// When a call is refused as not run, and every call of the batch sent until then ended
+    /// so too, the stamp has not run.
+    fn not_run_is_true(&self) -> PromiseCheck {
+        let mut checks = 0;
+        let mut violations = Vec::new();
+        for (batch, records) in self.by_batch() {
+            for record in records.iter().filter(|record| is_not_run(record)) {
+                let ended = record.began + record.took;
+                let mut until_then = records.iter().filter(|other| other.began <= ended);
+                if !until_then.all(|other| is_not_run(other)) {
+                    continue;
+                }
+                checks += 1;
+                if record.runs_then > 0 {
+                    violations.push(format!("{batch} had run when {} said not run", record.id));
+                }
+            }
+        }
+        PromiseCheck {
+            promise: "a refusal that says not run is true",
+            checks,
+            violations,
+        }
+    }
+
+    fn answered_stamps_ran(&self) -> PromiseCheck {
+        let mut checks = 0;
+        let mut violations = Vec::new();
+        for (batch, records) in self.by_batch() {
+            let answers = records.iter().filter_map(|record| match &record.end {
+                CallEnd::Answer(text) => Some(text),
+                _ => None,
+            });
+            let mut answers: Vec<&String> = answers.collect();
+            checks += answers.len() as u64;
+            answers.sort();
+            answers.dedup();
+            if answers.len() > 1 {
+                violations.push(format!("{batch} has different answers: {answers:?}"));
+            }
+            let is_own = answers
+                .iter()
+                .all(|text| text.contains(&format!("\"{batch}\"")));
+            if !is_own || (!answers.is_empty() && !self.stamps.contains_key(batch)) {
+                violations.push(format!("{batch} was answered {answers:?}"));
+            }
+        }
+        PromiseCheck {
+            promise: "an answered stamp ran, with one answer for all resends",
+            checks,
+            violations,
+        }
+    }
+
+    /// After the faults each stamp that never ran can run.
+    fn stamps_are_not_stranded(&self) -> PromiseCheck {
+        let mut checks = 0;
+        let mut violations = Vec::new();
+        for (batch, records) in self.by_batch() {
+            let Some(last) = records.last() else {
+                continue;
+            };
+            checks += 1;
+            let has_run = self.stamps.contains_key(batch);
+            if !has_run && !matches!(last.end, CallEnd::Answer(_)) {
+                let calls: Vec<String> = records
+                    .iter()
+                    .map(|r| format!("{} {:?}+{:?} {:?}", r.id, r.began, r.took, r.end))
+                    .collect();
+                violations.push(format!("{batch} never ran: {}", calls.join("; ")));
+            }
+        }
+        PromiseCheck {
+            promise: "a stamp that has not run can still run later",
+            checks,
+            violations,
+        }
+    }
+
+    fn answers_are_own_and_whole(&self) -> PromiseCheck {
+        let mut checks = 0;
+        let mut violations = Vec::new();
+        for record in &self.history {
+            let CallSubject::Chat {
+                prompt,
+                stream,
+                tokens,
+            } = &record.subject
+            else {
+                continue;
+            };
+            let CallEnd::Answer(text) = &record.end else {
+                continue;
+            };
+            checks += 1;
+            let expected: Vec<String> = (0..*tokens).map(|i| answer_word(prompt, i)).collect();
+            let words = words_of(text);
+            let is_ended = !stream || text.contains("[DONE]");
+            if words != expected || !is_ended {
+                let count = words.len();
+                violations.push(format!("{prompt}: {count} of {tokens} words, or others"));
+            }
+        }
+        PromiseCheck {
+            promise: "each caller receives the whole answer to its own request",
+            checks,
+            violations,
+        }
+    }
+
+    fn calls_end_in_time(&self) -> PromiseCheck {
+        let late = self.history.iter().filter(|record| {
+            record.took.as_millis() > u128::from(record.deadline_ms + END_GRACE_MS)
+        });
+        PromiseCheck {
+            promise: "every request is served or refused, never dropped",
+            checks: self.history.len() as u64,
+            violations: late
+                .map(|record| {
+                    format!(
+                        "{:?} at entry {} after {:?} took {:?}",
+                        record.subject, record.entry, record.began, record.took
+                    )
+                })
+                .collect(),
+        }
+    }
+
+    fn refusals_are_typed(&self) -> PromiseCheck {
+        let untyped = self.history.iter().filter_map(|record| match &record.end {
+            CallEnd::Untyped(status, text) => {
+                Some(format!("{:?}: {status} {text}", record.subject))
+            }
+            _ => None,
+        });
+        PromiseCheck {
+            promise: "every refusal has a type and an outcome",
+            checks: self.history.len() as u64,
+            violations: untyped.collect(),
+        }
+    }
+
+    fn replicas_have_slots(&self) -> PromiseCheck {
+        PromiseCheck {
+            promise: "no more replicas of a model are loaded than were decided",
+            checks: self.slots.0,
+            violations: self.slots.1.clone(),
+        }
+    }
+
+    fn memory_is_not_overcommitted(&self) -> PromiseCheck {
+        let over = self.engines.iter().filter(|audit| audit.overcommits > 0);
+        PromiseCheck {
+            promise: "accelerator memory is never overcommitted",
+            checks: self
+                .engines
+                .iter()
+                .map(|audit| audit.changes.len() as u64)
+                .sum(),
+            violations: over
+                .map(|audit| format!("{} loads beyond the memory", audit.overcommits))
+                .collect(),
+        }
+    }
+
+    fn crashes_are_contained(&self) -> PromiseCheck {
+        let mut crashes: BTreeMap<&str, u32> = BTreeMap::new();
+        for (prompt, count) in self.engines.iter().flat_map(|audit| &audit.poisoned) {
+            *crashes.entry(prompt).or_insert(0) += count;
+        }
+        let sent = self.history.iter().filter(|record| {
+            matches!(&record.subject, CallSubject::Chat { prompt, .. }
+                if prompt.contains(POISON_WORD))
+        });
+        let many = crashes
+            .iter()
+            .filter(|(_, count)| **count > MAX_CRASHES_PER_PROMPT);
+        PromiseCheck {
+            promise: "a request crashes at most two upstreams",
+            checks: sent.count() as u64,
+            violations: many
+                .map(|(prompt, count)| format!("{prompt} crashed {count} engines"))
+                .collect(),
+        }
+    }
+}
+
+fn is_not_run(record: &CallRecord) -> bool {
+    matches!(&record.end, CallEnd::Refused(refusal) if refusal.outcome == RefusalOutcome::NotRun)
+}
+
+/// The words of an answer, streamed or not.
+fn words_of(text: &str) -> Vec<String> {
+    let is_word = |word: &&str| {
+        word.len() == 9 && word.starts_with('w') && word[1..].chars().all(|c| c.is_ascii_hexdigit())
+    };
+    let pieces = text.split(|c: char| !c.is_ascii_alphanumeric());
+    pieces.filter(is_word).map(str::to_owned).collect()
+}
--- /dev/null
+++ b/standins/src/campaign/slot_watch.rs
@@ -0,0 +1,62 @@
+//! Watches that no engine holds a replica without a slot in the table.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use quetzalpin::placement::PlacementRow;
+use quetzalpin::prelude::*;
+
+use crate::process_fleet::ProcessFleet;
+use crate::standin_fleet::UpstreamStandin;
+
+/// Milliseconds between looks.
+const LOOK_MS: u64 = 10;
+
+/// Counts looks and what they found.
+#[derive(Debug, Default)]
+pub struct SlotWatch {
+    /// Replicas checked.
+    pub checked: Cell<u64>,
+    /// Replicas held without a slot.
+    pub violations: RefCell<Vec<String>>,
+    is_over: Cell<bool>,
+}
+
+impl SlotWatch {
+    /// Stops watching.
+    pub fn end(&self) {
+        self.is_over.set(true);
+    }
+
+    /// Watches until the end.
+    pub async fn run(self: Rc<Self>, fleet: Rc<RefCell<ProcessFleet>>) {
+        while !self.is_over.get() {
+            self.look(&fleet.borrow());
+            compio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    fn look(&self, fleet: &ProcessFleet) {
+        for (number, upstream) in fleet.upstreams.iter().enumerate() {
+            let UpstreamStandin::Engine(engine) = upstream else {
+                continue;
+            };
+            let instance = InstanceName::from(format!("worker-{number}").as_str());
+            for replica in engine.state.held_replicas() {
+                self.checked.set(self.checked.get() + 1);
+                let key = PlacementRow::row_key(&replica);
+                let row = fleet.platform.state.table.read(&key);
+                let placement: Option<PlacementRow> = row.decode().ok().flatten();
+                let has_slot = placement.is_some_and(|row| row.slot_of(&instance).is_some());
+                if !has_slot {
+                    let found = format!("{instance} holds {replica} without a slot");
+                    let mut violations = self.violations.borrow_mut();
+                    if !violations.contains(&found) {
+                        violations.push(found);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/standins/src/engine_standin.rs
+++ b/standins/src/engine_standin.rs
@@ -123,6 +123,8 @@
     pub changes: Vec<HoldingChange>,
     /// How often each request was run, by attempt.
     pub runs: BTreeMap<String, u32>,
+    /// How often each prompt crashed the engine.
+    pub poisoned: BTreeMap<String, u32>,
 }
 
 #[derive(Debug, Clone)]
@@ -506,6 +508,7 @@
         let boot_id = self.boot_id.get();
         compio::time::sleep(self.prefill_time(order.prompt())).await;
         if order.prompt().contains(POISON_WORD) && self.boot_id.get() == boot_id {
+            self.count_poison(order.prompt());
             self.crash();
         }
         if self.boot_id.get() != boot_id {
@@ -536,6 +539,11 @@
         *inner.audit.runs.entry(attempt.to_string()).or_insert(0) += 1;
     }
 
+    fn count_poison(&self, prompt: &str) {
+        let mut inner = self.inner.borrow_mut();
+        *inner.audit.poisoned.entry(prompt.to_owned()).or_insert(0) += 1;
+    }
+
     fn prefill_time(&self, prompt: &str) -> Duration {
         let prefix: String = prompt.chars().take(PREFIX_BYTES).collect();
         let mut inner = self.inner.borrow_mut();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each can be made slow, be taken down, or lose answers after they took effect.
 
 mod caller_client;
+mod campaign;
 mod engine_standin;
 mod errors;
 mod fault_proxy;
@@ -12,11 +13,13 @@
 mod process_fleet;
 mod prompt_words;
 mod service_standin;
+mod small_fleet;
 mod standin_fleet;
 mod table_standin;
 mod weight_store;
 
 pub use caller_client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
+pub use campaign::{CampaignOptions, CampaignReport, run_campaign};
 pub use engine_standin::{EngineAudit, EngineOptions, EngineStandin, HoldingChange};
 pub use errors::StandinError;
 pub use fault_proxy::FaultProxy;
@@ -26,6 +29,9 @@
 pub use process_fleet::{DaemonProcess, ProcessFleet};
 pub use prompt_words::{POISON_WORD, answer_word};
 pub use service_standin::{ServiceAudit, ServiceOptions, ServiceStandin};
+pub use small_fleet::{
+    SMALL_CREDENTIAL, SMALL_MODELS, SMALL_TEAM_TEXT, small_plan, small_root_text,
+};
 pub use standin_fleet::{
     FleetPlan, OPERATOR_CREDENTIAL, StandinFleet, UpstreamPlan, UpstreamStandin, any_port,
     default_agent,
--- a/standins/src/process_fleet.rs
+++ b/standins/src/process_fleet.rs
@@ -80,6 +80,18 @@
         Ok(())
     }
 
+    /// Starts the process if it does not run.
+    ///
+    /// # Errors
+    /// [`StandinError::Io`] if it cannot be started.
+    pub fn start_if_ended(&mut self) -> Result<(), StandinError> {
+        let has_ended = self.try_wait().is_some();
+        if has_ended || !self.is_running() {
+            self.start()?;
+        }
+        Ok(())
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -240,7 +252,12 @@
 
     /// The fleet as one entry sees it; `None` if the entry does not answer.
     pub async fn status(&self, client: &cyper::Client, entry: usize) -> Option<EntryStatus> {
-        let url = format!("http://{}/ops/status", self.entries[entry].address);
+        Self::status_at(client, self.entries[entry].address).await
+    }
+
+    /// The fleet as the entry at an address sees it; `None` if it does not answer.
+    pub async fn status_at(client: &cyper::Client, entry: SocketAddr) -> Option<EntryStatus> {
+        let url = format!("http://{entry}/ops/status");
         let asking = async {
             let request = client
                 .get(url)
@@ -253,6 +270,20 @@
         compio::time::timeout(limit, asking).await.ok().flatten()
     }
 
+    /// Copies the daemons' logs to a folder.
+    ///
+    /// # Errors
+    /// [`StandinError::Io`] if they cannot be copied.
+    pub fn keep_logs(&self, folder: &Path) -> Result<(), StandinError> {
+        std::fs::create_dir_all(folder)?;
+        for process in self.agents.iter().chain(&self.entries) {
+            if let Some(name) = process.log.file_name() {
+                std::fs::copy(&process.log, folder.join(name))?;
+            }
+        }
+        Ok(())
+    }
+
     /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = &EngineStandin> {
         self.upstreams.iter().filter_map(|upstream| match upstream {
--- a/tests/controls.rs
+++ b/tests/controls.rs
@@ -4,7 +4,9 @@
 use quetzalpin::membership::{MemberEntry, MemberRole, MemberState, MembershipView};
 use quetzalpin::permits::{FallbackShare, PermitIssuer};
 use quetzalpin::prelude::*;
-use quetzalpin::quarantine::{QuarantineBook, QuarantineVerdict, RequestFingerprint};
+use quetzalpin::quarantine::{
+    LossWatch, QuarantineBook, QuarantineVerdict, RequestFingerprint, UnexplainedLoss, crash_number,
+};
 use quetzalpin::retry::RetryBudget;
 use quetzalpin::routing::{Locality, RouteChooser, RouteContext, RouteReason, RouteTarget};
 use quetzalpin::rpc::ReplicaState;
@@ -284,3 +286,21 @@
     loaded.wait_ms = 1_500;
     assert_eq!(choose(&loaded), 1);
 }
+
+#[test]
+fn a_loss_is_no_crash_if_the_engine_runs_on() {
+    let worker = InstanceName::from("worker");
+    let loss = |fingerprint, boot_id| UnexplainedLoss {
+        fingerprint: RequestFingerprint(fingerprint),
+        instance: worker.clone(),
+        boot_id,
+        crash: crash_number(&worker, boot_id),
+        at: at(0),
+    };
+    let mut watch = LossWatch::open();
+    watch.follow(loss(1, 7));
+    watch.follow(loss(2, 6));
+    assert_eq!(watch.heard(&InstanceName::from("other"), 7), []);
+    assert_eq!(watch.heard(&worker, 7), [loss(1, 7)]);
+    assert_eq!(watch.heard(&worker, 7), []);
+}
--- a/tests/process_cases/input_cases.rs
+++ b/tests/process_cases/input_cases.rs
@@ -1,11 +1,12 @@
 //! What callers and operators see.
 
 use quetzalpin::prelude::*;
-use quetzalpin_standins::{ChatCall, OPERATOR_CREDENTIAL, answer_word};
+use quetzalpin_standins::{
+    ChatCall, OPERATOR_CREDENTIAL, SMALL_CREDENTIAL as CREDENTIAL, answer_word,
+};
 use serde_json::Value;
 
 use super::FaultCase;
-use super::fault_case::CREDENTIAL;
 
 /// A cold model answers its own prompt, and the decision log tells why it went there.
 pub async fn a_cold_model_answers_and_explains_itself(case: FaultCase) {
--- a/tests/process_cases/settings_cases.rs
+++ b/tests/process_cases/settings_cases.rs
@@ -4,10 +4,12 @@
 use hyper::Method;
 use quetzalpin::entry::ApplyOutcome;
 use quetzalpin::prelude::*;
-use quetzalpin_standins::{FaultOrder, OPERATOR_CREDENTIAL};
+use quetzalpin_standins::{
+    FaultOrder, OPERATOR_CREDENTIAL, SMALL_CREDENTIAL as CREDENTIAL, SMALL_TEAM_TEXT as TEAM_TEXT,
+    small_root_text as root_text,
+};
 
 use super::FaultCase;
-use super::fault_case::{CREDENTIAL, TEAM_TEXT, root_text};
 
 impl FaultCase {
     async fn apply(
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 use process_cases::FaultCase;
-use quetzalpin_standins::ProcessFleet;
+use quetzalpin_standins::{ProcessFleet, SMALL_MODELS, small_plan};
 
 /// Milliseconds for a fleet's start.
 const START_MS: u64 = 60_000;
@@ -20,10 +20,10 @@
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
-        let plan = process_cases::small_plan();
+        let plan = small_plan();
         let fleet = ProcessFleet::spawn(daemon, &plan).await.expect("a fleet");
         fleet
-            .wait_ready(process_cases::MODELS, START_MS)
+            .wait_ready(SMALL_MODELS, START_MS)
             .await
             .expect("a ready fleet");
         case(FaultCase::open(fleet)).await;
