Run a suspect in one place at a time; log decisions as whole JSON

Reading the log for this also showed that decision records were printed with `{:?}`-like nesting that is not JSON.

Change: all entries send a suspect to the same upstream by its fingerprint; an agent counts its own crashes, with one more for a suspect, and refuses a request whose count is full before the hand-over. Decision records are JSON text in the log line's attributes.

--- a/cli/src/bench/capacity_bench.rs
+++ b/cli/src/bench/capacity_bench.rs
@@ -254,6 +254,7 @@
                 remaining_ms: 5_000,
                 affinity: "prompt",
                 wake: "model-0@1",
+                suspect: None,
             };
             let cost = micros(|| {
                 std::hint::black_box(RouteChooser.choose(&targets, context).is_ok());
--- a/src/agent/admission_controller.rs
+++ b/src/agent/admission_controller.rs
@@ -9,6 +9,9 @@
 use crate::prelude::*;
 use crate::rpc::{WorkCall, WorkHead};
 
+/// Stands for the crash elsewhere that made a request a suspect.
+const CRASH_ELSEWHERE: u64 = 0;
+
 /// Percent of a forecast wait that is taken for sure.
 const SURE_PERCENT: u64 = 75;
 
@@ -92,6 +95,10 @@
     deadline: MonoTime,
 ) -> Result<QueuePlace, RequestRefusal> {
     check_target(context, &head.call)?;
+    if head.suspect {
+        let mut quarantine = context.quarantine.borrow_mut();
+        quarantine.record(context.now(), head.fingerprint, CRASH_ELSEWHERE);
+    }
     let item = work_item(context, head, deadline);
     check_forecast(context, &item)?;
     let now = context.now();
--- a/src/agent/agent_context.rs
+++ b/src/agent/agent_context.rs
@@ -18,6 +18,7 @@
 use crate::memory::MemoryUnit;
 use crate::placement::{ResidencyPolicy, UpstreamHolder};
 use crate::prelude::*;
+use crate::quarantine::{QuarantineBook, QuarantineVerdict, RequestFingerprint};
 
 use super::admission_controller::WaitingWork;
 
@@ -55,6 +56,8 @@
     pub attempts: RefCell<AttemptBook>,
     /// What is known of the engine.
     pub engine_view: RefCell<EngineView>,
+    /// Crashes that this agent knows of, its own and those that made a request a suspect.
+    pub quarantine: RefCell<QuarantineBook>,
     /// Placement rows as last read.
     pub slots: RefCell<SlotBook>,
     /// Leases.
@@ -119,6 +122,7 @@
             forecast: RefCell::new(WaitForecast::open()),
             attempts: RefCell::new(AttemptBook::open()),
             engine_view: RefCell::new(EngineView::open()),
+            quarantine: RefCell::new(QuarantineBook::open()),
             slots: RefCell::new(SlotBook::default()),
             leases: RefCell::new(LeaseDesk::open()),
             permits: PermitDesk::open(),
@@ -164,6 +168,16 @@
         self.engine.is_none() || self.engine_view.borrow().is_healthy()
     }
 
+    /// Whether a request crashed upstreams often enough to be held back.
+    #[must_use]
+    pub fn is_held_back(&self, fingerprint: RequestFingerprint) -> bool {
+        let fleet = self.node.fleet();
+        let hold_ms = fleet.map_or(u64::MAX, |fleet| fleet.limits.quarantine_ms);
+        let quarantine = self.quarantine.borrow();
+        let verdict = quarantine.verdict(self.now(), fingerprint, hold_ms);
+        verdict == QuarantineVerdict::HeldBack
+    }
+
     /// Takes over ranks and policies from the settings in force.
     pub fn apply_settings(&self) {
         let Ok(fleet) = self.node.fleet() else {
--- a/src/agent/dispatch_controller.rs
+++ b/src/agent/dispatch_controller.rs
@@ -109,6 +109,11 @@
         if let Some(replica) = &item.replica {
             context.holder.borrow_mut().dequeue(replica);
         }
+        if context.is_held_back(waiting.head.fingerprint) {
+            let refusal = RequestRefusal::not_run(RefusalReason::Quarantined);
+            let _ = waiting.grant.send(Err(refusal));
+            continue;
+        }
         context
             .forecast
             .borrow_mut()
--- a/src/agent/engine_monitor.rs
+++ b/src/agent/engine_monitor.rs
@@ -115,6 +115,11 @@
     if fresh.is_empty() {
         return;
     }
+    let mut quarantine = context.quarantine.borrow_mut();
+    for report in &fresh {
+        quarantine.record(now, report.fingerprint, report.crash);
+    }
+    drop(quarantine);
     context.node.metrics.crashes.inc();
     log::error!(crash, requests = fresh.len(); "engine crashed");
     compio::runtime::spawn(keep_crashes(Rc::clone(context), fresh)).detach();
--- a/src/decision/decision_log.rs
+++ b/src/decision/decision_log.rs
@@ -34,7 +34,8 @@
             decided_by: self.instance.clone(),
             event,
         };
-        log::info!(target: "decision", record:serde = record; "decision");
+        let text = serde_json::to_string(&record).unwrap_or_default();
+        log::info!(target: "decision", record = text; "decision");
         let mut records = self.records.borrow_mut();
         if records.len() >= KEPT_RECORDS {
             records.pop_front();
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -212,7 +212,9 @@
         instance: InstanceName,
         refusal: RequestRefusal,
     ) -> Result<NextStep, RequestRefusal> {
-        self.excluded.push(instance);
+        if !self.draft.suspect {
+            self.excluded.push(instance);
+        }
         let has_time = self.context.now() < self.draft.deadline;
         let may_try = self.attempts < MAX_ATTEMPTS && has_time;
         let mut retries = self.context.retries.borrow_mut();
@@ -254,11 +256,13 @@
         let remaining_ms = self.draft.deadline.millis_since(now);
         let targets = self.targets(now);
         let affinity = self.affinity();
+        let suspect_key = self.draft.fingerprint.to_string();
         let wake = self.call.replica().map_or("", ReplicaName::as_str);
         let route_context = RouteContext {
             remaining_ms,
             affinity: &affinity,
             wake,
+            suspect: self.draft.suspect.then_some(suspect_key.as_str()),
         };
         let choice = match RouteChooser.choose(&targets, route_context) {
             Ok(choice) => choice,
--- a/src/routing/route_chooser.rs
+++ b/src/routing/route_chooser.rs
@@ -32,6 +32,9 @@
     pub affinity: &'a str,
     /// Key on which all entries agree where a cold replica is woken.
     pub wake: &'a str,
+    /// Key of a request that may crash its upstream: all entries send it to the same one,
+    /// which runs one at a time.
+    pub suspect: Option<&'a str>,
 }
 
 /// Why an upstream was chosen.
@@ -42,6 +45,8 @@
     Affinity,
     /// Least loaded of those nearly as good as the best.
     LeastLoaded,
+    /// May crash its upstream; goes where all entries send it.
+    Suspect,
     /// Wakes a replica, since nothing loaded can answer or all of it is far behind.
     Wake,
 }
@@ -84,6 +89,14 @@
         if pool.is_empty() {
             return Err(RequestRefusal::not_run(RefusalReason::DeadlineUnreachable));
         }
+        if let Some(key) = context.suspect {
+            let index = common_target(targets, &pool, key);
+            return Ok(RouteChoice {
+                index,
+                reason: RouteReason::Suspect,
+                finish_ms: targets[index].finish_ms(),
+            });
+        }
         let loaded: Vec<usize> = pool
             .iter()
             .copied()
@@ -107,6 +120,11 @@
     }
 }
 
+fn common_target(targets: &[RouteTarget], pool: &[usize], key: &str) -> usize {
+    let weight = |index: &usize| rendezvous_weight(key, targets[*index].instance.as_str());
+    pool.iter().copied().max_by_key(weight).unwrap_or_default()
+}
+
 /// Whether to wake a replica: nothing is loaded, or the loaded ones are so far behind that
 /// the answer comes much sooner even with the load.
 fn is_wake_worth(targets: &[RouteTarget], loaded: &[usize], cold: &[usize]) -> bool {
--- a/tests/controls.rs
+++ b/tests/controls.rs
@@ -192,6 +192,7 @@
         remaining_ms,
         affinity: "prompt",
         wake: "m@1",
+        suspect: None,
     }
 }
 
@@ -304,3 +305,19 @@
     assert_eq!(watch.heard(&worker, 7), [loss(1, 7)]);
     assert_eq!(watch.heard(&worker, 7), []);
 }
+
+#[test]
+fn all_entries_send_a_suspect_to_the_same_upstream() {
+    let mut targets =
+        ["a", "b", "c"].map(|name| target(name, Locality::Zone, ReplicaState::Loaded));
+    let suspect = RouteContext {
+        suspect: Some("fingerprint"),
+        ..context(5_000)
+    };
+    let first = RouteChooser.choose(&targets, suspect).expect("a choice");
+    targets[first.index].load = 10;
+    targets[first.index].locality = Locality::Region;
+    let second = RouteChooser.choose(&targets, suspect).expect("a choice");
+    assert_eq!(first.index, second.index);
+    assert_eq!(second.reason, RouteReason::Suspect);
+}
--- a/tests/process_cases/crash_cases.rs
+++ b/tests/process_cases/crash_cases.rs
@@ -50,6 +50,26 @@
     assert_eq!(reason, Some(RefusalReason::Quarantined));
 }
 
+/// The same crashing request comes many times at once, at all entries.
+pub async fn a_crashing_request_sent_many_times_at_once_is_held_back(case: FaultCase) {
+    case.ask(0, &FaultCase::question("m0", "wake")).await;
+    let poison = FaultCase::question("m0", &format!("again {POISON_WORD}"));
+    let first = case.callers[0].chat(&poison);
+    let later = (0..6).map(|number| {
+        let caller = &case.callers[number % 2];
+        let poison = &poison;
+        async move {
+            let pause = std::time::Duration::from_millis(400 + 150 * number as u64);
+            compio::time::sleep(pause).await;
+            caller.chat(poison).await.expect("an outcome")
+        }
+    });
+    let (first, later) = futures_util::future::join(first, join_all(later)).await;
+    assert!(!first.expect("an outcome").is_answer());
+    assert!(later.iter().all(|outcome| !outcome.is_answer()));
+    assert!(crashes(&case) <= 2, "{} engines crashed", crashes(&case));
+}
+
 /// A cut connection to a living engine blames nobody.
 pub async fn a_lost_engine_connection_is_not_a_crash(case: FaultCase) {
     case.ask(0, &FaultCase::question("m0", "wake")).await;
--- a/tests/process_cases/mod.rs
+++ b/tests/process_cases/mod.rs
@@ -8,7 +8,10 @@
 mod settings_cases;
 mod stamp_cases;
 
-pub use crash_cases::{a_crashing_request_is_held_back, a_lost_engine_connection_is_not_a_crash};
+pub use crash_cases::{
+    a_crashing_request_is_held_back, a_crashing_request_sent_many_times_at_once_is_held_back,
+    a_lost_engine_connection_is_not_a_crash,
+};
 pub use fault_case::FaultCase;
 pub use input_cases::{a_cold_model_answers_and_explains_itself, bad_input_gets_its_own_refusal};
 pub use membership_cases::{
