Let streams go on elsewhere, clear old run rows, split large files

Change: the entry passes whole events on, counts tokens and asks another upstream to go on after them, once, as for any suspect. Agents that know no issuer, or are told by it that it is none, look at the leases at once. Followers of settings read only the subtrees written since their last read. The holder is a folder of five files, the engine stand-in four.

--- a/cli/src/bench/cold_bench.rs
+++ b/cli/src/bench/cold_bench.rs
@@ -21,8 +21,9 @@
 /// Requests per model where no number is given.
 const DEFAULT_REQUESTS: usize = 5;
 
-/// Seconds after the burst during which idle replicas may leave the accelerators.
-const TAIL_S: u64 = 20;
+/// Seconds after the burst during which idle replicas may leave the accelerators, where no
+/// number is given.
+const DEFAULT_TAIL_S: u64 = 20;
 
 /// Milliseconds that callers of the burst wait.
 const DEADLINE_MS: u64 = 30_000;
@@ -37,6 +38,7 @@
     rank: ChatRank,
     models: usize,
     requests: usize,
+    tail_s: u64,
 }
 
 /// What a run showed.
@@ -70,6 +72,7 @@
         rank: ChatRank::named(flags.rank.as_deref())?,
         models,
         requests,
+        tail_s: flags.tail.unwrap_or(DEFAULT_TAIL_S),
     };
     let result = measure(plan, HoldingPolicy::Slots).await?;
     print_result("replica slots", &result);
@@ -105,7 +108,7 @@
     let weights = plan.weights;
     let fleet = FleetThread::spawn(plan, example.model_count(), usage)?;
     let outcomes = send_burst(burst, &fleet.addresses).await?;
-    compio::time::sleep(Duration::from_secs(TAIL_S)).await;
+    compio::time::sleep(Duration::from_secs(burst.tail_s)).await;
     let usage = fleet.finish()?;
     let answered = outcomes.iter().flatten().filter(|o| o.is_answer()).count();
     let mut cold = LatencyTable::open();
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -106,6 +106,8 @@
                 optional --requests count: usize
                 /// urgent, normal or background
                 optional --rank name: String
+                /// Seconds after the burst during which idle replicas may leave.
+                optional --tail count: u64
                 /// Also run the baselines.
                 optional --baselines
             }
--- /dev/null
+++ b/examples/admission_queue.rs
@@ -0,0 +1,54 @@
+//! Embeds the admission queue: urgent work first, background work keeps its floor.
+//!
+//! Run with `cargo run --example admission_queue`.
+
+use quetzalpin::admission::{QueuePolicy, RankKey, RankShare, WorkItem, WorkQueue};
+use quetzalpin::prelude::*;
+
+/// Waiting requests at most.
+const CAPACITY: usize = 1_000;
+
+/// Requests of each rank.
+const REQUESTS: u64 = 100;
+
+fn rank(name: &str, floor_percent: u32) -> RankShare {
+    RankShare {
+        name: RankName::from(name),
+        floor_percent,
+    }
+}
+
+fn item(rank: RankKey, number: u64) -> WorkItem {
+    WorkItem {
+        rank,
+        team: TeamName::from("potters"),
+        share: 1,
+        deadline: MonoTime::from_millis(1_000 + number),
+        service_ms: 20,
+        needed_ms: 20,
+        replica: None,
+        suspect: false,
+    }
+}
+
+fn main() {
+    let ranks = vec![rank("urgent", 0), rank("background", 10)];
+    let mut queue: WorkQueue<u64> = WorkQueue::open(ranks, CAPACITY, QueuePolicy::RankFloors);
+    for number in 0..REQUESTS {
+        for rank in [RankKey(0), RankKey(1)] {
+            if queue.push(item(rank, number), number).is_err() {
+                println!("full");
+            }
+        }
+    }
+    let mut served = [0; 2];
+    for _ in 0..REQUESTS {
+        if let Some((item, _)) = queue.pop(|_| true) {
+            served[item.rank.0] += 1;
+        }
+    }
+    println!(
+        "of {REQUESTS} served: urgent {}, background {}",
+        served[0], served[1]
+    );
+}
--- /dev/null
+++ b/examples/lease_and_run_once.rs
@@ -0,0 +1,93 @@
+//! Embeds a lease and the run record over a table of one's own.
+//!
+//! Run with `cargo run --example lease_and_run_once`.
+
+use std::net::SocketAddr;
+
+use quetzalpin::lease::LeaseHolder;
+use quetzalpin::prelude::*;
+use quetzalpin::quarantine::RequestFingerprint;
+use quetzalpin::run_once::{RecordedAnswer, RunLedger, RunRow, StartStep};
+use quetzalpin::table::RowRevision;
+
+/// Lease term in milliseconds.
+const TERM_MS: u64 = 6_000;
+
+/// A table of one row with a revision, in place of the embedder's own.
+struct OneRow<T> {
+    revision: RowRevision,
+    row: Option<T>,
+}
+
+impl<T> OneRow<T> {
+    const fn open() -> Self {
+        Self {
+            revision: RowRevision::ABSENT,
+            row: None,
+        }
+    }
+
+    /// Writes if the revision is still the expected one; the new revision if so.
+    fn commit(&mut self, expected: RowRevision, row: T) -> Option<RowRevision> {
+        if self.revision != expected {
+            return None;
+        }
+        self.revision = RowRevision(self.revision.0 + 1);
+        self.row = Some(row);
+        Some(self.revision)
+    }
+}
+
+fn main() {
+    take_lease();
+    run_twice();
+}
+
+fn take_lease() {
+    let mut table = OneRow::open();
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let mut holder = LeaseHolder::open(InstanceName::from("a"), address, 1, TERM_MS);
+    let now = MonoTime::from_millis(0);
+    holder.observe(now, table.revision, table.row.clone());
+    if let Some(intent) = holder.intent(now, true)
+        && let Some(revision) = table.commit(intent.expected, intent.row.clone())
+    {
+        holder.committed(now, &intent, revision);
+    }
+    for millis in [0, TERM_MS / 2, TERM_MS] {
+        let is_held = holder.is_held(MonoTime::from_millis(millis));
+        println!("lease held {millis} ms after the write was sent: {is_held}");
+    }
+}
+
+fn run_twice() {
+    let mut table: OneRow<RunRow> = OneRow::open();
+    for number in [1, 2] {
+        let ledger = RunLedger {
+            attempt: AttemptId::new(number),
+            fingerprint: RequestFingerprint(17),
+            unix_s: 0,
+        };
+        match ledger.start(table.row.as_ref()) {
+            StartStep::Write(row) => {
+                let is_ours = table.commit(table.revision, row).is_some();
+                println!("attempt {number}: may run: {is_ours}");
+                let answer = RecordedAnswer {
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    body: "certificate 1".to_owned(),
+                };
+                if let Some(done) = ledger.finish(table.row.as_ref(), answer) {
+                    table.commit(table.revision, done);
+                }
+            }
+            StartStep::Replay(answer) => {
+                println!(
+                    "attempt {number}: ran before, answer again: {}",
+                    answer.body
+                );
+            }
+            other => println!("attempt {number}: {other:?}"),
+        }
+    }
+}
--- a/src/agent/agent_context.rs
+++ b/src/agent/agent_context.rs
@@ -82,6 +82,8 @@
     pub dispatch: WakeSignal,
     /// Wakes the report loop.
     pub report: WakeSignal,
+    /// Wakes the lease loop.
+    pub lease_hint: WakeSignal,
     /// Wakes the planner loop.
     pub planner: WakeSignal,
 }
@@ -135,6 +137,7 @@
             report_sequence: Cell::new(0),
             dispatch: WakeSignal::default(),
             report: WakeSignal::default(),
+            lease_hint: WakeSignal::default(),
             planner: WakeSignal::default(),
             node,
             config,
--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -13,6 +13,7 @@
 use super::lease_controller::{release_leases, run_leases};
 use super::permit_controller::run_issuer;
 use super::planner_controller::run_planner;
+use super::record_sweeper::run_sweeper;
 use super::report_controller::{run_reports, send_report};
 use super::slot_controller::run_slots;
 use crate::config::{AgentConfig, NodeConfig};
@@ -55,6 +56,7 @@
             compio::runtime::spawn(run_leases(Rc::clone(&context))),
             compio::runtime::spawn(run_issuer(Rc::clone(&context))),
             compio::runtime::spawn(run_planner(Rc::clone(&context))),
+            compio::runtime::spawn(run_sweeper(Rc::clone(&context))),
         ]);
         Ok(Self {
             context,
--- a/src/agent/lease_controller.rs
+++ b/src/agent/lease_controller.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::agent_context::AgentContext;
 use crate::decision::DecisionEvent;
@@ -23,7 +22,7 @@
 const CANDIDATES: usize = 3;
 
 /// Part of the term between two looks of a candidate at the leases, as a divisor; others
-/// look once in a term.
+/// look once in a term, or at once when the permit issuer does not answer as such.
 const LOOK_DIVISOR: u64 = 6;
 
 /// Term in milliseconds before the settings give one.
@@ -100,12 +99,17 @@
         context.planner.notify();
         let names = lease_names(&context);
         let is_involved = names.iter().any(|name| is_candidate(&context, name));
-        let pause_ms = if is_involved {
+        let knows_issuer = context
+            .leases
+            .borrow()
+            .holder_address(PERMIT_LEASE)
+            .is_some();
+        let pause_ms = if is_involved || !knows_issuer {
             term_ms / LOOK_DIVISOR
         } else {
             term_ms
         };
-        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+        context.lease_hint.wait(pause_ms).await;
     }
 }
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -17,6 +17,7 @@
 mod permit_controller;
 mod permit_desk;
 mod planner_controller;
+mod record_sweeper;
 mod report_controller;
 mod run_controller;
 mod run_recorder;
@@ -25,4 +26,5 @@
 
 pub use agent_handle::AgentHandle;
 pub use attempt_book::{AttemptBook, AttemptStatus};
+pub use record_sweeper::sweep_shard;
 pub use run_recorder::{RunRecorder, StartVerdict, VoidVerdict, void_attempt};
--- a/src/agent/permit_controller.rs
+++ b/src/agent/permit_controller.rs
@@ -131,8 +131,13 @@
             context: Rc::clone(context),
             source: PermitSource::Issuer(rpc, permit),
         }),
-        Ok(PermitAnswer::NotIssuer | PermitAnswer::TimedOut) => None,
+        Ok(PermitAnswer::TimedOut) => None,
+        Ok(PermitAnswer::NotIssuer) => {
+            context.lease_hint.notify();
+            None
+        }
         Err(error) => {
+            context.lease_hint.notify();
             log::warn!(error:% = error; "permit issuer not reached");
             None
         }
--- /dev/null
+++ b/src/agent/record_sweeper.rs
@@ -0,0 +1,77 @@
+//! Clears run rows after their time.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::agent_context::AgentContext;
+use super::lease_controller::partition_lease;
+use crate::daemon::NodeContext;
+use crate::decision::unix_ms;
+use crate::run_once::{RUN_SHARDS, RunKey, RunRow};
+use crate::table::{RowRevision, TableError, TableTxn};
+
+/// Shortest milliseconds between two shards.
+const MIN_PAUSE_MS: u64 = 1_000;
+
+/// Milliseconds between looks while another agent sweeps.
+const IDLE_MS: u64 = 10_000;
+
+/// Rows cleared in one transaction at most.
+const MAX_ROWS: usize = 64;
+
+/// Sweeps one shard after another for ever, while this agent holds the first partition.
+pub async fn run_sweeper(context: Rc<AgentContext>) {
+    let mut shard = 0;
+    loop {
+        let lease = partition_lease(0);
+        let is_sweeper = context
+            .leases
+            .borrow()
+            .held(&lease, context.now())
+            .is_some();
+        let fleet = context.node.fleet();
+        let (Ok(fleet), true) = (fleet, is_sweeper) else {
+            compio::time::sleep(Duration::from_millis(IDLE_MS)).await;
+            continue;
+        };
+        let keep_ms = fleet.limits.record_ms;
+        match sweep_shard(&context.node, shard, keep_ms).await {
+            Ok(0) => {}
+            Ok(cleared) => log::info!(shard, cleared; "run rows cleared"),
+            Err(error) => log::warn!(error:% = error; "run rows not swept"),
+        }
+        shard = (shard + 1) % RUN_SHARDS;
+        let pause_ms = (keep_ms / u64::from(RUN_SHARDS)).max(MIN_PAUSE_MS);
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Clears the rows of a shard that have not changed for `keep_ms`. A row that changes
+/// meanwhile stays, with all rows of its transaction. Returns the number cleared.
+///
+/// # Errors
+/// [`TableError`] if the table did not answer.
+pub async fn sweep_shard(
+    node: &NodeContext,
+    shard: u32,
+    keep_ms: u64,
+) -> Result<usize, TableError> {
+    let prefix = RunKey::shard_prefix(shard);
+    let rows = node.table.scan(prefix, RowRevision::ABSENT).await?;
+    let now_unix_s = unix_ms() / 1_000;
+    let mut txn = TableTxn::default();
+    let mut count = 0;
+    for row in &rows {
+        let Some(run_row) = row.decode::<RunRow>()? else {
+            continue;
+        };
+        if count < MAX_ROWS && run_row.is_past(now_unix_s, keep_ms / 1_000) {
+            txn = txn.check(&row.key, row.revision).delete(&row.key);
+            count += 1;
+        }
+    }
+    if count > 0 {
+        node.table.commit(txn).await?;
+    }
+    Ok(count)
+}
--- a/src/daemon/node_loops.rs
+++ b/src/daemon/node_loops.rs
@@ -21,12 +21,15 @@
 }
 
 async fn follow_settings(node: Rc<NodeContext>, settings_polls: u64) {
+    let mut since = RowRevision::ABSENT;
     loop {
-        let read = read_settings(&node).await;
-        if let Err(error) = read {
-            log::warn!(error:% = error; "settings not read");
-            if node.settings.borrow().revision() == 0 {
-                pull_from_any_peer(&node).await;
+        match read_settings(&node, since).await {
+            Ok(newest) => since = newest,
+            Err(error) => {
+                log::warn!(error:% = error; "settings not read");
+                if node.settings.borrow().revision() == 0 {
+                    pull_from_any_peer(&node).await;
+                }
             }
         }
         let is_new = node.settings.borrow().revision() == 0;
@@ -36,18 +39,21 @@
     }
 }
 
-async fn read_settings(node: &NodeContext) -> Result<(), TableError> {
+/// Reads the subtrees written after a table revision, if the head is news. Returns the newest
+/// table revision read.
+async fn read_settings(node: &NodeContext, since: RowRevision) -> Result<RowRevision, TableError> {
     let row = node.table.read(SETTINGS_HEAD_KEY.to_owned()).await?;
     let head: SettingsHead = row.decode()?.unwrap_or_default();
     if head.revision <= node.settings.borrow().revision() {
-        return Ok(());
+        return Ok(since);
     }
     let prefix = format!("{SETTINGS_PREFIX}tree/");
-    let rows = node.table.scan(prefix, RowRevision::ABSENT).await?;
+    let rows = node.table.scan(prefix, since).await?;
     let decoded: Result<Vec<Option<SettingsRow>>, TableError> =
         rows.iter().map(TableRow::decode).collect();
     node.take_settings(decoded?.into_iter().flatten().collect());
-    Ok(())
+    let newest = rows.iter().map(|row| row.revision).max();
+    Ok(newest.unwrap_or(since))
 }
 
 async fn pull_from_any_peer(node: &NodeContext) {
--- a/src/entry/caller_answer.rs
+++ b/src/entry/caller_answer.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, StatusCode};
 use prometheus_client::metrics::counter::Counter;
 
+use super::dispatcher::ChosenRoute;
 use crate::metrics::{NodeMetrics, RefusalLabels};
 use crate::net::{BodyError, HttpBody, full_body, stream_body};
 use crate::prelude::*;
@@ -57,13 +58,14 @@
 pub fn relayed_answer(
     metrics: &NodeMetrics,
     id: &str,
-    instance: &InstanceName,
-    locality: Locality,
+    route: &ChosenRoute,
     answer: Response<Incoming>,
 ) -> Response<HttpBody> {
-    let status = answer.status();
-    let content_type = answer.headers().get(CONTENT_TYPE).cloned();
-    let length = answer.headers().get(CONTENT_LENGTH).cloned();
+    let mut head = relay_head(id, route, &answer);
+    if let Some(length) = answer.headers().get(CONTENT_LENGTH) {
+        head.headers_mut().insert(CONTENT_LENGTH, length.clone());
+    }
+    let locality = route.locality;
     let remote_bytes = metrics.remote_bytes.clone();
     let chunks = answer.into_body().into_data_stream().map(move |chunk| {
         if let (Ok(data), Locality::Remote) = (&chunk, locality) {
@@ -71,16 +73,18 @@
         }
         chunk.map_err(|_| BodyError::Cut)
     });
-    let mut response = Response::new(stream_body(chunks));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    if let Some(value) = content_type {
-        headers.insert(CONTENT_TYPE, value);
-    }
-    if let Some(value) = length {
-        headers.insert(CONTENT_LENGTH, value);
+    head.map(|()| stream_body(chunks))
+}
+
+/// Status and headers of an upstream's answer, without a body.
+#[must_use]
+pub fn relay_head(id: &str, route: &ChosenRoute, answer: &Response<Incoming>) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = answer.status();
+    if let Some(value) = answer.headers().get(CONTENT_TYPE) {
+        response.headers_mut().insert(CONTENT_TYPE, value.clone());
     }
-    mark(&mut response, id, Some(instance));
+    mark(&mut response, id, Some(&route.instance));
     response
 }
 
@@ -105,7 +109,7 @@
     counter.inc_by(data.len() as u64);
 }
 
-fn mark(response: &mut Response<HttpBody>, id: &str, instance: Option<&InstanceName>) {
+fn mark<B>(response: &mut Response<B>, id: &str, instance: Option<&InstanceName>) {
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert(ID_HEADER, value);
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -3,20 +3,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::Value;
 
 use super::agent_book::{AgentAddress, RequestNeeds};
 use super::attempt_sender::{AttemptEnd, send_attempt};
-use super::caller_answer::{recorded_answer, relayed_answer};
+use super::caller_answer::recorded_answer;
 use super::entry_context::EntryContext;
 use super::lost_attempt::{LostVerdict, resolve_lost};
 use super::request_draft::RequestDraft;
+use super::stream_relay::streamed_answer;
 use crate::decision::DecisionEvent;
+use crate::metrics::NodeMetrics;
 use crate::net::HttpBody;
 use crate::prelude::*;
 use crate::quarantine::QuarantineVerdict;
 use crate::routing::{Locality, RouteChooser, RouteContext, RouteTarget};
 use crate::rpc::WorkCall;
+use crate::run_once::RecordedAnswer;
 
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 4;
@@ -30,12 +36,18 @@
 /// Milliseconds between looks while waiting.
 const LOOK_MS: u64 = 50;
 
+/// Milliseconds within which a cut stream must go on elsewhere.
+const RESUME_MS: u64 = 4_000;
+
+/// Field of a chat request that names the tokens its asker already has.
+const RESUME_FIELD: &str = "resume_tokens";
+
 /// Bytes of a prompt's head that requests with the same affinity share.
 const AFFINITY_BYTES: usize = 256;
 
 /// One request on its way to an answer.
-pub struct Dispatcher<'a> {
-    context: &'a Rc<EntryContext>,
+pub struct Dispatcher {
+    context: Rc<EntryContext>,
     draft: RequestDraft,
     call: WorkCall,
     excluded: Vec<InstanceName>,
@@ -45,27 +57,33 @@
 }
 
 /// Where an attempt goes.
-struct ChosenRoute {
-    instance: InstanceName,
-    locality: Locality,
-    agent: AgentAddress,
+pub struct ChosenRoute {
+    /// The upstream.
+    pub instance: InstanceName,
+    /// How far it is.
+    pub locality: Locality,
+    /// Its agent.
+    pub agent: AgentAddress,
 }
 
 /// What to do after an attempt.
 enum NextStep {
-    Answer(Response<HttpBody>),
+    Serve(Box<ServedAnswer>),
     Retry,
 }
 
-impl<'a> Dispatcher<'a> {
+/// An answer before it goes to the caller.
+enum ServedAnswer {
+    Upstream(ChosenRoute, Response<Incoming>),
+    Recorded(InstanceName, RecordedAnswer),
+}
+
+impl Dispatcher {
     /// Opens the way of a filtered request.
     ///
     /// # Errors
     /// `UnknownRoute` if the filters found no target.
-    pub fn open(
-        context: &'a Rc<EntryContext>,
-        draft: RequestDraft,
-    ) -> Result<Self, RequestRefusal> {
+    pub fn open(context: Rc<EntryContext>, draft: RequestDraft) -> Result<Self, RequestRefusal> {
         let unknown = RequestRefusal::not_run(RefusalReason::UnknownRoute);
         let call = draft.call.clone().ok_or(unknown)?;
         Ok(Self {
@@ -87,14 +105,60 @@
         if let Some(replica) = self.call.replica() {
             self.context.demand.borrow_mut().arrived(replica);
         }
+        match self.acquire().await? {
+            ServedAnswer::Upstream(route, answer) => Ok(streamed_answer(self, route, answer)),
+            ServedAnswer::Recorded(instance, answer) => {
+                Ok(recorded_answer(&self.draft.id, &instance, answer))
+            }
+        }
+    }
+
+    /// Whether the answer may go on at another upstream.
+    pub fn may_resume(&self) -> bool {
+        self.draft.is_stream() && self.draft.run_key.is_none()
+    }
+
+    /// Identifier of the request.
+    pub fn request_id(&self) -> &str {
+        &self.draft.id
+    }
+
+    /// The process's metrics.
+    pub fn metrics(&self) -> &NodeMetrics {
+        &self.context.node.metrics
+    }
+
+    /// Finds another upstream for a stream that was cut after so many tokens.
+    ///
+    /// # Errors
+    /// A refusal if none can go on with it.
+    pub async fn resume(
+        &mut self,
+        route: &ChosenRoute,
+        tokens: u32,
+    ) -> Result<(ChosenRoute, Response<Incoming>), RequestRefusal> {
+        let refusal = RequestRefusal::unknown(RefusalReason::UpstreamLost);
+        self.draft.deadline = self.context.now() + RESUME_MS;
+        self.draft.body = resume_body(&self.draft.body, tokens).ok_or(refusal)?;
+        self.presume_crash(route, refusal)?;
+        self.retry_elsewhere(route.instance.clone(), refusal)?;
+        self.context.node.metrics.retried.inc();
+        match self.acquire().await? {
+            ServedAnswer::Upstream(route, answer) => Ok((route, answer)),
+            ServedAnswer::Recorded(..) => Err(refusal),
+        }
+    }
+
+    async fn acquire(&mut self) -> Result<ServedAnswer, RequestRefusal> {
         loop {
             self.attempts += 1;
             let attempt = AttemptId::random();
             let route = self.choose_patiently(attempt).await?;
-            let end =
-                send_attempt(self.context, &self.draft, &self.call, attempt, route.agent).await;
+            let sending =
+                send_attempt(&self.context, &self.draft, &self.call, attempt, route.agent);
+            let end = sending.await;
             match self.next_step(route, attempt, end).await? {
-                NextStep::Answer(response) => return Ok(response),
+                NextStep::Serve(answer) => return Ok(*answer),
                 NextStep::Retry => self.context.node.metrics.retried.inc(),
             };
         }
@@ -107,13 +171,10 @@
         end: AttemptEnd,
     ) -> Result<NextStep, RequestRefusal> {
         match end {
-            AttemptEnd::Answer(answer) => Ok(NextStep::Answer(relayed_answer(
-                &self.context.node.metrics,
-                &self.draft.id,
-                &route.instance,
-                route.locality,
-                answer,
-            ))),
+            AttemptEnd::Answer(answer) => {
+                let served = ServedAnswer::Upstream(route, answer);
+                Ok(NextStep::Serve(Box::new(served)))
+            }
             AttemptEnd::Unsent => {
                 let refusal = RequestRefusal::not_run(RefusalReason::UpstreamLost);
                 self.retry_elsewhere(route.instance, refusal)
@@ -169,14 +230,13 @@
         route: ChosenRoute,
         attempt: AttemptId,
     ) -> Result<NextStep, RequestRefusal> {
-        let verdict = resolve_lost(self.context, &self.draft, attempt, route.agent).await;
+        let verdict = resolve_lost(&self.context, &self.draft, attempt, route.agent).await;
         let lost = RefusalReason::UpstreamLost;
         match verdict {
-            LostVerdict::Answer(answer) => Ok(NextStep::Answer(recorded_answer(
-                &self.draft.id,
-                &route.instance,
-                answer,
-            ))),
+            LostVerdict::Answer(answer) => {
+                let served = ServedAnswer::Recorded(route.instance, answer);
+                Ok(NextStep::Serve(Box::new(served)))
+            }
             LostVerdict::NeverRuns => {
                 self.retry_elsewhere(route.instance, RequestRefusal::not_run(lost))
             }
@@ -212,7 +272,8 @@
         instance: InstanceName,
         refusal: RequestRefusal,
     ) -> Result<NextStep, RequestRefusal> {
-        if !self.draft.suspect {
+        let may_return = self.draft.suspect && refusal.outcome == RefusalOutcome::Unknown;
+        if !may_return {
             self.excluded.push(instance);
         }
         let has_time = self.context.now() < self.draft.deadline;
@@ -371,3 +432,10 @@
         });
     }
 }
+
+/// The body with the tokens that the caller already has.
+fn resume_body(body: &[u8], tokens: u32) -> Option<Bytes> {
+    let mut fields: serde_json::Map<String, Value> = serde_json::from_slice(body).ok()?;
+    fields.insert(RESUME_FIELD.to_owned(), Value::from(tokens));
+    serde_json::to_vec(&fields).ok().map(Bytes::from)
+}
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -171,7 +171,9 @@
     }
 
     async fn dispatch(&self, draft: RequestDraft) -> Result<Response<HttpBody>, RequestRefusal> {
-        Dispatcher::open(&self.context, draft)?.run().await
+        Dispatcher::open(Rc::clone(&self.context), draft)?
+            .run()
+            .await
     }
 
     fn count_answer(&self, labels: &RequestLabels, arrived_at: MonoTime) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod settings_api;
 mod settings_editor;
 mod status_page;
+mod stream_relay;
 
 pub use agent_book::AgentBook;
 pub use entry_handle::EntryHandle;
--- /dev/null
+++ b/src/placement/holder/holder_outcomes.rs
@@ -0,0 +1,140 @@
+//! Takes the outcomes of orders and the engine's own reports.
+
+use super::engine_order::{EngineHolding, EngineOrder, OrderOutcome};
+use super::upstream_holder::UpstreamHolder;
+use crate::memory::{HoldState, LedgerKey, MemoryUnit};
+use crate::prelude::*;
+
+/// Milliseconds after a failed load before the next try.
+const RETRY_PAUSE_MS: u64 = 500;
+
+/// Milliseconds by which an engine's report of its holdings may lag behind its orders. An
+/// order without an answer is taken for lost only after them.
+const REPORT_LAG_MS: u64 = 2_000;
+
+impl UpstreamHolder {
+    /// Takes the outcome of an order.
+    pub fn complete(&mut self, now: MonoTime, order: &EngineOrder, outcome: OrderOutcome) {
+        let (EngineOrder::Load { unit, .. } | EngineOrder::Unload { unit }) = order;
+        self.changed.insert(unit.clone(), now);
+        match order {
+            EngineOrder::Load { unit, .. } => self.complete_load(now, unit, outcome),
+            EngineOrder::Unload { unit } => self.complete_unload(unit, outcome),
+        }
+    }
+
+    pub(super) fn complete_load(
+        &mut self,
+        now: MonoTime,
+        unit: &MemoryUnit,
+        outcome: OrderOutcome,
+    ) {
+        let Some((key, _)) = self.ledger.find(unit) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Done => {
+                self.ledger.set_state(key, HoldState::Loaded);
+                self.note_loaded(now, unit);
+            }
+            OrderOutcome::Refused => {
+                self.ledger.release(key);
+                self.pause_loads(now, unit);
+            }
+            OrderOutcome::Unanswered => {
+                self.ledger.set_state(key, HoldState::Doubtful);
+                self.pause_loads(now, unit);
+            }
+        }
+    }
+
+    pub(super) fn complete_unload(&mut self, unit: &MemoryUnit, outcome: OrderOutcome) {
+        let Some((key, _)) = self.ledger.find(unit) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Done => {
+                self.ledger.release(key);
+                self.adapters.remove(unit);
+                if let MemoryUnit::Replica(replica) = unit {
+                    self.forget_if_unused(&replica.clone());
+                }
+            }
+            OrderOutcome::Refused => self.ledger.set_state(key, HoldState::Loaded),
+            OrderOutcome::Unanswered => self.ledger.set_state(key, HoldState::Doubtful),
+        }
+    }
+
+    pub(super) fn pause_loads(&mut self, now: MonoTime, unit: &MemoryUnit) {
+        if let MemoryUnit::Replica(replica) = unit {
+            let held = self.replica_entry(&replica.clone());
+            held.retry_at = now + RETRY_PAUSE_MS;
+            held.load_began = None;
+        }
+    }
+
+    /// Takes what the engine says it holds, as asked at `asked_at`. Doubtful entries are
+    /// settled by it, unknown units enter the ledger, and units that vanished leave it.
+    /// Units with an order or outcome shortly before the question are left alone.
+    pub fn reconcile(&mut self, asked_at: MonoTime, holdings: &[EngineHolding]) {
+        self.changed
+            .retain(|_, at| asked_at.millis_since(*at) < 2 * REPORT_LAG_MS);
+        let entries: Vec<(LedgerKey, MemoryUnit, HoldState)> = self
+            .ledger
+            .entries()
+            .map(|(key, entry)| (key, entry.unit.clone(), entry.state))
+            .filter(|(_, unit, _)| self.is_settled(asked_at, unit))
+            .collect();
+        for (key, unit, state) in entries {
+            let holding = holdings.iter().find(|holding| holding.unit == unit);
+            match (state, holding) {
+                (HoldState::Doubtful, Some(holding)) if holding.ready => {
+                    self.ledger.set_state(key, HoldState::Loaded);
+                    self.note_loaded(asked_at, &unit);
+                }
+                (HoldState::Doubtful | HoldState::Loaded, None) => {
+                    self.ledger.release(key);
+                    self.adapters.remove(&unit);
+                }
+                _ => {}
+            }
+        }
+        for holding in holdings {
+            let is_new = self.ledger.find(&holding.unit).is_none();
+            if is_new && self.is_settled(asked_at, &holding.unit) {
+                let key = self.ledger.adopt(holding.unit.clone(), holding.memory_mb);
+                self.note_adopted(asked_at, holding, key);
+            }
+        }
+    }
+
+    pub(super) fn is_settled(&self, asked_at: MonoTime, unit: &MemoryUnit) -> bool {
+        let changed_at = self.changed.get(unit);
+        changed_at.is_none_or(|at| asked_at.millis_since(*at) >= REPORT_LAG_MS)
+    }
+
+    pub(super) fn note_adopted(&mut self, now: MonoTime, holding: &EngineHolding, key: LedgerKey) {
+        if holding.ready {
+            self.note_loaded(now, &holding.unit);
+        } else {
+            self.ledger.set_state(key, HoldState::Doubtful);
+        }
+        if let MemoryUnit::Replica(replica) = &holding.unit {
+            let held = self.replica_entry(&replica.clone());
+            held.memory_mb = holding.memory_mb;
+        }
+    }
+
+    /// The engine died; it holds nothing.
+    pub fn engine_lost(&mut self) {
+        let keys: Vec<LedgerKey> = self.ledger.entries().map(|(key, _)| key).collect();
+        for key in keys {
+            self.ledger.release(key);
+        }
+        self.adapters.clear();
+        self.changed.clear();
+        for held in self.replicas.values_mut() {
+            held.load_began = None;
+        }
+    }
+}
--- a/src/run_once/mod.rs
+++ b/src/run_once/mod.rs
@@ -4,4 +4,4 @@
 mod run_row;
 
 pub use run_decision::{RunLedger, SettleStep, StartStep, VoidStep};
-pub use run_row::{RUN_PREFIX, RecordedAnswer, RunKey, RunRow, RunState};
+pub use run_row::{RUN_PREFIX, RUN_SHARDS, RecordedAnswer, RunKey, RunRow, RunState};
--- a/src/settings/tree_parser.rs
+++ b/src/settings/tree_parser.rs
@@ -10,6 +10,9 @@
 };
 use crate::prelude::*;
 
+/// Run rows are kept for longer than any attempt can live.
+const MIN_RECORD_MS: u64 = 1_800_000;
+
 const COUNT: &str = "a whole number";
 const MILLIS: &str = "a whole number of milliseconds";
 const MEGABYTES: &str = "a whole number of megabytes";
@@ -114,6 +117,10 @@
     fn read_fleet(&mut self, file: &str, section: &str, properties: &Properties) {
         let mut reader = SectionReader::open(file, section, properties, &mut self.faults);
         self.settings.limits = read_limits(&mut reader);
+        if self.settings.limits.record_ms < MIN_RECORD_MS {
+            let expected = format!("at least {MIN_RECORD_MS}");
+            reader.fault("record_ms", FaultCause::WrongValue(expected));
+        }
         self.settings.operator_sha256 = reader.text("operator_sha256", "a SHA-256 in hexadecimal");
         reader.close();
     }
--- a/standins/src/campaign/promise_check.rs
+++ b/standins/src/campaign/promise_check.rs
@@ -6,7 +6,7 @@
 use quetzalpin::prelude::*;
 
 use super::call_history::{CallEnd, CallRecord, CallSubject};
-use crate::engine_standin::EngineAudit;
+use crate::engine_audit::EngineAudit;
 use crate::prompt_words::{POISON_WORD, answer_word};
 
 /// Milliseconds beyond its deadline within which each call must have ended.
--- a/standins/src/engine_standin.rs
+++ b/standins/src/engine_standin.rs
@@ -6,27 +6,24 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use quetzalpin::engine::{EngineState, LoadCommand, UnloadCommand};
 use quetzalpin::memory::MemoryUnit;
-use quetzalpin::net::{
-    BodyError, HttpBody, HttpHandler, HttpServer, json_response, read_body, stream_body,
-};
+use quetzalpin::net::{HttpBody, HttpHandler, HttpServer, json_response, read_body};
 use quetzalpin::placement::EngineHolding;
 use quetzalpin::prelude::*;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use crate::chat_answer::{ChatOrder, StreamState, stream_answer, whole_answer};
+use crate::engine_audit::{EngineAudit, HoldingChange};
+use crate::engine_options::EngineOptions;
 use crate::errors::StandinError;
 use crate::fault_switch::{FaultSwitch, abort_response};
 use crate::platform_standin::StandinServing;
-use crate::prompt_words::{POISON_WORD, answer_word};
+use crate::prompt_words::POISON_WORD;
 
 /// Largest request in bytes.
 const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
@@ -46,121 +43,12 @@
 /// Percent of the prefill time that a cached prefix leaves.
 const CACHED_PREFILL_PERCENT: u64 = 30;
 
-/// How the engine behaves.
-#[derive(Debug, Clone)]
-pub struct EngineOptions {
-    /// Accelerator memory in megabytes.
-    pub memory_mb: u64,
-    /// Requests that it batches at most.
-    pub max_batch: u32,
-    /// Whether it refuses orders with an old fencing number.
-    pub checks_fence: bool,
-    /// Milliseconds to the first token on an idle engine.
-    pub first_ms: u64,
-    /// Microseconds per token on an idle engine.
-    pub token_us: u64,
-    /// Microseconds per token that each further request in the batch adds.
-    pub crowd_us: u64,
-    /// Microseconds per megabyte to load from the weight store.
-    pub remote_us_per_mb: u64,
-    /// Microseconds per megabyte to load from the instance's memory or disk.
-    pub cached_us_per_mb: u64,
-    /// Checkpoints that the instance keeps near.
-    pub cached_checkpoints: usize,
-    /// Milliseconds for an adapter's load.
-    pub adapter_ms: u64,
-    /// Milliseconds that a crashed engine is down.
-    pub restart_ms: u64,
-    /// Milliseconds by which its report lags.
-    pub lag_ms: u64,
-    /// Where the weight store listens; without it, loads take their bare time.
-    pub weights: Option<SocketAddr>,
-}
-
-impl Default for EngineOptions {
-    fn default() -> Self {
-        Self {
-            memory_mb: 80_000,
-            max_batch: 16,
-            checks_fence: true,
-            first_ms: 40,
-            token_us: 10_000,
-            crowd_us: 500,
-            remote_us_per_mb: 50,
-            cached_us_per_mb: 15,
-            cached_checkpoints: 6,
-            adapter_ms: 5,
-            restart_ms: 1_000,
-            lag_ms: 100,
-            weights: None,
-        }
-    }
-}
-
-/// A change of what the engine holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HoldingChange {
-    /// Milliseconds since the engine's first start.
-    pub at_ms: u64,
-    /// What.
-    pub unit: MemoryUnit,
-    /// True from the load order on, false once unloaded.
-    pub is_held: bool,
-}
-
-/// What the engine did.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct EngineAudit {
-    /// Loads that would have exceeded the memory.
-    pub overcommits: u32,
-    /// Orders refused for an old fencing number.
-    pub fenced: u32,
-    /// Crashes.
-    pub crashes: u32,
-    /// Megabyte-milliseconds held.
-    pub held_mb_ms: u64,
-    /// Changes of what it holds, oldest first.
-    pub changes: Vec<HoldingChange>,
-    /// How often each request was run, by attempt.
-    pub runs: BTreeMap<String, u32>,
-    /// How often each prompt crashed the engine.
-    pub poisoned: BTreeMap<String, u32>,
-}
-
 #[derive(Debug, Clone)]
 struct HeldUnit {
     memory_mb: u64,
     is_ready: bool,
 }
 
-#[derive(Debug, Clone, Deserialize)]
-struct ChatMessage {
-    content: String,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-struct ChatOrder {
-    model: ReplicaName,
-    adapter: Option<String>,
-    messages: Vec<ChatMessage>,
-    #[serde(default)]
-    stream: bool,
-    max_tokens: Option<u32>,
-    /// Tokens of the answer that the asker already has.
-    #[serde(default)]
-    resume_tokens: u32,
-}
-
-impl ChatOrder {
-    fn prompt(&self) -> &str {
-        self.messages.last().map_or("", |m| m.content.as_str())
-    }
-
-    fn tokens(&self) -> u32 {
-        self.max_tokens.unwrap_or(16)
-    }
-}
-
 #[derive(Debug)]
 struct EngineInner {
     held: BTreeMap<MemoryUnit, HeldUnit>,
@@ -175,7 +63,8 @@
 #[derive(Debug)]
 pub struct EngineStandin {
     options: EngineOptions,
-    boot_id: Cell<u64>,
+    /// Changes with each crash.
+    pub boot_id: Cell<u64>,
     fence: Cell<u64>,
     down_until: Cell<Option<Instant>>,
     inner: RefCell<EngineInner>,
@@ -189,7 +78,7 @@
 }
 
 /// Counts a request in the batch until it ends.
-struct RunGuard {
+pub struct RunGuard {
     engine: Rc<EngineStandin>,
     attempt: AttemptId,
 }
@@ -211,15 +100,6 @@
     }
 }
 
-/// A streamed answer under way.
-struct StreamState {
-    engine: Rc<EngineStandin>,
-    guard: RunGuard,
-    order: ChatOrder,
-    boot_id: u64,
-    next: u32,
-}
-
 impl EngineStandin {
     /// Binds the address and starts serving.
     ///
@@ -562,7 +442,8 @@
         Duration::from_millis(millis)
     }
 
-    fn token_time(&self) -> Duration {
+    /// Time that the next token takes.
+    pub fn token_time(&self) -> Duration {
         let running = self.inner.borrow().running.len() as u64;
         let crowd_us = self.options.crowd_us * running.saturating_sub(1);
         let micros = (self.options.token_us + crowd_us) * self.slowness_percent.get() / 100;
@@ -570,50 +451,6 @@
     }
 }
 
-fn stream_answer(state: StreamState) -> Response<HttpBody> {
-    let chunks = stream::unfold(Some(state), |state| async move {
-        let mut state = state?;
-        if state.next > state.order.tokens() {
-            return None;
-        }
-        if state.next == state.order.tokens() {
-            state.next += 1;
-            return Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), Some(state)));
-        }
-        if state.next > state.order.resume_tokens {
-            compio::time::sleep(state.engine.token_time()).await;
-        }
-        if state.engine.boot_id.get() != state.boot_id {
-            return Some((Err(BodyError::Cut), None));
-        }
-        let word = answer_word(state.order.prompt(), state.next);
-        state.next += 1;
-        let event = json!({"choices": [{"delta": {"content": format!("{word} ")}}]});
-        Some((Ok(Bytes::from(format!("data: {event}\n\n"))), Some(state)))
-    });
-    let mut response = Response::new(stream_body(chunks));
-    let content_type = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(CONTENT_TYPE, content_type);
-    response
-}
-
-async fn whole_answer(state: StreamState) -> Response<HttpBody> {
-    let mut words = Vec::new();
-    for position in state.next..state.order.tokens() {
-        compio::time::sleep(state.engine.token_time()).await;
-        if state.engine.boot_id.get() != state.boot_id {
-            return abort_response();
-        }
-        words.push(answer_word(state.order.prompt(), position));
-    }
-    drop(state.guard);
-    let answer = json!({
-        "choices": [{"message": {"role": "assistant", "content": words.join(" ")}}],
-        "usage": {"completion_tokens": words.len()},
-    });
-    json_response(StatusCode::OK, &answer)
-}
-
 impl HttpHandler for EngineStandin {
     fn handle(
         self: Rc<Self>,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,9 @@
 
 mod caller_client;
 mod campaign;
+mod chat_answer;
+mod engine_audit;
+mod engine_options;
 mod engine_standin;
 mod errors;
 mod fault_proxy;
@@ -20,7 +23,9 @@
 
 pub use caller_client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
 pub use campaign::{CampaignOptions, CampaignReport, run_campaign};
-pub use engine_standin::{EngineAudit, EngineOptions, EngineStandin, HoldingChange};
+pub use engine_audit::{EngineAudit, HoldingChange};
+pub use engine_options::EngineOptions;
+pub use engine_standin::EngineStandin;
 pub use errors::StandinError;
 pub use fault_proxy::FaultProxy;
 pub use fault_switch::{FaultOrder, FaultSwitch};
--- a/standins/src/small_fleet.rs
+++ b/standins/src/small_fleet.rs
@@ -5,7 +5,7 @@
 use quetzalpin::prelude::*;
 use quetzalpin::settings::{SubtreeName, credential_digest};
 
-use crate::engine_standin::EngineOptions;
+use crate::engine_options::EngineOptions;
 use crate::service_standin::ServiceOptions;
 use crate::standin_fleet::{FleetPlan, OPERATOR_CREDENTIAL, UpstreamPlan, default_agent};
 use crate::weight_store::WeightLimits;
--- a/standins/src/standin_fleet.rs
+++ b/standins/src/standin_fleet.rs
@@ -15,7 +15,8 @@
 };
 use quetzalpin::table::TableTxn;
 
-use crate::engine_standin::{EngineOptions, EngineStandin};
+use crate::engine_options::EngineOptions;
+use crate::engine_standin::EngineStandin;
 use crate::errors::StandinError;
 use crate::platform_standin::{PlatformStandin, StandinServing};
 use crate::service_standin::{ServiceOptions, ServiceStandin};
--- a/tests/process_cases/membership_cases.rs
+++ b/tests/process_cases/membership_cases.rs
@@ -92,6 +92,39 @@
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
 
+/// A stream whose agent dies goes on at another upstream, without a doubled or missing token.
+pub async fn a_stream_goes_on_when_its_agent_dies(mut case: FaultCase) {
+    case.ask(0, &FaultCase::question("m0", "wake")).await;
+    case.until("the entry knows the holder", async || {
+        case.loaded_at("m0@1").await.is_some()
+    })
+    .await;
+    let holder = case.loaded_at("m0@1").await.expect("a holder");
+    let caller = case.callers[0].clone();
+    let call = ChatCall {
+        stream: true,
+        tokens: 60,
+        ..FaultCase::question("m0", "go on")
+    };
+    let streaming = compio::runtime::spawn(async move { caller.chat(&call).await });
+    case.until("the stream runs", async || {
+        let audits = case.fleet.engines().map(EngineStandin::audit);
+        audits.map(|audit| audit.runs.len()).sum::<usize>() >= 2
+    })
+    .await;
+    compio::time::sleep(std::time::Duration::from_millis(300)).await;
+    case.fleet.agents[holder].kill();
+    let outcome = streaming.await.expect("the task ends").expect("an outcome");
+    assert!(outcome.is_answer(), "{outcome:?}");
+    let words: Vec<String> = (0..60).map(|index| answer_word("go on", index)).collect();
+    let found: Vec<&str> = outcome
+        .text
+        .split(|c: char| !c.is_ascii_alphanumeric())
+        .filter(|piece| words.iter().any(|word| word == piece))
+        .collect();
+    assert_eq!(found, words);
+}
+
 /// A frozen agent keeps its port, so that a second one cannot give orders beside it.
 pub async fn a_second_agent_cannot_start_beside_a_frozen_one(mut case: FaultCase) {
     case.fleet.agents[0].pause();
--- a/tests/process_cases/mod.rs
+++ b/tests/process_cases/mod.rs
@@ -17,7 +17,8 @@
 pub use membership_cases::{
     a_frozen_agent_loses_no_idempotent_request,
     a_leaving_agent_cuts_no_stream_and_gets_no_new_work,
-    a_second_agent_cannot_start_beside_a_frozen_one, silent_connections_are_found,
+    a_second_agent_cannot_start_beside_a_frozen_one, a_stream_goes_on_when_its_agent_dies,
+    silent_connections_are_found,
 };
 pub use outage_cases::{
     a_burst_at_all_entries_makes_one_load, cold_starts_go_on_while_the_table_is_down,
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -51,6 +51,7 @@
 fault_case!(a_leaving_agent_cuts_no_stream_and_gets_no_new_work);
 fault_case!(a_crashing_request_is_held_back);
 fault_case!(a_crashing_request_sent_many_times_at_once_is_held_back);
+fault_case!(a_stream_goes_on_when_its_agent_dies);
 fault_case!(a_second_agent_cannot_start_beside_a_frozen_one);
 fault_case!(a_lost_engine_connection_is_not_a_crash);
 fault_case!(settings_race_and_reach_everyone);
