Give each test fleet an address of its own; end tools in peace at a closed pipe

Cause: in one of four full checks, run beside two campaigns, `a_new_version_rolls_forward` again ended with a fleet that was not ready after 60 s. The first mending gave ports out once per process; other processes that run fleets at the same time take from the same range between probe and start. This is inferred from the symptom and the load, not seen in a log: the logs were gone with the fleet. `quetzalpin status | head` ended in a panic.

Ruled out: the probe within one process (each port is given out once).

Change: a fleet draws a loopback address for its daemons, so that no other process shares its ports; a fleet that is not ready names the processes that have ended and what its entries see. The tool ends quietly when its reader has gone. The engine stand-in publishes events of its prompt cache, late and with gaps.

Conclusion: should the symptom come back, the test now prints why.

--- a/cli/src/bench/process_slopes.rs
+++ b/cli/src/bench/process_slopes.rs
@@ -88,7 +88,7 @@
         entries: ENTRIES,
     });
     let daemon = std::env::current_exe()?.with_file_name("quetzalpind");
-    let fleet = ProcessFleet::spawn(&daemon, &plan).await?;
+    let mut fleet = ProcessFleet::spawn(&daemon, &plan).await?;
     fleet.wait_ready(example.model_count(), START_MS).await?;
     compio::time::sleep(Duration::from_secs(CALM_S)).await;
     let client = cyper::Client::new()?;
--- a/cli/src/commands/campaign_command.rs
+++ b/cli/src/commands/campaign_command.rs
@@ -7,6 +7,7 @@
 
 use crate::errors::ToolError;
 use crate::flags::Campaign;
+use crate::output::say;
 
 /// Seconds where no time is given.
 const DEFAULT_SECONDS: u64 = 60;
@@ -30,7 +31,7 @@
             logs: flags.logs.clone(),
         };
         let report = run_campaign(&options).await?;
-        println!("{report}");
+        say!("{report}");
         is_clean &= report.is_clean();
     }
     Ok(if is_clean {
--- a/cli/src/commands/explain_command.rs
+++ b/cli/src/commands/explain_command.rs
@@ -7,6 +7,7 @@
 
 use super::CommandContext;
 use crate::errors::ToolError;
+use crate::output::say;
 
 /// Prints the decisions about a request.
 pub async fn run(context: &CommandContext, request: &str) -> Result<ExitCode, ToolError> {
@@ -17,7 +18,7 @@
     }
     for record in &records {
         if context.json {
-            println!("{}", serde_json::to_string(record)?);
+            say!("{}", serde_json::to_string(record)?);
         } else {
             print_record(record);
         }
@@ -32,14 +33,18 @@
     let crashes: usize = client
         .call(Method::DELETE, &path, &[], String::new())
         .await?;
-    println!("released; {crashes} crashes forgiven");
+    if context.json {
+        say!("{}", serde_json::json!({ "forgiven_crashes": crashes }));
+    } else {
+        say!("released; {crashes} crashes forgiven");
+    }
     Ok(ExitCode::SUCCESS)
 }
 
 fn print_record(record: &Value) {
     let text = |key: &str| record[key].as_str().unwrap_or("-").to_owned();
     match record["decision"].as_str() {
-        Some("route") => println!(
+        Some("route") => say!(
             "{} sent the request to {} ({}), {} ms before the deadline; forecast {} ms",
             text("decided_by"),
             text("instance"),
@@ -47,16 +52,16 @@
             record["remaining_ms"],
             record["choice"]["finish_ms"],
         ),
-        Some("refuse") => println!(
+        Some("refuse") => say!(
             "refused: {} ({}), {} ms before the deadline",
             record["refusal"]["reason"].as_str().unwrap_or("-"),
             record["refusal"]["outcome"].as_str().unwrap_or("-"),
             record["remaining_ms"],
         ),
-        _ => println!("{record}"),
+        _ => say!("{record}"),
     }
     for target in record["targets"].as_array().into_iter().flatten() {
-        println!(
+        say!(
             "  {:<14} {:<7} {:<8} ready {:>6} ms  wait {:>6} ms  needs {:>6} ms  load {}/{}",
             target["instance"].as_str().unwrap_or("-"),
             target["locality"].as_str().unwrap_or("-"),
--- a/cli/src/commands/quickstart_command.rs
+++ b/cli/src/commands/quickstart_command.rs
@@ -9,6 +9,7 @@
 
 use crate::bench::example_fleet::{ExampleFleet, FleetSize};
 use crate::errors::{CheckFailure, ToolError};
+use crate::output::say;
 
 /// Milliseconds for the fleet's start.
 const START_MS: u64 = 30_000;
@@ -27,7 +28,7 @@
     });
     let fleet = StandinFleet::spawn(&plan).await?;
     fleet.wait_ready(example.model_count(), START_MS).await?;
-    println!(
+    say!(
         "fleet: 2 entries, {ENGINES} engines and 1 service, each with an agent; {} idle models; \
          ready after {} ms",
         example.model_count(),
@@ -38,7 +39,7 @@
     show_stream(&caller).await?;
     show_stamp(&fleet, &caller).await?;
     show_refusal(&caller).await?;
-    println!("done");
+    say!("done");
     Ok(ExitCode::SUCCESS)
 }
 
@@ -70,13 +71,13 @@
     let first_word = answer_word(prompt, 0);
     let is_own = outcome.text.contains(&first_word);
     require(outcome.is_answer() && is_own, CheckFailure::ColdAnswer)?;
-    println!(
+    say!(
         "1. cold model glaze-0 answered in {} ms: {}",
         millis(&outcome),
         outcome.text
     );
     let warm = caller.chat(&question(prompt)).await?;
-    println!("   asked again, now loaded: {} ms", millis(&warm));
+    say!("   asked again, now loaded: {} ms", millis(&warm));
     Ok(())
 }
 
@@ -87,7 +88,7 @@
     let is_ended = outcome.text.contains("[DONE]");
     require(outcome.is_answer() && is_ended, CheckFailure::StreamEnd)?;
     let events = outcome.text.matches("data: {").count();
-    println!(
+    say!(
         "2. stream: {events} tokens, the first after {} ms, the last after {} ms",
         outcome.first.as_millis(),
         millis(&outcome)
@@ -112,7 +113,7 @@
         .sum();
     let is_once = runs == 1 && first.is_answer() && first.text == second.text;
     require(is_once, CheckFailure::StampOnce)?;
-    println!(
+    say!(
         "3. stamp sent twice with one key: run {runs} time, both answered {}",
         first.text
     );
@@ -131,7 +132,7 @@
         document.refusal().outcome == quetzalpin::prelude::RefusalOutcome::NotRun
     });
     require(is_honest, CheckFailure::HonestRefusal)?;
-    println!(
+    say!(
         "4. cold model, 50 ms to the deadline: request {} refused after {} ms: {}",
         outcome.id,
         millis(&outcome),
--- a/cli/src/commands/settings_command.rs
+++ b/cli/src/commands/settings_command.rs
@@ -10,6 +10,7 @@
 use super::CommandContext;
 use crate::errors::ToolError;
 use crate::flags::{Apply, SettingsCmd};
+use crate::output::say;
 
 /// Exit code where another change came first, or the settings are not valid.
 const EXIT_NOT_APPLIED: u8 = 3;
@@ -41,13 +42,15 @@
 async fn show_one(context: &CommandContext, name: &str) -> Result<ExitCode, ToolError> {
     let row: SettingsRow = context.client()?.get(&subtree_path(name)?).await?;
     if context.json {
-        println!("{}", serde_json::to_string(&row)?);
+        say!("{}", serde_json::to_string(&row)?);
     } else {
-        println!(
+        say!(
             "; {} at revision {} by {}",
-            row.subtree, row.revision, row.author
+            row.subtree,
+            row.revision,
+            row.author
         );
-        print!("{}", row.text);
+        say!("{}", row.text.trim_end());
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -60,13 +63,13 @@
 
 fn print_rows(context: &CommandContext, rows: &[SettingsRow]) -> Result<ExitCode, ToolError> {
     if context.json {
-        println!("{}", serde_json::to_string(rows)?);
+        say!("{}", serde_json::to_string(rows)?);
         return Ok(ExitCode::SUCCESS);
     }
-    println!("{:<24} {:>8} {:>8}  author", "subtree", "revision", "bytes");
+    say!("{:<24} {:>8} {:>8}  author", "subtree", "revision", "bytes");
     for row in rows {
         let name = row.subtree.to_string();
-        println!(
+        say!(
             "{name:<24} {:>8} {:>8}  {}",
             row.revision,
             row.text.len(),
@@ -81,9 +84,9 @@
     let text = std::fs::read_to_string(file)?;
     let old: Vec<&str> = row.text.lines().collect();
     let new: Vec<&str> = text.lines().collect();
-    println!("; in force: {} at revision {}", row.subtree, row.revision);
+    say!("; in force: {} at revision {}", row.subtree, row.revision);
     for line in diff_lines(&old, &new) {
-        println!("{line}");
+        say!("{line}");
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -134,7 +137,7 @@
     let client = context.client()?;
     let outcome: ApplyOutcome = client.call(Method::PUT, &path, &headers, text).await?;
     if context.json {
-        println!("{}", serde_json::to_string(&outcome)?);
+        say!("{}", serde_json::to_string(&outcome)?);
     } else {
         print_outcome(&outcome, apply.dry_run);
     }
@@ -147,30 +150,32 @@
 fn print_outcome(outcome: &ApplyOutcome, dry_run: bool) {
     match outcome {
         ApplyOutcome::Applied(revision) if dry_run => {
-            println!("valid; nothing changed, revision in force {revision}");
+            say!("valid; nothing changed, revision in force {revision}");
         }
-        ApplyOutcome::Applied(revision) => println!("in force from revision {revision}"),
+        ApplyOutcome::Applied(revision) => say!("in force from revision {revision}"),
         ApplyOutcome::Invalid(faults) => {
-            println!("not applied, {} faults:", faults.len());
+            say!("not applied, {} faults:", faults.len());
             for fault in faults {
-                println!("  {fault}");
+                say!("  {fault}");
             }
         }
         ApplyOutcome::Conflict(conflict) => {
-            println!("not applied: based on revision {}, but", conflict.based_on);
+            say!("not applied: based on revision {}, but", conflict.based_on);
             match &conflict.current {
                 Some(row) => {
-                    println!(
+                    say!(
                         "{} is at revision {} by {}",
-                        row.subtree, row.revision, row.author
+                        row.subtree,
+                        row.revision,
+                        row.author
                     );
                     let current: Vec<&str> = row.text.lines().collect();
                     let rejected: Vec<&str> = conflict.rejected.lines().collect();
                     for line in diff_lines(&current, &rejected) {
-                        println!("  {line}");
+                        say!("  {line}");
                     }
                 }
-                None => println!("the subtree does not exist"),
+                None => say!("the subtree does not exist"),
             }
         }
     }
--- a/cli/src/commands/status_command.rs
+++ b/cli/src/commands/status_command.rs
@@ -7,12 +7,13 @@
 
 use super::CommandContext;
 use crate::errors::ToolError;
+use crate::output::say;
 
 /// Prints the fleet as one entry sees it.
 pub async fn run(context: &CommandContext) -> Result<ExitCode, ToolError> {
     let status: EntryStatus = context.client()?.get("/status").await?;
     if context.json {
-        println!("{}", serde_json::to_string(&status)?);
+        say!("{}", serde_json::to_string(&status)?);
     } else {
         print_status(&status);
     }
@@ -20,36 +21,47 @@
 }
 
 fn print_status(status: &EntryStatus) {
-    println!(
+    say!(
         "{}: settings revision {}, {} open requests",
-        status.instance, status.settings_revision, status.open_requests
+        status.instance,
+        status.settings_revision,
+        status.open_requests
     );
-    println!(
+    say!(
         "\n{:<14} {:<14} {:<9} {:>7} {:>6} {:>8}  waits by rank",
-        "upstream", "zone", "state", "running", "limit", "heard"
+        "upstream",
+        "zone",
+        "state",
+        "running",
+        "limit",
+        "heard"
     );
     for agent in &status.agents {
         print_agent(agent);
     }
-    println!(
+    say!(
         "\n{:<20} {:<14} {:<8} {:>7} {:>7}",
-        "replica", "upstream", "state", "running", "waiting"
+        "replica",
+        "upstream",
+        "state",
+        "running",
+        "waiting"
     );
     for agent in &status.agents {
         print_replicas(agent);
     }
     match &status.leases {
-        None => println!("\nleases: the table does not answer"),
+        None => say!("\nleases: the table does not answer"),
         Some(leases) => {
-            println!("\n{:<20} {:<14} {:>6}", "lease", "holder", "epoch");
+            say!("\n{:<20} {:<14} {:>6}", "lease", "holder", "epoch");
             for lease in leases {
                 let holder = lease.row.holder.to_string();
-                println!("{:<20} {holder:<14} {:>6}", lease.lease, lease.row.epoch);
+                say!("{:<20} {holder:<14} {:>6}", lease.lease, lease.row.epoch);
             }
         }
     }
     for fingerprint in &status.quarantined {
-        println!("held back: {fingerprint}");
+        say!("held back: {fingerprint}");
     }
 }
 
@@ -65,7 +77,7 @@
         .iter()
         .map(|load| format!("{} {} ms", load.rank, load.wait_ms))
         .collect();
-    println!(
+    say!(
         "{:<14} {:<14} {state:<9} {:>7} {:>6} {:>5} ms  {}",
         report.instance.as_str(),
         report.zone.as_str(),
@@ -84,7 +96,7 @@
             ReplicaState::Loaded => "loaded",
             ReplicaState::Draining => "draining",
         };
-        println!(
+        say!(
             "{:<20} {:<14} {state:<8} {:>7} {:>7}",
             held.replica.as_str(),
             agent.report.instance.as_str(),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod errors;
 mod flags;
 mod operator_client;
+mod output;
 
 use std::process::ExitCode;
 
--- a/standins/src/campaign/campaign_runner.rs
+++ b/standins/src/campaign/campaign_runner.rs
@@ -43,7 +43,7 @@
 /// # Errors
 /// [`StandinError`] if the fleet does not start, or does not recover once faults have ended.
 pub async fn run_campaign(options: &CampaignOptions) -> Result<CampaignReport, StandinError> {
-    let fleet = ProcessFleet::spawn(&options.daemon, &small_plan()).await?;
+    let mut fleet = ProcessFleet::spawn(&options.daemon, &small_plan()).await?;
     fleet.wait_ready(SMALL_MODELS, READY_MS).await?;
     let entries = entry_addresses(&fleet);
     let fleet = Rc::new(RefCell::new(fleet));
--- a/standins/src/engine_standin.rs
+++ b/standins/src/engine_standin.rs
@@ -23,6 +23,7 @@
 use crate::errors::StandinError;
 use crate::fault_switch::{FaultSwitch, abort_response};
 use crate::platform_standin::StandinServing;
+use crate::prefix_cache::{CacheEvent, PrefixCache};
 use crate::prompt_words::POISON_WORD;
 
 /// Largest request in bytes.
@@ -34,12 +35,6 @@
 /// Milliseconds between looks while waiting for a place in the batch.
 const BATCH_LOOK_MS: u64 = 2;
 
-/// Prefixes that the prompt cache holds.
-const CACHED_PREFIXES: usize = 64;
-
-/// Bytes of a prompt that make its cached prefix.
-const PREFIX_BYTES: usize = 64;
-
 /// Percent of the prefill time that a cached prefix leaves.
 const CACHED_PREFILL_PERCENT: u64 = 30;
 
@@ -53,7 +48,7 @@
 struct EngineInner {
     held: BTreeMap<MemoryUnit, HeldUnit>,
     cached: VecDeque<ReplicaName>,
-    prefixes: VecDeque<String>,
+    prefixes: PrefixCache,
     running: BTreeMap<AttemptId, u32>,
     audit: EngineAudit,
     held_since: Instant,
@@ -117,7 +112,7 @@
             inner: RefCell::new(EngineInner {
                 held: BTreeMap::new(),
                 cached: VecDeque::new(),
-                prefixes: VecDeque::new(),
+                prefixes: PrefixCache::default(),
                 running: BTreeMap::new(),
                 audit: EngineAudit::default(),
                 held_since: Instant::now(),
@@ -204,6 +199,7 @@
             Err(request) => request,
         };
         let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
         if path == "/audit" {
             return json_response(StatusCode::OK, &self.audit());
         }
@@ -217,6 +213,7 @@
             return abort_response();
         }
         let response = match path.as_str() {
+            "/admin/cache-events" => json_response(StatusCode::OK, &self.cache_events(&query)),
             "/admin/state" => json_response(StatusCode::OK, &self.state()),
             "/admin/load" => self.load(request).await,
             "/admin/unload" => self.unload(request).await,
@@ -225,6 +222,16 @@
         self.faults.release(response)
     }
 
+    /// Changes of the prompt cache after the sequence in the query, late and with gaps.
+    fn cache_events(&self, query: &str) -> Vec<CacheEvent> {
+        let after = query
+            .strip_prefix("after=")
+            .and_then(|text| text.parse().ok());
+        let lag = Duration::from_millis(self.options.lag_ms);
+        let inner = self.inner.borrow();
+        inner.prefixes.events_after(after.unwrap_or(0), lag)
+    }
+
     /// The report, as it was some time ago.
     fn state(&self) -> EngineState {
         let mut snapshot = self.snapshot.borrow_mut();
@@ -425,14 +432,7 @@
     }
 
     fn prefill_time(&self, prompt: &str) -> Duration {
-        let prefix: String = prompt.chars().take(PREFIX_BYTES).collect();
-        let mut inner = self.inner.borrow_mut();
-        let is_cached = inner.prefixes.contains(&prefix);
-        inner.prefixes.retain(|known| *known != prefix);
-        inner.prefixes.push_back(prefix);
-        if inner.prefixes.len() > CACHED_PREFIXES {
-            inner.prefixes.pop_front();
-        }
+        let is_cached = self.inner.borrow_mut().prefixes.touch(prompt);
         let percent = if is_cached {
             CACHED_PREFILL_PERCENT
         } else {
--- a/standins/src/process_fleet.rs
+++ b/standins/src/process_fleet.rs
@@ -3,13 +3,9 @@
 
 use std::fmt::Write as _;
 use std::fs::File;
-use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener};
-use std::ops::Range;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 
 use quetzalpin::config::AgentConfig;
@@ -30,8 +26,8 @@
 /// Milliseconds between looks at a fleet that starts.
 const READY_LOOK_MS: u64 = 50;
 
-/// Ports for daemons.
-const PORTS: Range<u16> = 10_000..32_000;
+/// Port of the fleet's first daemon on its own address.
+const FIRST_PORT: u16 = 7_100;
 
 /// A signal for a process, by its name.
 #[derive(Debug, Clone, Copy)]
@@ -192,6 +188,7 @@
     pub entries: Vec<DaemonProcess>,
     daemon: PathBuf,
     folder: PathBuf,
+    ip: Ipv4Addr,
 }
 
 impl Drop for ProcessFleet {
@@ -224,6 +221,7 @@
             entries: Vec::new(),
             daemon: daemon.to_owned(),
             folder,
+            ip: fleet_ip(),
         };
         for number in 0..plan.entries {
             fleet.add_entry(plan, number)?;
@@ -238,7 +236,7 @@
     ///
     /// # Errors
     /// [`StandinError::NotReady`] after `limit_ms`.
-    pub async fn wait_ready(&self, replicas: usize, limit_ms: u64) -> Result<(), StandinError> {
+    pub async fn wait_ready(&mut self, replicas: usize, limit_ms: u64) -> Result<(), StandinError> {
         let client = cyper::Client::new()?;
         let until = Instant::now() + Duration::from_millis(limit_ms);
         while Instant::now() < until {
@@ -247,6 +245,11 @@
             }
             compio::time::sleep(Duration::from_millis(READY_LOOK_MS)).await;
         }
+        self.report_ended();
+        for number in 0..self.entries.len() {
+            let status = self.status(&client, number).await;
+            eprintln!("entry {number}: {status:?}");
+        }
         Err(StandinError::NotReady(limit_ms))
     }
 
@@ -338,9 +341,26 @@
         true
     }
 
+    fn next_address(&self) -> SocketAddr {
+        let taken = self.entries.len() + self.agents.len();
+        let offset = u16::try_from(taken).unwrap_or(u16::MAX);
+        SocketAddr::from((self.ip, FIRST_PORT.saturating_add(offset)))
+    }
+
+    /// Names the processes that have ended, with the last line of their logs.
+    fn report_ended(&mut self) {
+        for process in self.agents.iter_mut().chain(&mut self.entries) {
+            if let Some(status) = process.try_wait() {
+                let log = process.log();
+                let last = log.lines().last().unwrap_or_default();
+                eprintln!("{} ended with {status}: {last}", process.address);
+            }
+        }
+    }
+
     fn add_entry(&mut self, plan: &FleetPlan, number: usize) -> Result<(), StandinError> {
         let instance = format!("entry-{number}");
-        let address = free_port()?;
+        let address = self.next_address();
         let mut text = self.node_text(plan, "entry", number, &instance, address, address);
         let digest = credential_digest(OPERATOR_CREDENTIAL);
         let _ = write!(
@@ -375,7 +395,7 @@
         };
         let upstream_proxy = FaultProxy::spawn(standin.address()).await?;
         let instance = format!("worker-{number}");
-        let address = free_port()?;
+        let address = self.next_address();
         let agent_proxy = FaultProxy::spawn(address).await?;
         let advertised = agent_proxy.address();
         let mut text = self.node_text(plan, "agent", number, &instance, address, advertised);
@@ -452,22 +472,12 @@
     )
 }
 
-/// A port that no other fleet of this process takes and that is free now. It lies below the
-/// range from which the system takes ports for connections.
-fn free_port() -> Result<SocketAddr, StandinError> {
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-    let _ = NEXT_PORT.compare_exchange(0, fastrand::u16(PORTS), Relaxed, Relaxed);
-    loop {
-        let port = NEXT_PORT.fetch_add(1, Relaxed);
-        if !PORTS.contains(&port) {
-            NEXT_PORT.store(PORTS.start, Relaxed);
-            continue;
-        }
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
-            Err(error) => return Err(error.into()),
-        }
-    }
+/// A loopback address that no other fleet uses, so that its ports are free.
+fn fleet_ip() -> Ipv4Addr {
+    Ipv4Addr::new(
+        127,
+        fastrand::u8(1..=250),
+        fastrand::u8(..),
+        fastrand::u8(1..=250),
+    )
 }
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -21,7 +21,7 @@
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
         let plan = small_plan();
-        let fleet = ProcessFleet::spawn(daemon, &plan).await.expect("a fleet");
+        let mut fleet = ProcessFleet::spawn(daemon, &plan).await.expect("a fleet");
         fleet
             .wait_ready(SMALL_MODELS, START_MS)
             .await
