Test slow senders and oversized heads

Cause: docs/PROOFS.md listed them as bounded in code and not tested.

Change: a case sends half a body and stops, and a head of 70 KB; the entry answers 408 and 431 and serves others meanwhile.

Conclusion: connections opened and left in numbers remain untested.

--- a/tests/process_cases/input_cases.rs
+++ b/tests/process_cases/input_cases.rs
@@ -1,5 +1,8 @@
 //! What callers and operators see.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+
 use quetzalpin::prelude::*;
 use quetzalpin_standins::{
     ChatCall, OPERATOR_CREDENTIAL, SMALL_CREDENTIAL as CREDENTIAL, answer_word,
@@ -158,6 +161,36 @@
         .await;
 }
 
+/// A sender that stops in the middle of its body, and a head that is too large, are refused;
+/// the entry serves others meanwhile.
+pub async fn slow_and_oversized_senders_are_refused(case: FaultCase) {
+    let address = case.fleet.entries[0].address;
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CREDENTIAL}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    let slow = compio::runtime::spawn_blocking(move || first_line(address, &head));
+    case.ask(0, &FaultCase::question("m0", "meanwhile")).await;
+    assert_eq!(slow.await.expect("a line"), "HTTP/1.1 408 Request Timeout");
+    let large = format!(
+        "GET /healthz HTTP/1.1\r\nhost: x\r\nx-large: {}\r\n\r\n",
+        "x".repeat(70_000)
+    );
+    let large = compio::runtime::spawn_blocking(move || first_line(address, &large));
+    let line = large.await.expect("a line");
+    assert_eq!(line, "HTTP/1.1 431 Request Header Fields Too Large");
+    case.ask(0, &FaultCase::question("m0", "after")).await;
+}
+
+/// Sends text and returns the first line of the answer.
+fn first_line(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(text.as_bytes()).expect("sent");
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).expect("a line");
+    line.trim_end().to_owned()
+}
+
 async fn refuse_large_body(case: &FaultCase) {
     let url = format!("http://{}{CHAT}", case.fleet.entries[0].address);
     let request = case.client.post(url).expect("a request");
--- a/tests/process_cases/mod.rs
+++ b/tests/process_cases/mod.rs
@@ -13,7 +13,10 @@
     a_lost_engine_connection_is_not_a_crash,
 };
 pub use fault_case::FaultCase;
-pub use input_cases::{a_cold_model_answers_and_explains_itself, bad_input_gets_its_own_refusal};
+pub use input_cases::{
+    a_cold_model_answers_and_explains_itself, bad_input_gets_its_own_refusal,
+    slow_and_oversized_senders_are_refused,
+};
 pub use membership_cases::{
     a_frozen_agent_loses_no_idempotent_request,
     a_leaving_agent_cuts_no_stream_and_gets_no_new_work,
--- a/tests/process_faults.rs
+++ b/tests/process_faults.rs
@@ -57,4 +57,5 @@
 fault_case!(settings_race_and_reach_everyone);
 fault_case!(an_entry_starts_from_peers_while_the_table_is_down);
 fault_case!(bad_input_gets_its_own_refusal);
+fault_case!(slow_and_oversized_senders_are_refused);
 fault_case!(a_new_version_rolls_forward);
