--- a/src/net/fresh_call.rs
+++ b/src/net/fresh_call.rs
@@ -1,28 +1,19 @@
 //! One HTTP/1 exchange on a connection of its own.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 
-use super::{HttpBody, NetError, socket_options};
-
-/// Milliseconds within which a connection is made.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
+use super::tcp_dial::dial;
+use super::{HttpBody, NetError};
 
 /// Makes a connection.
 pub(super) async fn connect(address: SocketAddr) -> Result<SendRequest<HttpBody>, NetError> {
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = compio::time::timeout(limit, TcpStream::connect(address))
-        .await
-        .map_err(|_| NetError::ConnectTimeout(CONNECT_TIMEOUT_MS))?
-        .map_err(NetError::Socket)?;
-    socket_options::apply(&stream).map_err(NetError::Socket)?;
+    let stream = dial(address).await?;
     let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
         .await
         .map_err(NetError::Http)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod http_server;
 mod peer_client;
 mod socket_options;
+mod tcp_dial;
 
 pub use call_pool::CallPool;
 pub use errors::NetError;
--- a/src/net/peer_client.rs
+++ b/src/net/peer_client.rs
@@ -5,18 +5,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use compio::net::TcpStream;
 use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper::{Request, Response};
 
-use super::{HttpBody, NetError, socket_options};
+use super::tcp_dial::dial;
+use super::{HttpBody, NetError};
 
 /// Interval and timeout of pings in milliseconds; a silent connection is found after both.
 const PING_MS: u64 = 1_000;
 
-/// Milliseconds within which a connection is made.
+/// Milliseconds within which a connection is made and its HTTP/2 preface exchanged.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
 /// Keeps one multiplexed connection to each peer.
@@ -85,10 +85,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<HttpBody>, NetError> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(NetError::Socket)?;
-    socket_options::apply(&stream).map_err(NetError::Socket)?;
+    let stream = dial(address).await?;
     let (sender, connection) = http2::Builder::new(CompioExecutor)
         .timer(CompioTimer)
         .keep_alive_interval(Duration::from_millis(PING_MS))
