Read settings again that did not come into force; count report bytes once

Change: a follower moves on only once the head's revision is in force; reports are encoded and copied only where sent; `small_stamp` serves both.

The saving in reports was not measured.

--- a/src/agent/report_controller.rs
+++ b/src/agent/report_controller.rs
@@ -77,15 +77,12 @@
     }
     let report = build_report(context);
     let report = context.reports.borrow_mut().renew(report);
-    let bytes = serde_json::to_vec(&report).map_or(0, |text| text.len() as u64);
     let entries = context.node.members.borrow().entry_addresses();
-    let sends = entries.into_iter().map(|entry| {
-        let report = report.clone();
-        async move {
-            let is_known = context.reports.borrow().known_by.contains(&entry);
-            if !(is_known && send_heartbeat(context, entry, &report).await) {
-                send_to_entry(context, entry, report, bytes).await;
-            }
+    let report = &report;
+    let sends = entries.into_iter().map(|entry| async move {
+        let is_known = context.reports.borrow().known_by.contains(&entry);
+        if !(is_known && send_heartbeat(context, entry, report).await) {
+            send_to_entry(context, entry, report).await;
         }
     });
     futures_util::future::join_all(sends).await;
@@ -111,12 +108,15 @@
     }
 }
 
-async fn send_to_entry(context: &AgentContext, entry: SocketAddr, report: AgentReport, bytes: u64) {
+async fn send_to_entry(context: &AgentContext, entry: SocketAddr, report: &AgentReport) {
+    let bytes = serde_json::to_vec(report).map_or(0, |text| text.len() as u64);
     context.node.metrics.control_bytes.inc_by(bytes);
-    let sequence = report.sequence;
-    match context.node.rpc(entry).report(report).await {
+    match context.node.rpc(entry).report(report.clone()).await {
         Ok(revision) => {
-            context.reports.borrow_mut().note_known(entry, sequence);
+            context
+                .reports
+                .borrow_mut()
+                .note_known(entry, report.sequence);
             follow_settings(context, entry, revision).await;
         }
         Err(error) => log::debug!(entry:% = entry, error:% = error; "report not taken"),
--- a/src/daemon/node_loops.rs
+++ b/src/daemon/node_loops.rs
@@ -40,7 +40,8 @@
 }
 
 /// Reads the subtrees written after a table revision, if the head is news. Returns the newest
-/// table revision read.
+/// table revision read; the old one where the rows did not come into force, so that they are
+/// read again.
 async fn read_settings(node: &NodeContext, since: RowRevision) -> Result<RowRevision, TableError> {
     let row = node.table.read(SETTINGS_HEAD_KEY.to_owned()).await?;
     let head: SettingsHead = row.decode()?.unwrap_or_default();
@@ -52,6 +53,9 @@
     let decoded: Result<Vec<Option<SettingsRow>>, TableError> =
         rows.iter().map(TableRow::decode).collect();
     node.take_settings(decoded?.into_iter().flatten().collect());
+    if node.settings.borrow().revision() < head.revision {
+        return Ok(since);
+    }
     let newest = rows.iter().map(|row| row.revision).max();
     Ok(newest.unwrap_or(since))
 }
--- a/src/quarantine/loss_watch.rs
+++ b/src/quarantine/loss_watch.rs
@@ -54,11 +54,11 @@
     /// Takes an engine's start as its agent reports it now. Returns the losses that were no
     /// crash; those of another start stay counted.
     pub fn heard(&mut self, instance: &InstanceName, boot_id: u64) -> Vec<UnexplainedLoss> {
-        let (heard, others) = std::mem::take(&mut self.losses)
-            .into_iter()
-            .partition(|loss| loss.instance == *instance);
+        let (heard, others): (Vec<UnexplainedLoss>, Vec<UnexplainedLoss>) =
+            std::mem::take(&mut self.losses)
+                .into_iter()
+                .partition(|loss| loss.instance == *instance);
         self.losses = others;
-        let heard: Vec<UnexplainedLoss> = heard;
         heard
             .into_iter()
             .filter(|loss| loss.boot_id == boot_id)
--- a/standins/src/campaign/load_caller.rs
+++ b/standins/src/campaign/load_caller.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use super::call_history::{CallEnd, CallRecord, CallSubject, call_end};
-use crate::caller_client::{CallerClient, ChatCall, ServiceCall};
+use crate::caller_client::{CallerClient, ChatCall};
 use crate::errors::StandinError;
 use crate::prompt_words::POISON_WORD;
-use crate::small_fleet::{SMALL_CREDENTIAL, SMALL_MODELS};
+use crate::small_fleet::{SMALL_CREDENTIAL, SMALL_MODELS, small_stamp};
 
 /// Milliseconds that callers allow.
 const DEADLINE_MS: u64 = 6_000;
@@ -175,7 +175,7 @@
         let id = format!("call-{}", pool.next_number());
         let sending = async {
             match &self.subject {
-                CallSubject::Stamp { batch } => client.service(&stamp_call(batch, &id)).await.ok(),
+                CallSubject::Stamp { batch } => client.service(&small_stamp(batch, &id)).await.ok(),
                 CallSubject::Chat {
                     prompt,
                     stream,
@@ -213,14 +213,3 @@
         });
     }
 }
-
-fn stamp_call(batch: &str, id: &str) -> ServiceCall {
-    ServiceCall {
-        credential: SMALL_CREDENTIAL.to_owned(),
-        kind: "stamp".to_owned(),
-        path: "registry/stamp".to_owned(),
-        key: batch.to_owned(),
-        body: format!(r#"{{"batch":"{batch}"}}"#),
-        id: id.to_owned(),
-    }
-}
--- a/standins/src/small_fleet.rs
+++ b/standins/src/small_fleet.rs
@@ -5,6 +5,7 @@
 use quetzalpin::prelude::*;
 use quetzalpin::settings::{SubtreeName, credential_digest};
 
+use crate::caller_client::ServiceCall;
 use crate::engine_options::EngineOptions;
 use crate::service_standin::ServiceOptions;
 use crate::standin_fleet::{FleetPlan, OPERATOR_CREDENTIAL, UpstreamPlan, default_agent};
@@ -56,6 +57,19 @@
 memory_mb = 100
 ";
 
+/// A stamp of a batch, with the batch as its key; the entry names the request if `id` is empty.
+#[must_use]
+pub fn small_stamp(batch: &str, id: &str) -> ServiceCall {
+    ServiceCall {
+        credential: SMALL_CREDENTIAL.to_owned(),
+        kind: "stamp".to_owned(),
+        path: "registry/stamp".to_owned(),
+        key: batch.to_owned(),
+        body: format!(r#"{{"batch":"{batch}"}}"#),
+        id: id.to_owned(),
+    }
+}
+
 /// Three engines, two services, two entries.
 #[must_use]
 pub fn small_plan() -> FleetPlan {
--- a/tests/process_cases/fault_case.rs
+++ b/tests/process_cases/fault_case.rs
@@ -4,7 +4,7 @@
 
 use quetzalpin::entry::EntryStatus;
 use quetzalpin_standins::{
-    CallOutcome, CallerClient, ChatCall, ProcessFleet, SMALL_CREDENTIAL, ServiceCall,
+    CallOutcome, CallerClient, ChatCall, ProcessFleet, SMALL_CREDENTIAL, ServiceCall, small_stamp,
 };
 
 /// Longest milliseconds that a case waits for something to happen.
@@ -55,14 +55,7 @@
 
     /// A stamp of a batch, with the batch as its key.
     pub fn stamp(batch: &str) -> ServiceCall {
-        ServiceCall {
-            credential: SMALL_CREDENTIAL.to_owned(),
-            kind: "stamp".to_owned(),
-            path: "registry/stamp".to_owned(),
-            key: batch.to_owned(),
-            body: format!(r#"{{"batch":"{batch}"}}"#),
-            id: String::new(),
-        }
+        small_stamp(batch, "")
     }
 
     /// Asks at an entry and expects an answer.
