--- a/src/bin/quetzalpind.rs
+++ b/daemon/src/main.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use quetzalpin::config::DaemonConfig;
 use quetzalpin::daemon::{DaemonError, DaemonHandle, open_logging};
+use quetzalpin_platform::open_ports;
 
 mod flags {
     #![allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -71,7 +72,7 @@
     open_logging(level)?;
     let runtime = compio::runtime::Runtime::new().map_err(quetzalpin::net::NetError::Socket)?;
     runtime.block_on(async {
-        let handle = DaemonHandle::spawn(config).await?;
+        let handle = DaemonHandle::spawn(config, |node| open_ports(node.table, node.timeout_ms)).await?;
         log::info!(address:% = handle.address(); "listening");
         wait_for_stop().await;
         log::info!("stopping");
--- a/src/config/daemon_config.rs
+++ b/src/config/daemon_config.rs
@@ -1,5 +1,6 @@
 //! Typed settings of one daemon.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -26,6 +27,8 @@
     Entry,
     /// Runs beside one upstream.
     Agent,
+    /// Takes callers' requests on a platform that lists routes and upstreams.
+    Gateway,
 }
 
 /// What an agent's upstream is.
@@ -99,6 +102,32 @@
     pub report_ms: u64,
 }
 
+/// Settings of the gateway role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayConfig {
+    /// Address that the balancer asks for readiness.
+    pub ready: SocketAddr,
+    /// Path of that question.
+    pub ready_path: String,
+    /// Address for the other processes of the system.
+    pub peers: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// Milliseconds after which an idle connection of a caller is closed.
+    pub idle_ms: u64,
+    /// Term of the planner's lease in milliseconds.
+    pub lease_term_ms: u64,
+    /// Milliseconds between the last order of one planner and the first of the next.
+    pub order_turn_ms: u64,
+    /// Loads from the weight store at once.
+    pub store_loads: usize,
+    /// Requests of one service that the whole fleet may send again in ten seconds, besides a
+    /// percentage.
+    pub resend_reserve: usize,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<ZoneName, RegionName>,
+}
+
 /// The role with its settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RoleConfig {
@@ -106,6 +135,8 @@
     Entry(EntryConfig),
     /// Agent.
     Agent(AgentConfig),
+    /// Gateway.
+    Gateway(GatewayConfig),
 }
 
 /// All settings of one daemon.
@@ -170,6 +201,7 @@
         let role = match role {
             DaemonRole::Entry => RoleConfig::Entry(self.read_entry()),
             DaemonRole::Agent => RoleConfig::Agent(self.read_agent()),
+            DaemonRole::Gateway => RoleConfig::Gateway(self.read_gateway()),
         };
         self.reject_unknown_sections(&role);
         DaemonConfig { node, role }
@@ -178,7 +210,7 @@
     fn read_node(&mut self) -> (DaemonRole, NodeConfig) {
         let unset = unset_address();
         let (role, mut node) = self.section("daemon", |reader| {
-            let role = reader.required("role", "entry or agent", DaemonRole::Entry);
+            let role = reader.required("role", "entry, agent or gateway", DaemonRole::Entry);
             let node = NodeConfig {
                 instance: name(reader, "instance"),
                 zone: name(reader, "zone"),
@@ -195,7 +227,11 @@
         });
         self.section("platform", |reader| {
             node.table = reader.required("table", ADDRESS, unset);
-            node.members = reader.required("members", ADDRESS, unset);
+            node.members = if role == DaemonRole::Gateway {
+                unset
+            } else {
+                reader.required("members", ADDRESS, unset)
+            };
             node.timeout_ms = reader.or_default("timeout_ms", MILLIS, 1_000);
             node.poll_ms = reader.or_default("poll_ms", MILLIS, 1_000);
         });
@@ -239,6 +275,33 @@
         })
     }
 
+    fn read_gateway(&mut self) -> GatewayConfig {
+        let unset = unset_address();
+        let regions = self.read_regions();
+        self.section("gateway", |reader| GatewayConfig {
+            ready: reader.required("ready", ADDRESS, unset),
+            ready_path: reader.text("ready_path", "a path"),
+            peers: reader.required("peers", ADDRESS, unset),
+            metrics: reader.required("metrics", ADDRESS, unset),
+            idle_ms: reader.or_default("idle_ms", MILLIS, 15_000),
+            lease_term_ms: reader.or_default("lease_term_ms", MILLIS, 3_000),
+            order_turn_ms: reader.or_default("order_turn_ms", MILLIS, 3_000),
+            store_loads: reader.or_default("store_loads", COUNT, 4),
+            resend_reserve: reader.or_default("resend_reserve", COUNT, 50),
+            regions,
+        })
+    }
+
+    fn read_regions(&mut self) -> BTreeMap<ZoneName, RegionName> {
+        let Some(section) = self.document.section(Some("regions")) else {
+            return BTreeMap::new();
+        };
+        section
+            .iter()
+            .map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)))
+            .collect()
+    }
+
     fn section<R>(
         &mut self,
         section: &'static str,
@@ -253,12 +316,13 @@
     }
 
     fn reject_unknown_sections(&mut self, role: &RoleConfig) {
-        let own = match role {
-            RoleConfig::Entry(_) => "entry",
-            RoleConfig::Agent(_) => "upstream",
+        let own: &[&str] = match role {
+            RoleConfig::Entry(_) => &["entry"],
+            RoleConfig::Agent(_) => &["upstream"],
+            RoleConfig::Gateway(_) => &["gateway", "regions"],
         };
         for section in self.document.sections().flatten() {
-            if !["daemon", "platform", own].contains(&section) {
+            if !["daemon", "platform"].contains(&section) && !own.contains(&section) {
                 self.faults.push(SettingsFault {
                     file: self.file.to_owned(),
                     section: section.to_owned(),
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use crate::agent::AgentHandle;
-use crate::config::{DaemonConfig, RoleConfig};
+use crate::config::{DaemonConfig, NodeConfig, RoleConfig};
 use crate::entry::EntryHandle;
+use crate::gateway::{GatewayHandle, GatewayPorts};
 
 use super::DaemonError;
 
@@ -14,14 +15,20 @@
     Entry(EntryHandle),
     /// An agent.
     Agent(AgentHandle),
+    /// A gateway.
+    Gateway(GatewayHandle),
 }
 
 impl DaemonHandle {
-    /// Starts the daemon that the settings describe.
+    /// Starts the daemon that the settings describe. A gateway reaches its platform through
+    /// the ports that `open_ports` makes.
     ///
     /// # Errors
     /// [`DaemonError`] if the address is taken or a client cannot be set up.
-    pub async fn spawn(config: DaemonConfig) -> Result<Self, DaemonError> {
+    pub async fn spawn(
+        config: DaemonConfig,
+        open_ports: impl FnOnce(&NodeConfig) -> GatewayPorts,
+    ) -> Result<Self, DaemonError> {
         match config.role {
             RoleConfig::Entry(entry) => EntryHandle::spawn(config.node, entry)
                 .await
@@ -29,6 +36,10 @@
             RoleConfig::Agent(agent) => AgentHandle::spawn(config.node, agent)
                 .await
                 .map(Self::Agent),
+            RoleConfig::Gateway(gateway) => {
+                let ports = open_ports(&config.node);
+                GatewayHandle::spawn(config.node, gateway, ports).await.map(Self::Gateway)
+            }
         }
     }
 
@@ -38,6 +49,7 @@
         match self {
             Self::Entry(entry) => entry.address(),
             Self::Agent(agent) => agent.address(),
+            Self::Gateway(gateway) => gateway.address(),
         }
     }
 
@@ -47,6 +59,7 @@
         match self {
             Self::Entry(entry) => entry.shutdown().await,
             Self::Agent(agent) => agent.shutdown().await,
+            Self::Gateway(gateway) => gateway.shutdown().await,
         }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Running daemons and what both roles share.
 
+mod broadcast_signal;
 mod common_routes;
 mod crash_records;
 mod daemon_handle;
@@ -11,7 +12,8 @@
 mod node_loops;
 mod wake_signal;
 
-pub use common_routes::{bearer_token, common_route, decision_page};
+pub use broadcast_signal::BroadcastSignal;
+pub use common_routes::{bearer_token, common_route, decision_page, plain_response};
 pub use crash_records::{forget_crash, keep_crash};
 pub use daemon_handle::DaemonHandle;
 pub use errors::DaemonError;
--- a/src/entry/caller_answer.rs
+++ b/src/entry/caller_answer.rs
@@ -34,12 +34,7 @@
     detail: Option<String>,
 ) -> Response<HttpBody> {
     let document = ProblemDocument::of(refusal, detail);
-    let reason = document.kind.rsplit(':').next().unwrap_or_default();
-    let labels = RefusalLabels {
-        reason: reason.to_owned(),
-        outcome: refusal.outcome.to_string(),
-    };
-    metrics.refused.get_or_create(&labels).inc();
+    metrics.refused.get_or_create(&RefusalLabels::of(refusal)).inc();
     let text = serde_json::to_vec(&document).unwrap_or_default();
     let mut response = Response::new(full_body(text));
     let status = StatusCode::from_u16(document.status);
--- /dev/null
+++ b/src/fleet/fleet_catalog.rs
@@ -0,0 +1,77 @@
+//! One version of the fleet's configuration.
+
+use std::collections::{BTreeMap, HashMap};
+
+use compact_str::CompactString;
+
+use super::{RouteRule, ServicePlan};
+use crate::prelude::*;
+
+/// Limits on what callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Milliseconds after which an idle connection is closed.
+    pub idle_ms: u64,
+}
+
+/// Routes and services of one version.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetCatalog {
+    /// Rises with each change.
+    pub version: u64,
+    /// Limits on what callers may send.
+    pub limits: CallerLimits,
+    services: BTreeMap<ServiceName, ServicePlan>,
+    /// The routes of each host, longest prefix first.
+    routes: HashMap<CompactString, Vec<RouteRule>>,
+}
+
+impl FleetCatalog {
+    /// Builds the catalog of a version.
+    #[must_use]
+    pub fn open(
+        version: u64,
+        limits: CallerLimits,
+        routes: Vec<RouteRule>,
+        services: Vec<ServicePlan>,
+    ) -> Self {
+        let mut by_host: HashMap<CompactString, Vec<RouteRule>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(route);
+        }
+        for rules in by_host.values_mut() {
+            rules.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
+        }
+        let services = services.into_iter();
+        Self {
+            version,
+            limits,
+            services: services.map(|plan| (plan.name.clone(), plan)).collect(),
+            routes: by_host,
+        }
+    }
+
+    /// The route of a request: the one of its host with the longest matching prefix.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let rules = match self.routes.get(host) {
+            Some(rules) => rules,
+            None => self.routes.get(host.to_ascii_lowercase().as_str())?,
+        };
+        rules.iter().find(|rule| path.starts_with(rule.path_prefix.as_str()))
+    }
+
+    /// A service by name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServicePlan> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServicePlan> {
+        self.services.values()
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,19 @@
+//! What the platform says of the fleet: routes, services, models and upstreams.
+
+mod fleet_catalog;
+mod fleet_source;
+mod model_need;
+mod route_rule;
+mod service_plan;
+mod upstream_entry;
+mod upstream_roster;
+
+pub use fleet_catalog::{CallerLimits, FleetCatalog};
+pub use fleet_source::{
+    CatalogNews, FeedVersion, FleetSource, SourceError, UpstreamChange, UpstreamNews,
+};
+pub use model_need::ModelNeed;
+pub use route_rule::{RouteKind, RouteRule, WeightedService};
+pub use service_plan::{EnginePlan, ModelPlan, ServicePlan};
+pub use upstream_entry::{HeldModel, UpstreamEntry, UpstreamPhase};
+pub use upstream_roster::{RosterChange, UpstreamKey, UpstreamRoster};
--- /dev/null
+++ b/src/fleet/service_plan.rs
@@ -0,0 +1,46 @@
+//! Services and models of the fleet's configuration.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+
+/// One service behind the routes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServicePlan {
+    /// Its name.
+    pub name: ServiceName,
+    /// Connections that one upstream accepts from all callers.
+    pub max_connections: u32,
+    /// Set where the upstreams are model engines.
+    pub engine: Option<EnginePlan>,
+}
+
+/// What all engines of a service have in common.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EnginePlan {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Megabytes for models and adapters together.
+    pub memory_mb: f64,
+    /// Adapters that may be loaded at once.
+    pub adapter_slots: usize,
+    /// Loads a second that the weight store allows over all upstreams.
+    pub loads_per_s: f64,
+    /// The models, by name.
+    pub models: BTreeMap<ModelName, ModelPlan>,
+}
+
+/// One model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelPlan {
+    /// Megabytes of its weights.
+    pub memory_mb: f64,
+    /// Megabytes of each of its adapters.
+    pub adapter_mb: f64,
+    /// Milliseconds of a load from the weight store at full speed.
+    pub store_load_ms: u64,
+    /// Milliseconds of a load from the upstream's disk.
+    pub disk_load_ms: u64,
+    /// Milliseconds of a load from the upstream's memory.
+    pub warm_load_ms: u64,
+}
--- /dev/null
+++ b/src/gateway/answer_body.rs
@@ -0,0 +1,158 @@
+//! Passes an upstream's body on as it arrives.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use send_wrapper::SendWrapper;
+
+use super::call_flow::HeldCall;
+use super::upstream_call::UpstreamLine;
+use super::{AttemptResult, CallPlan, GatewayContext};
+use crate::fleet::UpstreamKey;
+use crate::net::BodyError;
+use crate::prelude::*;
+use crate::quarantine::RequestFingerprint;
+
+/// Counts a request at an upstream until it has ended, however it ends.
+pub struct CallGuard {
+    context: Rc<GatewayContext>,
+    plan: CallPlan,
+    fingerprint: RequestFingerprint,
+    key: UpstreamKey,
+    upstream: UpstreamId,
+    outcome: &'static str,
+    body_bytes: u64,
+}
+
+impl CallGuard {
+    /// Counts the request.
+    pub fn begin(
+        context: &Rc<GatewayContext>,
+        call: &HeldCall,
+        key: UpstreamKey,
+        upstream: UpstreamId,
+    ) -> Self {
+        let plan = &call.plan;
+        context.loads.borrow_mut().begin(key);
+        context.track_run(key, plan.need.as_ref(), 1);
+        Self {
+            context: Rc::clone(context),
+            plan: plan.clone(),
+            fingerprint: call.fingerprint,
+            key,
+            upstream,
+            outcome: "caller_left",
+            body_bytes: 0,
+        }
+    }
+
+    /// Says how the request ended.
+    pub const fn end(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.context.loads.borrow_mut().end(self.key);
+        self.context.track_run(self.key, self.plan.need.as_ref(), -1);
+        let took_ms = self.context.now().millis_since(self.plan.arrived_at);
+        log::info!(
+            request:% = self.plan.request,
+            upstream:% = self.upstream,
+            outcome = self.outcome,
+            bytes = self.body_bytes,
+            ms = took_ms;
+            "attempt ended"
+        );
+    }
+}
+
+/// An upstream's body with all that must live as long as it is passed on.
+struct BodyState {
+    incoming: Incoming,
+    limit: LocalBoxFuture<'static, ()>,
+    guard: CallGuard,
+    /// Dropped with the body: the upstream sees that the caller has left.
+    _line: UpstreamLine,
+}
+
+/// Passes an upstream's body on. The server asks for bodies that may change threads; this one
+/// stays on the thread of its runtime.
+pub struct AnswerBody(SendWrapper<BodyState>);
+
+impl AnswerBody {
+    /// Passes a body on until its end or until the request's time is over.
+    pub fn open(incoming: Incoming, guard: CallGuard, line: UpstreamLine) -> Self {
+        let now = guard.context.now();
+        let left = Duration::from_millis(guard.plan.ends_at.millis_since(now));
+        Self(SendWrapper::new(BodyState {
+            incoming,
+            limit: compio::time::sleep(left).boxed_local(),
+            guard,
+            _line: line,
+        }))
+    }
+}
+
+impl BodyState {
+    fn fail(&mut self, outcome: &'static str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.guard.end(outcome);
+        let now = self.guard.context.now();
+        let key = self.guard.key;
+        let mut loads = self.guard.context.loads.borrow_mut();
+        loads.ended(now, key, AttemptResult::Failed);
+        Poll::Ready(Some(Err(BodyError::Cut)))
+    }
+
+    fn take_cut(&mut self, error: &hyper::Error) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        log::warn!(
+            request:% = self.guard.plan.request,
+            upstream:% = self.guard.upstream,
+            error:% = error;
+            "answer cut by the upstream"
+        );
+        self.guard.context.note_crash(self.guard.fingerprint, self.guard.key);
+        self.fail("cut_by_upstream")
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let state = &mut *self.0;
+        match Pin::new(&mut state.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                state.guard.body_bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => state.take_cut(&error),
+            Poll::Ready(None) => {
+                state.guard.end("complete");
+                Poll::Ready(None)
+            }
+            Poll::Pending if state.limit.poll_unpin(context).is_ready() => state.fail("time_over"),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        false
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.0.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/src/gateway/call_flow.rs
@@ -0,0 +1,368 @@
+//! The way of one request: waits for its model, goes to an upstream, and is answered.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+
+use super::answer_body::{AnswerBody, CallGuard};
+use super::call_refusal::refusal_response;
+use super::upstream_call::{CallFailure, UpstreamLine, call_upstream};
+use super::{
+    AnswerHead, AttemptHead, AttemptResult, CallPlan, ChoiceInput, GatewayContext, UpstreamChoice,
+    choose_upstream,
+};
+use crate::fleet::UpstreamKey;
+use crate::metrics::RefusalLabels;
+use crate::net::{HttpBody, full_body, read_body};
+use crate::prelude::*;
+use crate::quarantine::RequestFingerprint;
+
+/// Milliseconds for a connection to an upstream; the far regions answer within 60 ms.
+const CONNECT_MS: u64 = 350;
+
+/// Milliseconds after which a waiting request looks again without being woken.
+const LOOK_AGAIN_MS: u64 = 250;
+
+/// Milliseconds that a request waits for an upstream of a service that has none.
+const NO_UPSTREAM_WAIT_MS: u64 = 400;
+
+/// Milliseconds after which a caller may come back where nothing better is known.
+const RETRY_MS: u64 = 400;
+
+/// Times that one request is handed to an upstream at most, refusals included.
+const MAX_SENDS: usize = 4;
+
+/// Largest answer of a plain service that is read whole before it is passed on.
+const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+
+/// A caller's request, ready to be sent any number of times.
+pub struct HeldCall {
+    /// Head as the caller sent it, without what concerns one connection.
+    pub parts: Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// What was decided about it.
+    pub plan: CallPlan,
+    /// The same for each copy of the request.
+    pub fingerprint: RequestFingerprint,
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    /// The caller gets this.
+    Answer(Response<HttpBody>),
+    /// It did not run there; another upstream may take it.
+    NotRun,
+    /// It may have run.
+    Unknown(RefusalReason),
+}
+
+/// Serves a request to its end.
+pub async fn serve_call(context: &Rc<GatewayContext>, call: HeldCall) -> Response<HttpBody> {
+    let mut flow = CallFlow {
+        context,
+        call,
+        tried: Vec::new(),
+        sends: 0,
+        unknowns: 0,
+    };
+    flow.run().await
+}
+
+struct CallFlow<'a> {
+    context: &'a Rc<GatewayContext>,
+    call: HeldCall,
+    /// Upstreams that did not run it.
+    tried: Vec<UpstreamKey>,
+    /// Times that it reached an upstream.
+    sends: usize,
+    /// Attempts that may have run.
+    unknowns: u32,
+}
+
+impl CallFlow<'_> {
+    async fn run(&mut self) -> Response<HttpBody> {
+        loop {
+            let generation = self.context.waits.generation();
+            let now = self.context.now();
+            if self.context.is_held_back(self.call.fingerprint) {
+                return self.give_up(RefusalReason::CrashSuspect, None);
+            }
+            if now >= self.call.plan.ends_at {
+                return self.give_up(RefusalReason::DeadlinePassed, None);
+            }
+            match self.choose(now) {
+                UpstreamChoice::Send {
+                    key,
+                    load,
+                    candidates,
+                } => {
+                    if self.sends > 0 && !self.may_resend(now) {
+                        return self.give_up(RefusalReason::Overloaded, Some(RETRY_MS));
+                    }
+                    match self.attempt(key, load, candidates).await {
+                        AttemptEnd::Answer(response) => return response,
+                        AttemptEnd::NotRun => {}
+                        AttemptEnd::Unknown(reason) => {
+                            self.unknowns += 1;
+                            let may_repeat = self.call.plan.kind.may_repeat()
+                                && self.unknowns < self.call.plan.max_attempts;
+                            if !may_repeat {
+                                return self.give_up(reason, None);
+                            }
+                        }
+                    }
+                }
+                choice => {
+                    if let Some(response) = self.wait(now, generation, choice).await {
+                        return response;
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&self, now: MonoTime) -> UpstreamChoice {
+        let context = self.context;
+        choose_upstream(&ChoiceInput {
+            now,
+            plan: &self.call.plan,
+            roster: &context.roster.borrow(),
+            placement: &context.placement.borrow(),
+            loads: &context.loads.borrow(),
+            tried: &self.tried,
+            zone: &context.node.zone,
+            is_near: &|zone| context.is_near(zone),
+        })
+    }
+
+    /// Waits for news; answers the request if waiting is hopeless.
+    async fn wait(
+        &mut self,
+        now: MonoTime,
+        generation: u64,
+        choice: UpstreamChoice,
+    ) -> Option<Response<HttpBody>> {
+        let plan = &self.call.plan;
+        let need = plan.need.clone();
+        let (Some(need), UpstreamChoice::NotLoaded) = (need, choice) else {
+            if !self.tried.is_empty() || now >= plan.arrived_at + NO_UPSTREAM_WAIT_MS {
+                return Some(self.give_up(RefusalReason::NoReplica, Some(RETRY_MS)));
+            }
+            self.pause(generation, LOOK_AGAIN_MS).await;
+            return None;
+        };
+        if now >= plan.wait_until {
+            let retry_ms = self.context.waits.forecast_ms(&need).unwrap_or(RETRY_MS);
+            return Some(self.give_up(RefusalReason::NoReplica, Some(retry_ms)));
+        }
+        let place =
+            self.context.waits.enter(need.clone(), &plan.service, plan.rank, plan.arrived_at);
+        let left_ms = plan.wait_until.millis_since(now);
+        self.pause(generation, left_ms.min(LOOK_AGAIN_MS)).await;
+        // Upstreams that refused for want of the model may have it now.
+        self.tried.clear();
+        drop(place);
+        let forecast_ms = self.context.waits.forecast_ms(&need)?;
+        let left_ms = self.call.plan.wait_until.millis_since(self.context.now());
+        if forecast_ms > left_ms {
+            return Some(self.give_up(RefusalReason::DeadlineUnreachable, Some(forecast_ms)));
+        }
+        None
+    }
+
+    async fn pause(&self, generation: u64, limit_ms: u64) {
+        let limit = Duration::from_millis(limit_ms);
+        let waking = self.context.waits.woken_after(generation);
+        let _ = compio::time::timeout(limit, waking).await;
+    }
+
+    fn may_resend(&self, now: MonoTime) -> bool {
+        let mut budget = self.context.resends.borrow_mut();
+        self.sends < MAX_SENDS && budget.try_spend(now, &self.call.plan.service)
+    }
+
+    async fn attempt(&mut self, key: UpstreamKey, load: u32, candidates: usize) -> AttemptEnd {
+        let context = self.context;
+        let entry = context.roster.borrow().get(key).cloned();
+        let Some(entry) = entry else { return AttemptEnd::NotRun };
+        let now = context.now();
+        let plan = &self.call.plan;
+        let left_ms = plan.ends_at.millis_since(now);
+        log::info!(
+            request:% = plan.request,
+            route:% = plan.route,
+            config = plan.catalog_version,
+            upstream:% = entry.id,
+            need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+            load,
+            candidates,
+            waited_ms = now.millis_since(plan.arrived_at),
+            left_ms;
+            "attempt"
+        );
+        let mut guard = CallGuard::begin(context, &self.call, key, entry.id.clone());
+        let request = self.build(&AttemptHead {
+            deadline_ms: left_ms,
+            upstream: entry.id.clone(),
+            priority: plan.need.as_ref().map(|_| engine_priority(plan.rank)),
+        });
+        let calling = call_upstream(entry.address, request, CONNECT_MS.min(left_ms), left_ms);
+        let result = calling.await;
+        let now = context.now();
+        match result {
+            Ok((response, line)) => {
+                self.sends += 1;
+                self.take_answer(key, response, line, guard).await
+            }
+            Err(CallFailure::Unsent(error)) => {
+                guard.end("unsent");
+                self.note(now, key, AttemptResult::Unreachable);
+                self.tried.push(key);
+                log::warn!(request:% = self.call.plan.request, error:% = error; "upstream not reached");
+                AttemptEnd::NotRun
+            }
+            Err(CallFailure::Lost(error)) => {
+                guard.end("lost");
+                self.sends += 1;
+                self.note(now, key, AttemptResult::Failed);
+                self.tried.push(key);
+                context.note_crash(self.call.fingerprint, key);
+                log::warn!(request:% = self.call.plan.request, error:% = error; "upstream lost");
+                AttemptEnd::Unknown(RefusalReason::UpstreamLost)
+            }
+            Err(CallFailure::TimedOut) => {
+                guard.end("no_answer");
+                self.sends += 1;
+                self.note(now, key, AttemptResult::Failed);
+                AttemptEnd::Unknown(RefusalReason::DeadlinePassed)
+            }
+        }
+    }
+
+    fn build(&self, head: &AttemptHead) -> Request<HttpBody> {
+        let mut parts = self.call.parts.clone();
+        self.context.ports.dialect.write_attempt(&mut parts.headers, head);
+        Request::from_parts(parts, full_body(self.call.body.clone()))
+    }
+
+    fn note(&self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
+        self.context.loads.borrow_mut().ended(now, key, result);
+    }
+
+    async fn take_answer(
+        &mut self,
+        key: UpstreamKey,
+        response: Response<Incoming>,
+        line: UpstreamLine,
+        mut guard: CallGuard,
+    ) -> AttemptEnd {
+        let now = self.context.now();
+        let (mut parts, incoming) = response.into_parts();
+        let head = self.context.ports.dialect.read_answer(parts.status, &parts.headers);
+        if let Some(count) = head.load {
+            self.context.loads.borrow_mut().reported(now, key, count);
+        }
+        if head.is_not_run {
+            guard.end("not_run");
+            self.note_refusal(now, key, &head, parts.status);
+            return AttemptEnd::NotRun;
+        }
+        let is_other = head.request.as_ref().is_some_and(|id| *id != self.call.plan.request);
+        let is_promise = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
+        if is_promise || is_other || (parts.status.is_success() && !head.is_sealed) {
+            guard.end("wrong_answer");
+            self.note(now, key, AttemptResult::Failed);
+            self.tried.push(key);
+            return AttemptEnd::Unknown(RefusalReason::UpstreamFailed);
+        }
+        self.context.ports.dialect.strip_answer(&mut parts.headers);
+        let result = if parts.status.is_server_error() {
+            AttemptResult::Failed
+        } else {
+            AttemptResult::Answered
+        };
+        self.note(now, key, result);
+        self.context.note_answered(&self.call.plan, now);
+        if self.call.plan.is_stream() {
+            let body = AnswerBody::open(incoming, guard, line);
+            return AttemptEnd::Answer(Response::from_parts(parts, body.boxed_unsync()));
+        }
+        let left_ms = self.call.plan.ends_at.millis_since(now);
+        match read_body(incoming, WHOLE_ANSWER_BYTES, left_ms).await {
+            Ok(body) => {
+                guard.end("complete");
+                AttemptEnd::Answer(Response::from_parts(parts, full_body(body)))
+            }
+            Err(error) => {
+                guard.end("cut_by_upstream");
+                self.note(self.context.now(), key, AttemptResult::Failed);
+                self.tried.push(key);
+                log::warn!(request:% = self.call.plan.request, error:% = error; "answer not whole");
+                AttemptEnd::Unknown(RefusalReason::UpstreamLost)
+            }
+        }
+    }
+
+    fn note_refusal(
+        &mut self,
+        now: MonoTime,
+        key: UpstreamKey,
+        head: &AnswerHead,
+        status: StatusCode,
+    ) {
+        log::info!(request:% = self.call.plan.request, status = status.as_u16(); "refused by upstream");
+        if head.is_other_upstream {
+            self.note(now, key, AttemptResult::Unreachable);
+        } else if let Some(need) = &self.call.plan.need
+            && status == StatusCode::MISDIRECTED_REQUEST
+        {
+            self.context.placement.borrow_mut().note_missing(now, key, need);
+            return;
+        }
+        self.tried.push(key);
+    }
+
+    fn give_up(&self, reason: RefusalReason, retry_ms: Option<u64>) -> Response<HttpBody> {
+        let plan = &self.call.plan;
+        let now = self.context.now();
+        let refusal = if self.unknowns > 0 {
+            let unknown = match reason {
+                RefusalReason::UpstreamFailed | RefusalReason::DeadlinePassed => reason,
+                _ => RefusalReason::UpstreamLost,
+            };
+            RequestRefusal::unknown(unknown)
+        } else if reason == RefusalReason::DeadlinePassed {
+            RequestRefusal::not_run(RefusalReason::DeadlineUnreachable)
+        } else {
+            RequestRefusal::not_run(reason)
+        };
+        let left_ms = plan.ends_at.millis_since(now);
+        let labels = RefusalLabels::of(refusal);
+        self.context.metrics.refused.get_or_create(&labels).inc();
+        log::info!(
+            request:% = plan.request,
+            route:% = plan.route,
+            need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+            reason:? = refusal.reason,
+            outcome:? = refusal.outcome,
+            sends = self.sends,
+            waited_ms = now.millis_since(plan.arrived_at),
+            left_ms,
+            retry_ms = retry_ms.unwrap_or(0);
+            "refused"
+        );
+        refusal_response(refusal, retry_ms)
+    }
+}
+
+/// Priority at an engine for a rank; ranks beyond the last priority share it.
+fn engine_priority(rank: u8) -> u8 {
+    const LAST_PRIORITY: u8 = 9;
+    rank.saturating_mul(2).min(LAST_PRIORITY)
+}
--- /dev/null
+++ b/src/gateway/control_server.rs
@@ -0,0 +1,60 @@
+//! Readiness, metrics and the calls of other processes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use super::GatewayContext;
+use super::planner_rpc::PlannerRpc;
+use crate::daemon::plain_response;
+use crate::net::{HttpBody, HttpHandler};
+use crate::rpc::RpcEndpoint;
+use crate::sync::PlannerApiServer;
+
+/// Answers everything that is not a caller's request.
+pub struct ControlServer {
+    context: Rc<GatewayContext>,
+    rpc: RpcEndpoint,
+}
+
+impl ControlServer {
+    /// Opens the handler.
+    #[must_use]
+    pub fn open(context: Rc<GatewayContext>) -> Rc<Self> {
+        let rpc = RpcEndpoint::open(PlannerRpc::open(Rc::clone(&context)).into_rpc());
+        Rc::new(Self { context, rpc })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let path = request.uri().path();
+        if path == self.context.config.ready_path {
+            return if self.context.is_ready() {
+                plain_response(StatusCode::OK, "ready\n".to_owned(), "text/plain")
+            } else {
+                let text = "not ready\n".to_owned();
+                plain_response(StatusCode::SERVICE_UNAVAILABLE, text, "text/plain")
+            };
+        }
+        match path {
+            "/rpc" => self.rpc.answer(request).await,
+            "/metrics" => {
+                let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+                plain_response(StatusCode::OK, self.context.metrics.encode(), content_type)
+            }
+            _ => plain_response(StatusCode::NOT_FOUND, String::new(), "text/plain"),
+        }
+    }
+}
+
+impl HttpHandler for ControlServer {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(async move { self.answer(request).await })
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_handle.rs
@@ -0,0 +1,94 @@
+//! Starting and stopping a gateway.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::runtime::JoinHandle;
+
+use super::control_server::ControlServer;
+use super::fleet_follower::{expire_upstreams, follow_catalog, follow_upstreams};
+use super::front_server::FrontServer;
+use super::planner_link::{release_lease, run_follow, run_lease, run_orders, run_report};
+use super::{GatewayContext, GatewayPorts};
+use crate::config::{GatewayConfig, NodeConfig};
+use crate::daemon::DaemonError;
+use crate::net::{HttpServer, HttpServing, ServerLimits};
+
+/// Milliseconds for which new connections are still taken after the shutdown began; the
+/// balancer asks once a second and needs two misses.
+const BALANCER_MS: u64 = 2_600;
+
+/// Milliseconds kept at the end of the time that a shutdown has.
+const EXIT_RESERVE_MS: u64 = 400;
+
+/// A running gateway; dropping it ends its loops at once.
+pub struct GatewayHandle {
+    context: Rc<GatewayContext>,
+    front: HttpServing,
+    controls: Vec<HttpServing>,
+    loops: Vec<JoinHandle<()>>,
+}
+
+impl GatewayHandle {
+    /// Binds all addresses and starts serving.
+    ///
+    /// # Errors
+    /// [`DaemonError`] if an address is taken.
+    pub async fn spawn(
+        node: NodeConfig,
+        config: GatewayConfig,
+        ports: GatewayPorts,
+    ) -> Result<Self, DaemonError> {
+        let front_limits = ServerLimits {
+            header_ms: config.idle_ms,
+        };
+        let front = HttpServer::bind(node.listen).await?.with_limits(front_limits);
+        let mut control_servers = Vec::new();
+        for address in [config.ready, config.peers, config.metrics] {
+            control_servers.push(HttpServer::bind(address).await?.with_limits(front_limits));
+        }
+        let context = GatewayContext::open(node, config, ports);
+        let loops = vec![
+            compio::runtime::spawn(follow_catalog(Rc::clone(&context))),
+            compio::runtime::spawn(follow_upstreams(Rc::clone(&context))),
+            compio::runtime::spawn(expire_upstreams(Rc::clone(&context))),
+            compio::runtime::spawn(run_lease(Rc::clone(&context))),
+            compio::runtime::spawn(run_follow(Rc::clone(&context))),
+            compio::runtime::spawn(run_report(Rc::clone(&context))),
+            compio::runtime::spawn(run_orders(Rc::clone(&context))),
+        ];
+        let handler = ControlServer::open(Rc::clone(&context));
+        let mut controls = Vec::new();
+        for server in control_servers {
+            controls.push(server.spawn(Rc::clone(&handler))?);
+        }
+        let front = front.spawn(FrontServer::open(Rc::clone(&context)))?;
+        Ok(Self {
+            context,
+            front,
+            controls,
+            loops,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Tells the balancer, finishes open requests and stops. Returns the number of
+    /// connections cut at the end of the time.
+    pub async fn shutdown(self) -> usize {
+        self.context.stopping.set(true);
+        release_lease(&self.context).await;
+        compio::time::sleep(Duration::from_millis(BALANCER_MS)).await;
+        let limit_ms = self.context.node.drain_ms;
+        let left_ms = limit_ms.saturating_sub(BALANCER_MS + EXIT_RESERVE_MS);
+        let cut = self.front.drain(left_ms).await;
+        drop(self.controls);
+        drop(self.loops);
+        cut
+    }
+}
--- /dev/null
+++ b/src/gateway/load_book.rs
@@ -0,0 +1,142 @@
+//! What this process knows of each upstream's load and health.
+
+use slotmap::SecondaryMap;
+
+use crate::fleet::UpstreamKey;
+use crate::prelude::*;
+
+/// Milliseconds for which a load told in an answer is taken as it is.
+const REPORTED_FRESH_MS: u64 = 800;
+
+/// Milliseconds that an upstream is passed over after its first failure to answer.
+const FIRST_EJECTION_MS: u64 = 500;
+
+/// Longest such time.
+const MAX_EJECTION_MS: u64 = 4_000;
+
+/// Weight of the newest attempt in the failure estimate.
+const FAILURE_WEIGHT: f64 = 0.25;
+
+/// Share of failed attempts above which an upstream is passed over while others exist.
+const FAILING_SHARE: f64 = 0.3;
+
+/// Milliseconds over which a failure estimate loses half of its weight.
+const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
+
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// It answered.
+    Answered,
+    /// It could not be reached.
+    Unreachable,
+    /// It answered wrongly, cut its answer or did not answer in time.
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct UpstreamLoad {
+    in_flight: u32,
+    /// Load told in an answer, when, and own requests in flight then.
+    reported: Option<(MonoTime, u32, u32)>,
+    failures: f64,
+    failures_at: MonoTime,
+    ejections: u32,
+    ejected_until: Option<MonoTime>,
+}
+
+/// Counts own requests and remembers what answers told.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    loads: SecondaryMap<UpstreamKey, UpstreamLoad>,
+}
+
+impl LoadBook {
+    /// Opens an empty book.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request sent.
+    pub fn begin(&mut self, key: UpstreamKey) {
+        self.load(key).in_flight += 1;
+    }
+
+    /// Counts a request ended.
+    pub fn end(&mut self, key: UpstreamKey) {
+        if let Some(load) = self.loads.get_mut(key) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that an answer told.
+    pub fn reported(&mut self, now: MonoTime, key: UpstreamKey, count: u32) {
+        let load = self.load(key);
+        load.reported = Some((now, count, load.in_flight));
+    }
+
+    /// Takes the end of an attempt.
+    pub fn ended(&mut self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
+        let load = self.load(key);
+        let failed = if result == AttemptResult::Answered { 0.0 } else { 1.0 };
+        let known = decayed(load, now);
+        load.failures = known + (failed - known) * FAILURE_WEIGHT;
+        load.failures_at = now;
+        match result {
+            AttemptResult::Answered => {
+                load.ejections = 0;
+                load.ejected_until = None;
+            }
+            AttemptResult::Unreachable => {
+                let ejection_ms = FIRST_EJECTION_MS << load.ejections.min(3);
+                load.ejections += 1;
+                load.ejected_until = Some(now + ejection_ms.min(MAX_EJECTION_MS));
+            }
+            AttemptResult::Failed => {}
+        }
+    }
+
+    /// Requests that run or wait at the upstream, as far as is known.
+    #[must_use]
+    pub fn estimate(&self, now: MonoTime, key: UpstreamKey) -> u32 {
+        let Some(load) = self.loads.get(key) else { return 0 };
+        match load.reported {
+            Some((at, count, own)) if now.millis_since(at) < REPORTED_FRESH_MS => {
+                (count + load.in_flight).saturating_sub(own).max(load.in_flight)
+            }
+            _ => load.in_flight,
+        }
+    }
+
+    /// Whether the upstream is better passed over.
+    #[must_use]
+    pub fn is_suspect(&self, now: MonoTime, key: UpstreamKey) -> bool {
+        let Some(load) = self.loads.get(key) else { return false };
+        load.ejected_until.is_some_and(|until| now < until) || decayed(load, now) > FAILING_SHARE
+    }
+
+    /// Own requests at the upstream.
+    #[must_use]
+    pub fn in_flight(&self, key: UpstreamKey) -> u32 {
+        self.loads.get(key).map_or(0, |load| load.in_flight)
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, exists: impl Fn(UpstreamKey) -> bool) {
+        self.loads.retain(|key, _| exists(key));
+    }
+
+    fn load(&mut self, key: UpstreamKey) -> &mut UpstreamLoad {
+        if !self.loads.contains_key(key) {
+            self.loads.insert(key, UpstreamLoad::default());
+        }
+        &mut self.loads[key]
+    }
+}
+
+fn decayed(load: &UpstreamLoad, now: MonoTime) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let age_ms = now.millis_since(load.failures_at) as f64;
+    load.failures * (-age_ms / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,30 @@
+//! An entry that hands requests to upstreams directly and, under a lease, plans what the
+//! engines hold.
+
+mod answer_body;
+mod call_dialect;
+mod call_flow;
+mod call_plan;
+mod call_refusal;
+mod control_server;
+mod fleet_follower;
+mod front_server;
+mod gateway_context;
+mod gateway_handle;
+mod load_book;
+mod placement_view;
+mod planner_host;
+mod planner_link;
+mod planner_rpc;
+mod upstream_call;
+mod upstream_choice;
+mod wait_board;
+
+pub use call_dialect::{AnswerHead, AttemptHead, CallDialect, CallHead, PromptPart};
+pub use call_plan::CallPlan;
+pub use gateway_context::{GatewayContext, GatewayPorts};
+pub use gateway_handle::GatewayHandle;
+pub use load_book::{AttemptResult, LoadBook};
+pub use placement_view::PlacementView;
+pub use upstream_choice::{ChoiceInput, UpstreamChoice, choose_upstream};
+pub use wait_board::WaitBoard;
--- /dev/null
+++ b/src/gateway/planner_host.rs
@@ -0,0 +1,207 @@
+//! The planner's lease, and the planner while this process holds it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::config::{GatewayConfig, NodeConfig};
+use crate::daemon::{BroadcastSignal, WakeSignal};
+use crate::lease::{LeaseHolder, LeaseIntent, LeaseRow};
+use crate::orders::{OrderPlanner, PlacementNews, PlannerPolicy};
+use crate::prelude::*;
+use crate::sync::{CrashLine, DemandAnswer, DemandReport, FollowMark, ForecastLine};
+use crate::table::RowRevision;
+
+/// Milliseconds after which an entry that fell silent no longer counts.
+const EDGE_LIFE_MS: u64 = 3_000;
+
+/// Milliseconds for which crashes are passed on to other entries.
+const CRASH_NEWS_MS: u64 = 2_000;
+
+/// Milliseconds added to the pause between two holders, for clocks and links.
+const TURN_MARGIN_MS: u64 = 250;
+
+struct ActivePlanner {
+    planner: OrderPlanner,
+    epoch: u64,
+    /// No order goes out before this time: an earlier holder's last order must be long past.
+    orders_from: MonoTime,
+    edges: HashMap<InstanceName, MonoTime>,
+    crashes: Vec<(MonoTime, CrashLine)>,
+}
+
+/// This process's side of the planner's lease.
+pub struct PlannerHost {
+    lease: RefCell<LeaseHolder>,
+    active: RefCell<Option<ActivePlanner>>,
+    policy: PlannerPolicy,
+    turn_ms: u64,
+    address: SocketAddr,
+    /// When the planner was last heard of, where it is another process.
+    pub heard_at: Cell<MonoTime>,
+    /// Wakes the loop that gives orders.
+    pub work: WakeSignal,
+    /// Notified when holdings changed.
+    pub news: BroadcastSignal,
+}
+
+impl PlannerHost {
+    /// Opens a host that does not hold the lease.
+    #[must_use]
+    pub fn open(node: &NodeConfig, config: &GatewayConfig, start_id: u64) -> Self {
+        let lease =
+            LeaseHolder::open(node.instance.clone(), config.peers, start_id, config.lease_term_ms);
+        Self {
+            lease: RefCell::new(lease),
+            active: RefCell::default(),
+            policy: PlannerPolicy {
+                store_loads: config.store_loads,
+                ..PlannerPolicy::default()
+            },
+            turn_ms: config.order_turn_ms,
+            address: config.peers,
+            heard_at: Cell::default(),
+            work: WakeSignal::default(),
+            news: BroadcastSignal::default(),
+        }
+    }
+
+    /// Runs a step of the planner, if this process has one.
+    pub fn with_planner<R>(&self, step: impl FnOnce(&mut OrderPlanner) -> R) -> Option<R> {
+        let mut active = self.active.borrow_mut();
+        let active = active.as_mut()?;
+        let before = active.planner.version();
+        let result = step(&mut active.planner);
+        let is_changed = active.planner.version() != before;
+        if is_changed {
+            self.news.notify();
+        }
+        self.work.notify();
+        Some(result)
+    }
+
+    /// Epoch under which orders may be given now.
+    #[must_use]
+    pub fn order_epoch(&self, now: MonoTime) -> Option<u64> {
+        let active = self.active.borrow();
+        let active = active.as_ref()?;
+        let may_order = self.lease.borrow().is_held(now) && now >= active.orders_from;
+        may_order.then_some(active.epoch)
+    }
+
+    /// Whether this process plans.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.active.borrow().is_some()
+    }
+
+    /// Where the planner listens, if it is another process.
+    #[must_use]
+    pub fn remote_address(&self) -> Option<SocketAddr> {
+        let lease = self.lease.borrow();
+        let row = lease.last_row().filter(|row| !row.is_released)?;
+        (row.address != self.address).then_some(row.address)
+    }
+
+    /// Takes the lease row as the table has it.
+    pub fn observe(&self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
+        self.lease.borrow_mut().observe(now, revision, row);
+    }
+
+    /// The write that is due, if any.
+    #[must_use]
+    pub fn intent(&self, now: MonoTime) -> Option<LeaseIntent> {
+        self.lease.borrow().intent(now, true)
+    }
+
+    /// Milliseconds until the lease must be renewed, if it is held.
+    #[must_use]
+    pub fn renewal_in_ms(&self, now: MonoTime) -> Option<u64> {
+        self.lease.borrow().renewal_in_ms(now)
+    }
+
+    /// Takes word that a write took effect. Returns the new planner's epoch if this process
+    /// begins to plan.
+    pub fn committed(
+        &self,
+        now: MonoTime,
+        sent_at: MonoTime,
+        intent: &LeaseIntent,
+        revision: RowRevision,
+    ) -> Option<u64> {
+        let is_first = intent.expected == RowRevision::ABSENT;
+        let mut lease = self.lease.borrow_mut();
+        let was_ours = lease.is_last_ours();
+        lease.committed(sent_at, intent, revision);
+        let mut active = self.active.borrow_mut();
+        if active.as_ref().is_some_and(|active| active.epoch == intent.row.epoch) {
+            return None;
+        }
+        let pause_ms = if is_first || was_ours { 0 } else { self.turn_ms + TURN_MARGIN_MS };
+        *active = Some(ActivePlanner {
+            planner: OrderPlanner::open(self.policy, intent.row.epoch),
+            epoch: intent.row.epoch,
+            orders_from: now + pause_ms,
+            edges: HashMap::new(),
+            crashes: Vec::new(),
+        });
+        Some(intent.row.epoch)
+    }
+
+    /// Stops planning if the lease has passed to another process.
+    pub fn settle(&self) -> bool {
+        let is_lost = self.is_active() && !self.lease.borrow().is_last_ours();
+        if is_lost {
+            *self.active.borrow_mut() = None;
+        }
+        is_lost
+    }
+
+    /// Stops planning and returns the write that gives the lease up.
+    #[must_use]
+    pub fn release(&self) -> Option<LeaseIntent> {
+        *self.active.borrow_mut() = None;
+        self.lease.borrow_mut().release()
+    }
+
+    /// Takes an answer of the planner's process.
+    pub fn heard(&self, now: MonoTime, revision: u64) {
+        self.heard_at.set(now);
+        if revision > 0 {
+            self.lease.borrow_mut().heard(now, RowRevision(revision));
+        }
+    }
+
+    /// Answers an entry's report, if this process plans.
+    #[must_use]
+    pub fn take_report(&self, now: MonoTime, report: DemandReport) -> Option<DemandAnswer> {
+        let revision = self.lease.borrow().held_revision(now);
+        let mut active = self.active.borrow_mut();
+        let active = active.as_mut()?;
+        active.edges.insert(report.edge.clone(), now);
+        active.edges.retain(|_, at| now.millis_since(*at) < EDGE_LIFE_MS);
+        active.crashes.retain(|(at, _)| now.millis_since(*at) < CRASH_NEWS_MS);
+        active.crashes.extend(report.crashes.iter().map(|line| (now, *line)));
+        let wants = report.demand.wants.clone();
+        active.planner.take_demand(now, report.edge, report.demand);
+        let forecasts = wants.iter().map(|line| {
+            let forecast_ms = active.planner.forecast_ms(now, &line.need);
+            ForecastLine(line.need.clone(), forecast_ms)
+        });
+        let answer = DemandAnswer {
+            lease_revision: revision.map_or(0, |revision| revision.0),
+            edge_count: u32::try_from(active.edges.len()).unwrap_or(u32::MAX),
+            forecasts: forecasts.collect(),
+            crashes: active.crashes.iter().map(|(_, line)| *line).collect(),
+        };
+        self.work.notify();
+        Some(answer)
+    }
+
+    /// News after a mark, if this process plans.
+    #[must_use]
+    pub fn news_since(&self, mark: FollowMark) -> Option<PlacementNews> {
+        let active = self.active.borrow();
+        Some(active.as_ref()?.planner.news_since(mark.epoch, mark.version))
+    }
+}
--- a/src/ids/names.rs
+++ b/src/ids/names.rs
@@ -72,6 +72,11 @@
     ReplicaName
 );
 
+text_name!(
+    /// One upstream as the platform lists it.
+    UpstreamId
+);
+
 impl ReplicaName {
     /// Names the given version of a model.
     #[must_use]
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -64,7 +64,7 @@
         self.watch.observe(revision, now);
         let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
         match (&mut self.held, &row) {
-            (Some(held), Some(row)) if ours => {
+            (Some(held), Some(row)) if ours && !row.is_released => {
                 held.revision = revision;
                 held.beat = row.beat;
             }
@@ -81,8 +81,8 @@
         }
         let (revision, row) = self.seen.as_ref()?;
         let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
-        let lapsed = self.watch.has_lapsed(now, self.term_ms);
-        let is_free = lapsed && may_take;
+        let is_released = row.as_ref().is_some_and(|row| row.is_released);
+        let is_free = may_take && (is_released || self.watch.has_lapsed(now, self.term_ms));
         if !ours && !is_free {
             return None;
         }
@@ -106,6 +106,35 @@
         });
     }
 
+    /// Takes word of the row's revision from a peer that has seen it.
+    pub fn heard(&mut self, now: MonoTime, revision: RowRevision) {
+        self.watch.observe(revision, now);
+    }
+
+    /// Stops deciding under the lease at once and returns the write that gives it up.
+    #[must_use]
+    pub fn release(&mut self) -> Option<LeaseIntent> {
+        let held = self.held.take()?;
+        let mut row = self.row(held.epoch, held.beat + 1);
+        row.is_released = true;
+        Some(LeaseIntent {
+            expected: held.revision,
+            row,
+        })
+    }
+
+    /// Milliseconds until the next renewal is due, if the lease is held.
+    #[must_use]
+    pub fn renewal_in_ms(&self, now: MonoTime) -> Option<u64> {
+        self.held.map(|held| held.renew_at.millis_since(now))
+    }
+
+    /// Whether the newest row seen was written by this process.
+    #[must_use]
+    pub fn is_last_ours(&self) -> bool {
+        self.last_row().is_some_and(|row| self.is_ours(row))
+    }
+
     /// Whether decisions may be made under the lease now.
     #[must_use]
     pub fn is_held(&self, now: MonoTime) -> bool {
@@ -150,6 +179,7 @@
             start_id: self.start_id,
             epoch,
             beat,
+            is_released: false,
         }
     }
 }
--- a/src/lease/lease_row.rs
+++ b/src/lease/lease_row.rs
@@ -19,4 +19,7 @@
     pub epoch: u64,
     /// Rises with each renewal, so that each write changes the row.
     pub beat: u64,
+    /// Set when the holder gives the lease up; another process may take it at once.
+    #[serde(default)]
+    pub is_released: bool,
 }
--- a/src/metrics/metric_labels.rs
+++ b/src/metrics/metric_labels.rs
@@ -2,6 +2,8 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 
+use crate::refusal::{ProblemDocument, RequestRefusal};
+
 /// Labels of answered requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -18,6 +20,19 @@
     pub outcome: String,
 }
 
+impl RefusalLabels {
+    /// Labels of one refusal.
+    #[must_use]
+    pub fn of(refusal: RequestRefusal) -> Self {
+        let document = ProblemDocument::of(refusal, None);
+        let reason = document.kind.rsplit(':').next().unwrap_or_default();
+        Self {
+            reason: reason.to_owned(),
+            outcome: refusal.outcome.to_string(),
+        }
+    }
+}
+
 /// Labels of engine orders.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OrderLabels {
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -19,8 +19,18 @@
 
 use super::{HttpBody, NetError, socket_options};
 
-/// Milliseconds that a sender has for its request head.
-const HEADER_TIMEOUT_MS: u64 = 5_000;
+/// What a server allows its clients.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Milliseconds that a sender has for its request head, idle time before it included.
+    pub header_ms: u64,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { header_ms: 5_000 }
+    }
+}
 
 /// Largest request head in bytes.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
@@ -59,6 +69,7 @@
 #[derive(Debug)]
 pub struct HttpServer {
     listener: TcpListener,
+    limits: ServerLimits,
 }
 
 /// A serving socket; dropping the handle stops it at once.
@@ -77,7 +88,17 @@
     /// [`NetError::Socket`] if the address is taken or not local.
     pub async fn bind(address: SocketAddr) -> Result<Self, NetError> {
         let listener = TcpListener::bind(address).await.map_err(NetError::Socket)?;
-        Ok(Self { listener })
+        Ok(Self {
+            listener,
+            limits: ServerLimits::default(),
+        })
+    }
+
+    /// Replaces the limits.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: ServerLimits) -> Self {
+        self.limits = limits;
+        self
     }
 
     /// The bound address.
@@ -98,6 +119,7 @@
         let open_count = Rc::new(Cell::new(0));
         let accepting = accept_loop(
             self.listener,
+            self.limits,
             handler,
             stop_receiver.shared(),
             Rc::clone(&open_count),
@@ -151,6 +173,7 @@
 
 async fn accept_loop<H: HttpHandler>(
     listener: TcpListener,
+    limits: ServerLimits,
     handler: Rc<H>,
     stop: StopSignal,
     open_count: Rc<Cell<usize>>,
@@ -171,7 +194,7 @@
             continue;
         }
         let guard = OpenGuard::open(&open_count);
-        let serving = serve_connection(stream, peer, Rc::clone(&handler), stop.clone());
+        let serving = serve_connection(stream, peer, limits, Rc::clone(&handler), stop.clone());
         compio::runtime::spawn(async move {
             serving.await;
             drop(guard);
@@ -183,6 +206,7 @@
 async fn serve_connection<H: HttpHandler>(
     stream: TcpStream,
     peer: SocketAddr,
+    limits: ServerLimits,
     handler: Rc<H>,
     stop: StopSignal,
 ) {
@@ -201,7 +225,7 @@
     builder
         .http1()
         .timer(CompioTimer)
-        .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
         .max_buf_size(MAX_HEADER_BYTES);
     builder
         .http2()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,5 +15,6 @@
 pub use http_body::{
     BodyError, HttpBody, empty_body, full_body, json_response, read_body, stream_body,
 };
-pub use http_server::{AbortConnection, HttpHandler, HttpServer, HttpServing};
+pub use http_server::{AbortConnection, HttpHandler, HttpServer, HttpServing, ServerLimits};
 pub use peer_client::PeerClient;
+pub use tcp_dial::dial;
--- /dev/null
+++ b/src/orders/demand_book.rs
@@ -0,0 +1,150 @@
+//! What entries ask for and run, summed over all of them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::ModelNeed;
+use crate::prelude::*;
+
+/// Milliseconds after which an entry's report no longer counts; entries report twice a second.
+const REPORT_LIFE_MS: u64 = 2_500;
+
+/// Milliseconds over which request rates are averaged.
+const RATE_WINDOW_MS: f64 = 8_000.0;
+
+/// Requests that wait at one entry for the same model or adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantLine {
+    /// What is missing.
+    #[serde(flatten)]
+    pub need: ModelNeed,
+    /// The service whose engines may hold it.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Waiting requests.
+    #[serde(rename = "n")]
+    pub count: u32,
+    /// Most urgent rank among them.
+    #[serde(rename = "r")]
+    pub rank: u8,
+    /// Milliseconds that the oldest one has waited.
+    #[serde(rename = "w")]
+    pub waited_ms: u64,
+}
+
+/// Requests of one model that run at one engine for one entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunLine(pub UpstreamId, pub ModelName, pub u32);
+
+/// Requests for one model that arrived at one entry since its last report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskedLine(pub ModelName, pub u32);
+
+/// What one entry reports.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EdgeDemand {
+    /// What its requests wait for.
+    #[serde(rename = "w", default)]
+    pub wants: Vec<WantLine>,
+    /// What it runs.
+    #[serde(rename = "u", default)]
+    pub runs: Vec<RunLine>,
+    /// What was asked for.
+    #[serde(rename = "q", default)]
+    pub asked: Vec<AskedLine>,
+}
+
+/// Demand of all entries for one model or adapter.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantSum {
+    /// The service whose engines may hold it.
+    pub service: ServiceName,
+    /// Waiting requests.
+    pub count: u32,
+    /// Most urgent rank among them.
+    pub rank: u8,
+    /// When the oldest one began to wait.
+    pub since: MonoTime,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct RateEstimate {
+    per_s: f64,
+    at: MonoTime,
+}
+
+impl RateEstimate {
+    fn at(self, now: MonoTime) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let age_ms = now.millis_since(self.at) as f64;
+        self.per_s * (-age_ms / RATE_WINDOW_MS).exp()
+    }
+}
+
+/// Sums the reports of all entries.
+#[derive(Debug, Default)]
+pub struct DemandBook {
+    reports: HashMap<InstanceName, (MonoTime, EdgeDemand)>,
+    rates: HashMap<ModelName, RateEstimate>,
+    /// Requests running by engine and model; rebuilt with each report.
+    runs: HashMap<(UpstreamId, ModelName), u32>,
+}
+
+impl DemandBook {
+    /// Takes an entry's report.
+    pub fn take(&mut self, now: MonoTime, edge: InstanceName, demand: EdgeDemand) {
+        for AskedLine(model, count) in &demand.asked {
+            let rate = self.rates.entry(model.clone()).or_default();
+            let per_s = rate.at(now) + f64::from(*count) * 1_000.0 / RATE_WINDOW_MS;
+            *rate = RateEstimate { per_s, at: now };
+        }
+        self.reports.insert(edge, (now, demand));
+        self.forget_old(now);
+        self.runs.clear();
+        for (_, demand) in self.reports.values() {
+            for RunLine(id, model, count) in &demand.runs {
+                *self.runs.entry((id.clone(), model.clone())).or_default() += count;
+            }
+        }
+    }
+
+    /// What is waited for, over all entries.
+    #[must_use]
+    pub fn wants(&self) -> BTreeMap<ModelNeed, WantSum> {
+        let mut sums: BTreeMap<ModelNeed, WantSum> = BTreeMap::new();
+        for (at, demand) in self.reports.values() {
+            for line in &demand.wants {
+                let since = *at - line.waited_ms;
+                let sum = sums.entry(line.need.clone()).or_insert_with(|| WantSum {
+                    service: line.service.clone(),
+                    count: 0,
+                    rank: line.rank,
+                    since,
+                });
+                sum.count += line.count;
+                sum.rank = sum.rank.min(line.rank);
+                sum.since = sum.since.min(since);
+            }
+        }
+        sums
+    }
+
+    /// Requests of a model that run at an engine, as far as entries have told.
+    #[must_use]
+    pub fn running(&self, id: &UpstreamId, model: &ModelName) -> u32 {
+        let key = (id.clone(), model.clone());
+        self.runs.get(&key).copied().unwrap_or(0)
+    }
+
+    /// Requests a second for a model.
+    #[must_use]
+    pub fn rate(&self, now: MonoTime, model: &ModelName) -> f64 {
+        self.rates.get(model).map_or(0.0, |rate| rate.at(now))
+    }
+
+    /// Drops the reports of entries that fell silent.
+    pub fn forget_old(&mut self, now: MonoTime) {
+        self.reports.retain(|_, (at, _)| now.millis_since(*at) < REPORT_LIFE_MS);
+    }
+}
--- /dev/null
+++ b/src/orders/mod.rs
@@ -0,0 +1,20 @@
+//! Orders to model engines: which upstream holds which models, decided by one planner.
+
+mod demand_book;
+mod engine_control;
+mod order_planner;
+mod order_step;
+mod placement_news;
+mod planner_policy;
+mod swap_choice;
+mod upstream_ledger;
+
+pub use demand_book::{AskedLine, DemandBook, EdgeDemand, RunLine, WantLine};
+pub use engine_control::{
+    EngineControl, EngineOrder, EngineReport, OrderAnswer, OrderFailure, OrderVerb, UpstreamTarget,
+};
+pub use order_planner::{OrderPlanner, PlannerAction};
+pub use order_step::{LoadSource, OrderStep, RunningOrder};
+pub use placement_news::{PlacementNews, UpstreamHoldings};
+pub use planner_policy::PlannerPolicy;
+pub use upstream_ledger::UpstreamLedger;
--- a/src/quarantine/request_fingerprint.rs
+++ b/src/quarantine/request_fingerprint.rs
@@ -34,10 +34,19 @@
     /// Computes the fingerprint of a body.
     #[must_use]
     pub fn of(team: &TeamName, body: &[u8]) -> Self {
+        Self::of_parts(&[team.as_str().as_bytes(), body])
+    }
+
+    /// Computes the fingerprint of several texts.
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
-        hasher.update(team.as_str().as_bytes());
-        hasher.update([0]);
-        hasher.update(body);
+        for (index, part) in parts.iter().enumerate() {
+            if index > 0 {
+                hasher.update([0]);
+            }
+            hasher.update(part);
+        }
         let digest = hasher.finalize();
         let mut head = [0; 8];
         head.copy_from_slice(&digest[..8]);
--- a/src/refusal/refusal_reason.rs
+++ b/src/refusal/refusal_reason.rs
@@ -41,6 +41,8 @@
     UpstreamLeaving,
     /// The request crashed upstreams and is held back
     Quarantined,
+    /// The request was in flight at several crashes and is refused for now
+    CrashSuspect,
     /// The record that keeps the call from running twice cannot be written now
     RecordUnavailable,
     /// The upstream was lost before the whole answer arrived
@@ -72,6 +74,7 @@
             Self::DeadlineUnreachable
             | Self::NoReplica
             | Self::UpstreamLeaving
+            | Self::CrashSuspect
             | Self::RecordUnavailable
             | Self::NotReady
             | Self::Overloaded => 503,
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,5 +1,7 @@
 //! Budgets for retries.
 
+mod resend_window;
 mod retry_budget;
 
+pub use resend_window::ResendWindow;
 pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/src/sync/planner_api.rs
@@ -0,0 +1,25 @@
+//! The calls that the planner answers.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use super::{DemandAnswer, DemandReport, FollowMark};
+use crate::orders::PlacementNews;
+
+/// Interface of the process that holds the planner's lease.
+#[rpc(server, client)]
+pub trait PlannerApi {
+    /// An entry tells what it asks for and runs.
+    ///
+    /// # Errors
+    /// A JSON-RPC error where the process does not hold the lease.
+    #[method(name = "demand")]
+    fn demand(&self, report: DemandReport) -> RpcResult<DemandAnswer>;
+
+    /// Answers as soon as holdings changed after the mark, or when its wait has ended.
+    ///
+    /// # Errors
+    /// A JSON-RPC error where the process does not hold the lease.
+    #[method(name = "follow")]
+    async fn follow(&self, mark: FollowMark) -> RpcResult<PlacementNews>;
+}
--- a/src/table/errors.rs
+++ b/src/table/errors.rs
@@ -10,6 +10,10 @@
     Timeout(#[error(not(source))] u64),
     /// the table service cannot be reached: {0}
     Transport(cyper::Error),
+    /// no connection to the table service: {0}
+    Unreachable(crate::net::NetError),
+    /// the table service's answer was cut: {0}
+    Cut(crate::net::BodyError),
     /// the table service answered with status {0}
     Status(#[error(not(source))] u16),
     /// a table row cannot be decoded: {0}
--- a/src/time/mono_clock.rs
+++ b/src/time/mono_clock.rs
@@ -2,12 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use rustix::time::{ClockId, clock_gettime};
+
 use super::MonoTime;
 
-/// Reads the monotonic clock relative to the moment it was opened.
+/// Reads the clock that also counts the time of a suspended machine, relative to the moment
+/// it was opened. A lease must not outlive a suspension that its holder did not notice.
 #[derive(Debug, Clone, Copy)]
 pub struct MonoClock {
     zero: Instant,
+    zero_ms: u64,
 }
 
 impl MonoClock {
@@ -16,14 +20,14 @@
     pub fn open() -> Self {
         Self {
             zero: Instant::now(),
+            zero_ms: boot_ms(),
         }
     }
 
     /// The current time.
     #[must_use]
     pub fn now(&self) -> MonoTime {
-        let millis = u64::try_from(self.zero.elapsed().as_millis()).unwrap_or(u64::MAX);
-        MonoTime::from_millis(millis)
+        MonoTime::from_millis(boot_ms().saturating_sub(self.zero_ms))
     }
 
     /// The instant of a point in time.
@@ -32,3 +36,11 @@
         self.zero + Duration::from_millis(time.as_millis())
     }
 }
+
+/// Milliseconds since the machine's start, suspended time included.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanos / 1_000_000
+}
