--- a/src/daemon/errors.rs
+++ b/src/daemon/errors.rs
@@ -21,4 +21,7 @@
     Engine(EngineError),
     /// logging: {0}
     Logging(log::SetLoggerError),
+    /// log thread: {0}
+    #[from(ignore)]
+    LogThread(std::io::Error),
 }
--- /dev/null
+++ b/src/daemon/line_writer.rs
@@ -0,0 +1,82 @@
+//! Writes log lines on a thread of its own, so that a slow reader never holds up the daemon.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+use log::Record;
+use log4rs::append::Append;
+
+use super::log_line::log_line;
+
+/// Lines that wait for the writer at most; further ones are dropped and counted.
+const MAX_WAITING_LINES: usize = 4_096;
+
+/// Milliseconds for which lines are gathered before they are written together.
+const GATHER_MS: u64 = 50;
+
+/// Stack of the writing thread in bytes; it keeps nothing on it.
+const STACK_BYTES: usize = 64 * 1024;
+
+/// Hands lines to a writing thread.
+#[derive(Debug)]
+pub struct LineWriter {
+    sender: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineWriter {
+    /// Starts the thread that writes to `output`.
+    ///
+    /// # Errors
+    /// The system's error if no thread can be started.
+    pub fn spawn(output: impl Write + Send + 'static) -> std::io::Result<Self> {
+        let (sender, receiver) = sync_channel(MAX_WAITING_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&dropped);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || write_lines(&receiver, &counter, output))?;
+        Ok(Self { sender, dropped })
+    }
+
+    /// Lines dropped and not yet reported.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl Append for LineWriter {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(log_line(record)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(receiver: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
+    while let Ok(first) = receiver.recv() {
+        thread::sleep(Duration::from_millis(GATHER_MS));
+        let mut batch = first;
+        while let Ok(line) = receiver.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let text = format!("{{\"level\":\"WARN\",\"event\":\"log lines dropped\",\"lines\":{lost}}}\n");
+            batch.extend_from_slice(text.as_bytes());
+        }
+        // A closed output leaves nobody to tell.
+        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+            return;
+        }
+    }
+}
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -41,8 +41,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub phase: UpstreamPhase,
-    /// Orders that it has accepted since its start.
-    pub order_count: u64,
     /// Models that it holds, for engines.
     pub models: Vec<HeldModel>,
     /// Models whose weights lie in its host memory or on its disk.
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -274,8 +274,7 @@
                     log::info!(
                         upstream:% = entry.id,
                         service:% = entry.service,
-                        address:% = entry.address,
-                        orders = entry.order_count;
+                        address:% = entry.address;
                         "upstream joined"
                     );
                 }
--- a/src/gateway/placement_view.rs
+++ b/src/gateway/placement_view.rs
@@ -13,12 +13,11 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct KnownHoldings {
-    order_count: u64,
     is_from_planner: bool,
     models: Vec<(ModelName, Vec<AdapterName>)>,
 }
 
-/// Joins the platform's list with the planner's news; the higher order count goes first.
+/// Joins the platform's list with the planner's news, which go first while they come.
 #[derive(Debug, Default)]
 pub struct PlacementView {
     known: SecondaryMap<UpstreamKey, KnownHoldings>,
@@ -36,10 +35,7 @@
     pub fn take_roster(&mut self, roster: &UpstreamRoster) {
         self.known.retain(|key, _| roster.get(key).is_some());
         for (key, entry) in roster.iter() {
-            let is_news = self.known.get(key).is_none_or(|known| {
-                entry.order_count > known.order_count
-                    || (entry.order_count == known.order_count && !known.is_from_planner)
-            });
+            let is_news = self.known.get(key).is_none_or(|known| !known.is_from_planner);
             if is_news {
                 self.known.insert(key, of_entry(entry));
             }
@@ -52,14 +48,11 @@
             let Some(key) = roster.key_of(&holdings.id) else { continue };
             let is_same_start =
                 roster.get(key).is_some_and(|entry| entry.started_at_ms == holdings.started_at_ms);
-            let is_older =
-                self.known.get(key).is_some_and(|known| known.order_count > holdings.order_count);
-            if !is_same_start || is_older {
+            if !is_same_start {
                 continue;
             }
             self.missing.retain(|(upstream, _), _| *upstream != key);
             let known = KnownHoldings {
-                order_count: holdings.order_count,
                 is_from_planner: true,
                 models: holdings.models.clone(),
             };
@@ -100,7 +93,6 @@
 fn of_entry(entry: &UpstreamEntry) -> KnownHoldings {
     let models = entry.models.iter();
     KnownHoldings {
-        order_count: entry.order_count,
         is_from_planner: false,
         models: models.map(|held| (held.model.clone(), held.adapters.clone())).collect(),
     }
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -101,7 +101,8 @@
             let is_ready = entry.phase == UpstreamPhase::Ready;
             let is_changed = if let Some(ledger) = self.ledgers.get_mut(key) {
                 let was_ready = std::mem::replace(&mut ledger.is_ready, is_ready);
-                ledger.take_entry(now, entry) || was_ready != is_ready
+                ledger.take_entry(now, entry);
+                was_ready != is_ready
             } else {
                 let mut ledger = UpstreamLedger::open(now, entry);
                 ledger.is_ready = is_ready;
--- a/src/orders/placement_news.rs
+++ b/src/orders/placement_news.rs
@@ -13,9 +13,6 @@
     /// Its start.
     #[serde(rename = "b")]
     pub started_at_ms: u64,
-    /// Orders that it had accepted.
-    #[serde(rename = "o")]
-    pub order_count: u64,
     /// Usable models with their usable adapters.
     #[serde(rename = "m")]
     pub models: Vec<(ModelName, Vec<AdapterName>)>,
--- a/src/orders/upstream_ledger.rs
+++ b/src/orders/upstream_ledger.rs
@@ -13,6 +13,9 @@
 /// Milliseconds between reads of an engine's state while an order runs.
 const REREAD_MS: u64 = 150;
 
+/// Reports that may be older than the newest accepted order before they are believed.
+const MAX_OLDER_REPORTS: u32 = 8;
+
 /// Milliseconds added to a load's known duration before the model counts as usable.
 const LOAD_MARGIN_MS: u64 = 25;
 
@@ -32,7 +35,6 @@
 #[derive(Debug)]
 pub struct UpstreamLedger {
     pub(super) target: UpstreamTarget,
-    pub(super) zone: ZoneName,
     pub(super) service: ServiceName,
     pub(super) started_at_ms: u64,
     pub(super) is_ready: bool,
@@ -41,7 +43,11 @@
     /// Models that take up memory, those being unloaded included.
     pub(super) models: BTreeMap<ModelName, LoadedModel>,
     pub(super) local_copies: BTreeSet<ModelName>,
+    /// Models as the list last had them.
+    listed: Vec<HeldModel>,
     pub(super) step: OrderStep,
+    /// Reports in a row that were older than the newest accepted order.
+    older_reports: u32,
     pub(super) running: Option<RunningOrder>,
     /// The model that the present unloads make room for.
     pub(super) goal: Option<ModelName>,
@@ -60,14 +66,15 @@
                 id: entry.id.clone(),
                 address: entry.address,
             },
-            zone: entry.zone.clone(),
             service: entry.service.clone(),
             started_at_ms: entry.started_at_ms,
             is_ready: true,
-            order_count: entry.order_count,
+            order_count: 0,
             models: BTreeMap::new(),
             local_copies: entry.local_copies.iter().cloned().collect(),
-            step: OrderStep::Idle,
+            listed: entry.models.clone(),
+            step: OrderStep::Stale { read_at: now },
+            older_reports: 0,
             running: None,
             goal: None,
             goal_at: now,
@@ -160,7 +167,6 @@
         UpstreamHoldings {
             id: self.target.id.clone(),
             started_at_ms: self.started_at_ms,
-            order_count: self.order_count,
             models: usable
                 .map(|(name, held)| (name.clone(), held.adapters.keys().cloned().collect()))
                 .collect(),
@@ -263,11 +269,13 @@
     pub(super) fn take_report(&mut self, now: MonoTime, report: &EngineReport) -> bool {
         self.local_copies.extend(report.local_copies.iter().cloned());
         self.step = OrderStep::Idle;
-        if report.order_count < self.order_count {
+        if report.order_count < self.order_count && self.older_reports < MAX_OLDER_REPORTS {
             // The report is older than an accepted order.
+            self.older_reports += 1;
             self.step = OrderStep::Stale { read_at: now + REREAD_MS };
             return false;
         }
+        self.older_reports = 0;
         let before = self.holdings();
         let is_ours = report.order_count == self.order_count;
         self.order_count = report.order_count;
@@ -283,29 +291,21 @@
         before != self.holdings()
     }
 
-    /// Takes the entry of the list; it may be older than what orders have changed since.
-    pub(super) fn take_entry(&mut self, now: MonoTime, entry: &UpstreamEntry) -> bool {
+    /// Takes the entry of the list. It tells neither how old it is nor how many orders it
+    /// knows of, so that a changed one only leads to a read of the engine's state.
+    pub(super) fn take_entry(&mut self, now: MonoTime, entry: &UpstreamEntry) {
         self.local_copies.extend(entry.local_copies.iter().cloned());
-        if entry.order_count > self.order_count && self.step == OrderStep::Idle {
-            self.step = OrderStep::Stale { read_at: now };
-        }
-        let is_finished = entry.order_count == self.order_count
-            && self.running.as_ref().is_some_and(|order| {
-                let is_held = entry.models.iter().any(|held| held.model == order.model);
-                is_held == (order.verb == OrderVerb::Load)
-            });
-        if !is_finished {
-            return false;
+        let is_news = entry.models != self.listed;
+        if !is_news {
+            return;
         }
-        if let Some(order) = self.running.take() {
-            match order.verb {
-                OrderVerb::Load => self.finish_load(now, &order.model),
-                OrderVerb::Unload => {
-                    self.models.remove(&order.model);
-                }
-            }
+        self.listed.clone_from(&entry.models);
+        let is_waiting = self.running.as_ref().is_some_and(|order| {
+            order.source == LoadSource::Store || order.verb == OrderVerb::Unload
+        });
+        if is_waiting && self.step == OrderStep::Idle {
+            self.step = OrderStep::Stale { read_at: now };
         }
-        true
     }
 
     fn settle_running(&mut self, now: MonoTime, report: &EngineReport) {
