--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! The daemon: `quetzalpind --config FILE`.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use futures_util::future::{Either, select};
@@ -31,6 +31,9 @@
 /// Signal sent by the platform to end a process.
 const SIGTERM: i32 = 15;
 
+/// Signal that says the settings file has changed.
+const SIGHUP: i32 = 1;
+
 /// Exit code for faulty settings.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -52,7 +55,7 @@
         eprintln!("--log: expected error, warn, info or debug");
         return ExitCode::from(EXIT_SETTINGS);
     };
-    match run(config, level) {
+    match run(config, flags.config, level) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -68,13 +71,14 @@
     })
 }
 
-fn run(config: DaemonConfig, level: LevelFilter) -> Result<(), DaemonError> {
+fn run(config: DaemonConfig, path: PathBuf, level: LevelFilter) -> Result<(), DaemonError> {
+    let settings = config.clone();
     open_logging(level)?;
     let runtime = compio::runtime::Runtime::new().map_err(quetzalpin::net::NetError::Socket)?;
     runtime.block_on(async {
         let handle = DaemonHandle::spawn(config, |node| open_ports(node.table, node.timeout_ms)).await?;
         log::info!(address:% = handle.address(); "listening");
-        wait_for_stop().await;
+        wait_for_stop(&path, &settings).await;
         log::info!("stopping");
         let cut = handle.shutdown().await;
         log::info!(cut; "stopped");
@@ -82,15 +86,35 @@
     })
 }
 
-async fn wait_for_stop() {
-    let terminate = compio::signal::unix::signal(SIGTERM);
-    let interrupt = compio::signal::ctrl_c();
-    pin_mut!(terminate, interrupt);
-    match select(terminate, interrupt).await {
-        Either::Left((result, _)) | Either::Right((result, _)) => {
-            if let Err(error) = result {
-                log::error!(error:% = error; "signals cannot be watched");
-            }
+/// Waits for the end of the process; meanwhile a hang-up signal has the settings read again.
+async fn wait_for_stop(path: &Path, settings: &DaemonConfig) {
+    let stopping = async {
+        let terminate = compio::signal::unix::signal(SIGTERM);
+        let interrupt = compio::signal::ctrl_c();
+        pin_mut!(terminate, interrupt);
+        let (Either::Left((result, _)) | Either::Right((result, _))) =
+            select(terminate, interrupt).await;
+        if let Err(error) = result {
+            log::error!(error:% = error; "signals cannot be watched");
+        }
+    };
+    let reloading = watch_reloads(path, settings);
+    pin_mut!(stopping, reloading);
+    select(stopping, reloading).await;
+}
+
+/// Checks the settings file at each hang-up signal. Addresses and roles cannot change while a
+/// process runs: a changed file comes into force at its next start, which the log says.
+async fn watch_reloads(path: &Path, settings: &DaemonConfig) {
+    loop {
+        if let Err(error) = compio::signal::unix::signal(SIGHUP).await {
+            log::error!(error:% = error; "reload signals cannot be watched");
+            return std::future::pending().await;
+        }
+        match DaemonConfig::open(path) {
+            Ok(found) if found == *settings => log::info!(changed = false; "settings read again"),
+            Ok(_) => log::warn!(changed = true; "settings read again: in force at the next start"),
+            Err(error) => log::error!(error:% = error; "settings not taken"),
         }
     }
 }
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -28,6 +28,11 @@
     upstream: UpstreamId,
     outcome: &'static str,
     body_bytes: u64,
+    /// Milliseconds from arrival to the first part of the body, once there is one.
+    first_ms: Option<u64>,
+    last_at: MonoTime,
+    /// Longest pause between parts of the body.
+    gap_ms: u64,
 }
 
 impl CallGuard {
@@ -39,7 +44,10 @@
         upstream: UpstreamId,
     ) -> Self {
         let plan = &call.plan;
-        context.loads.borrow_mut().begin(key);
+        let mut loads = context.loads.borrow_mut();
+        loads.begin(key);
+        loads.begin_prompt(key, plan.prompt_tokens);
+        drop(loads);
         context.track_run(key, plan.need.as_ref(), 1);
         Self {
             context: Rc::clone(context),
@@ -49,9 +57,27 @@
             upstream,
             outcome: "caller_left",
             body_bytes: 0,
+            first_ms: None,
+            last_at: plan.arrived_at,
+            gap_ms: 0,
         }
     }
 
+    /// Counts a part of the body.
+    pub fn note_part(&mut self, bytes: usize) {
+        let now = self.context.now();
+        self.body_bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
+        let pause_ms = now.millis_since(self.last_at);
+        if self.first_ms.is_some() {
+            self.gap_ms = self.gap_ms.max(pause_ms);
+        } else {
+            self.first_ms = Some(now.millis_since(self.plan.arrived_at));
+            let mut loads = self.context.loads.borrow_mut();
+            loads.end_prompt(self.key, self.plan.prompt_tokens);
+        }
+        self.last_at = now;
+    }
+
     /// Says how the request ended.
     pub const fn end(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -60,7 +86,12 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        self.context.loads.borrow_mut().end(self.key);
+        let mut loads = self.context.loads.borrow_mut();
+        loads.end(self.key);
+        if self.first_ms.is_none() {
+            loads.end_prompt(self.key, self.plan.prompt_tokens);
+        }
+        drop(loads);
         self.context.track_run(self.key, self.plan.need.as_ref(), -1);
         let took_ms = self.context.now().millis_since(self.plan.arrived_at);
         log::info!(
@@ -68,6 +99,8 @@
             upstream:% = self.upstream,
             outcome = self.outcome,
             bytes = self.body_bytes,
+            first_ms = self.first_ms,
+            gap_ms = self.gap_ms,
             ms = took_ms;
             "attempt ended"
         );
@@ -134,8 +167,7 @@
         let state = &mut *self.0;
         match Pin::new(&mut state.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                let bytes = frame.data_ref().map_or(0, Bytes::len);
-                state.guard.body_bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
+                state.guard.note_part(frame.data_ref().map_or(0, Bytes::len));
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => state.take_cut(&error),
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -157,19 +157,21 @@
             self.pause(generation, LOOK_AGAIN_MS).await;
             return None;
         };
-        if now >= plan.wait_until {
+        let wait_until = self.context.wait_limit(plan);
+        if now >= wait_until {
             let retry_ms = self.context.waits.forecast_ms(&need).unwrap_or(RETRY_MS);
             return Some(self.give_up(RefusalReason::NoReplica, Some(retry_ms)));
         }
         let place =
             self.context.waits.enter(need.clone(), &plan.service, plan.rank, plan.arrived_at);
-        let left_ms = plan.wait_until.millis_since(now);
+        let left_ms = wait_until.millis_since(now);
         self.pause(generation, left_ms.min(LOOK_AGAIN_MS)).await;
         // Upstreams that refused for want of the model may have it now.
         self.tried.clear();
         drop(place);
         let forecast_ms = self.context.waits.forecast_ms(&need)?;
-        let left_ms = self.call.plan.wait_until.millis_since(self.context.now());
+        let wait_until = self.context.wait_limit(&self.call.plan);
+        let left_ms = wait_until.millis_since(self.context.now());
         if forecast_ms > left_ms {
             return Some(self.give_up(RefusalReason::DeadlineUnreachable, Some(forecast_ms)));
         }
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -36,6 +36,8 @@
     pub max_attempts: u32,
     /// What must be loaded.
     pub need: Option<ModelNeed>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
     /// Identity of the shared part of the prompt.
     pub affinity: Option<CompactString>,
     /// When it arrived.
@@ -69,6 +71,7 @@
             kind: rule.kind,
             rank: rule.rank,
             max_attempts: rule.max_attempts,
+            prompt_tokens: head.prompt.iter().map(|part| part.tokens).sum(),
             affinity: shared.map(|index| head.prompt[index].id.clone()),
             need: head.need,
             request: head.request,
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -83,7 +83,7 @@
     ) -> LocalBoxFuture<'static, Response<HttpBody>> {
         Box::pin(async move {
             let mut response = self.answer(request).await;
-            if self.context.stopping.get() {
+            if self.context.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -29,6 +29,9 @@
 /// Entries assumed before the planner has told their number.
 const UNKNOWN_EDGES: usize = 12;
 
+/// Part of the shutdown's time for which requests may still wait, as a divisor.
+const STOP_WAIT_DIVISOR: u64 = 3;
+
 /// Milliseconds that a request stays held back after its last crash.
 const CRASH_HOLD_MS: u64 = 60_000;
 
@@ -80,8 +83,8 @@
     pub host: PlannerHost,
     /// Wakes the lease loop.
     pub lease_hint: WakeSignal,
-    /// Set once shutdown begins; never cleared.
-    pub stopping: Cell<bool>,
+    /// When shutdown began; never cleared.
+    stopped_at: Cell<Option<MonoTime>>,
     new_crashes: RefCell<Vec<CrashLine>>,
     asked: RefCell<BTreeMap<ModelName, u32>>,
     /// Own requests in flight; every count is above zero.
@@ -112,7 +115,7 @@
             crashes: RefCell::new(QuarantineBook::open()),
             host,
             lease_hint: WakeSignal::default(),
-            stopping: Cell::new(false),
+            stopped_at: Cell::new(None),
             new_crashes: RefCell::default(),
             asked: RefCell::default(),
             runs: RefCell::default(),
@@ -129,7 +132,29 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let knows_fleet = self.catalog.borrow().is_some() && self.knows_roster.get();
-        knows_fleet && !self.stopping.get()
+        knows_fleet && !self.is_stopping()
+    }
+
+    /// Begins the shutdown: no longer ready, and requests that wait are soon refused.
+    pub fn begin_stop(&self) {
+        self.stopped_at.set(Some(self.now()));
+        self.waits.wake_all();
+    }
+
+    /// Whether the shutdown has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopped_at.get().is_some()
+    }
+
+    /// Until when a request may wait. One that waits at a process that is shutting down is
+    /// refused early enough to be served elsewhere.
+    #[must_use]
+    pub fn wait_limit(&self, plan: &CallPlan) -> MonoTime {
+        match self.stopped_at.get() {
+            Some(at) => plan.wait_until.min(at + self.node.drain_ms / STOP_WAIT_DIVISOR),
+            None => plan.wait_until,
+        }
     }
 
     /// Whether an availability zone lies in the own region.
@@ -222,6 +247,12 @@
             wants: self.waits.wants(self.now()),
             runs: lines.collect(),
             asked: asked.into_iter().map(|(model, count)| AskedLine(model, count)).collect(),
+            unreachable: self
+                .loads
+                .borrow()
+                .unreachable()
+                .filter_map(|key| Some(roster.get(key)?.id.clone()))
+                .collect(),
         }
     }
 
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -81,7 +81,7 @@
     /// Tells the balancer, finishes open requests and stops. Returns the number of
     /// connections cut at the end of the time.
     pub async fn shutdown(self) -> usize {
-        self.context.stopping.set(true);
+        self.context.begin_stop();
         release_lease(&self.context).await;
         compio::time::sleep(Duration::from_millis(BALANCER_MS)).await;
         let limit_ms = self.context.node.drain_ms;
--- a/src/gateway/load_book.rs
+++ b/src/gateway/load_book.rs
@@ -37,6 +37,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct UpstreamLoad {
     in_flight: u32,
+    /// Prompt tokens of own requests that have no first event yet.
+    unread_tokens: u32,
     /// Load told in an answer, when, and own requests in flight then.
     reported: Option<(MonoTime, u32, u32)>,
     failures: f64,
@@ -70,6 +72,24 @@
         }
     }
 
+    /// Counts a prompt that the upstream must read.
+    pub fn begin_prompt(&mut self, key: UpstreamKey, tokens: u32) {
+        self.load(key).unread_tokens += tokens;
+    }
+
+    /// Counts a prompt that was read, or whose request has ended.
+    pub fn end_prompt(&mut self, key: UpstreamKey, tokens: u32) {
+        if let Some(load) = self.loads.get_mut(key) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Prompt tokens that wait to be read there, as far as is known.
+    #[must_use]
+    pub fn unread_tokens(&self, key: UpstreamKey) -> u32 {
+        self.loads.get(key).map_or(0, |load| load.unread_tokens)
+    }
+
     /// Takes the load that an answer told.
     pub fn reported(&mut self, now: MonoTime, key: UpstreamKey, count: u32) {
         let load = self.load(key);
@@ -109,11 +129,22 @@
         }
     }
 
+    /// Whether the upstream could not be reached a moment ago.
+    #[must_use]
+    pub fn is_unreachable(&self, now: MonoTime, key: UpstreamKey) -> bool {
+        let until = self.loads.get(key).and_then(|load| load.ejected_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Upstreams that could not be reached when last tried.
+    pub fn unreachable(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.loads.iter().filter(|(_, load)| load.ejected_until.is_some()).map(|(key, _)| key)
+    }
+
     /// Whether the upstream is better passed over.
     #[must_use]
     pub fn is_suspect(&self, now: MonoTime, key: UpstreamKey) -> bool {
-        let Some(load) = self.loads.get(key) else { return false };
-        load.ejected_until.is_some_and(|until| now < until) || decayed(load, now) > FAILING_SHARE
+        self.loads.get(key).is_some_and(|load| decayed(load, now) > FAILING_SHARE)
     }
 
     /// Own requests at the upstream.
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -26,7 +26,8 @@
     epoch: u64,
     /// No order goes out before this time: an earlier holder's last order must be long past.
     orders_from: MonoTime,
-    edges: HashMap<InstanceName, MonoTime>,
+    /// Entries that reported lately: when, and where they listen.
+    edges: HashMap<InstanceName, (MonoTime, SocketAddr)>,
     crashes: Vec<(MonoTime, CrashLine)>,
 }
 
@@ -178,8 +179,8 @@
         let revision = self.lease.borrow().held_revision(now);
         let mut active = self.active.borrow_mut();
         let active = active.as_mut()?;
-        active.edges.insert(report.edge.clone(), now);
-        active.edges.retain(|_, at| now.millis_since(*at) < EDGE_LIFE_MS);
+        active.edges.insert(report.edge.clone(), (now, report.address));
+        active.edges.retain(|_, (at, _)| now.millis_since(*at) < EDGE_LIFE_MS);
         active.crashes.retain(|(at, _)| now.millis_since(*at) < CRASH_NEWS_MS);
         active.crashes.extend(report.crashes.iter().map(|line| (now, *line)));
         let wants = report.demand.wants.clone();
@@ -198,6 +199,17 @@
         Some(answer)
     }
 
+    /// Other entries that reported lately, newest first.
+    #[must_use]
+    pub fn relay_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let active = self.active.borrow();
+        let Some(active) = active.as_ref() else { return Vec::new() };
+        let mut peers: Vec<(MonoTime, SocketAddr)> = active.edges.values().copied().collect();
+        peers.retain(|(_, address)| *address != self.address);
+        peers.sort_unstable();
+        peers.iter().rev().take(count).map(|(_, address)| *address).collect()
+    }
+
     /// News after a mark, if this process plans.
     #[must_use]
     pub fn news_since(&self, mark: FollowMark) -> Option<PlacementNews> {
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -7,9 +7,11 @@
 use crate::fleet::UpstreamKey;
 use crate::lease::{LeaseIntent, LeaseRow};
 use crate::metrics::OrderLabels;
-use crate::orders::{EngineOrder, OrderAnswer, OrderVerb, PlannerAction, UpstreamTarget};
+use crate::orders::{
+    EngineOrder, OrderAnswer, OrderBasis, OrderVerb, PlannerAction, UpstreamTarget,
+};
 use crate::sync::{DemandReport, FollowMark, PlannerApiClient};
-use crate::table::{TableError, TableTxn, TxnOutcome};
+use crate::table::{RowRevision, TableError, TableTxn, TxnOutcome};
 
 /// Table key of the planner's lease.
 const PLANNER_LEASE: &str = "lease/planner";
@@ -38,13 +40,16 @@
 /// Milliseconds between checks whether this process plans.
 const IDLE_STEP_MS: u64 = 2_000;
 
+/// Peers that are asked to write the lease.
+const RELAY_PEERS: usize = 2;
+
 /// Milliseconds before the next try after a failed call to the planner.
 const LINK_RETRY_MS: u64 = 150;
 
 /// Takes, renews and gives up the planner's lease.
 pub async fn run_lease(context: Rc<GatewayContext>) {
     loop {
-        if context.stopping.get() {
+        if context.is_stopping() {
             return;
         }
         if let Err(error) = tend_lease(&context).await {
@@ -99,17 +104,34 @@
     Ok(())
 }
 
+/// Writes the lease row in the table. Answers its revision, or nothing on a conflict.
+pub async fn commit_lease(
+    context: &GatewayContext,
+    intent: &LeaseIntent,
+) -> Result<Option<RowRevision>, TableError> {
+    let txn = TableTxn::default()
+        .check(PLANNER_LEASE, intent.expected)
+        .write(PLANNER_LEASE, &intent.row)?;
+    match context.ports.table.commit(txn).await? {
+        TxnOutcome::Committed(revision) => Ok(Some(revision)),
+        TxnOutcome::Conflict(_) => Ok(None),
+    }
+}
+
+/// Writes the lease row, by way of a peer where the table does not answer this process.
 async fn write_lease(
     context: &Rc<GatewayContext>,
     intent: &LeaseIntent,
 ) -> Result<bool, TableError> {
     let sent_at = context.now();
-    let txn = TableTxn::default()
-        .check(PLANNER_LEASE, intent.expected)
-        .write(PLANNER_LEASE, &intent.row)?;
-    let TxnOutcome::Committed(revision) = context.ports.table.commit(txn).await? else {
-        return Ok(false);
+    let revision = match commit_lease(context, intent).await {
+        Err(error) => match relay_lease(context, intent).await {
+            Some(revision) => Some(revision),
+            None => return Err(error),
+        },
+        Ok(revision) => revision,
     };
+    let Some(revision) = revision else { return Ok(false) };
     if let Some(epoch) = context.host.committed(context.now(), sent_at, intent, revision) {
         log::info!(epoch; "planning begun");
         begin_planning(context);
@@ -117,6 +139,21 @@
     Ok(true)
 }
 
+/// Asks peers to write the lease row of a planner that the table does not answer.
+async fn relay_lease(context: &GatewayContext, intent: &LeaseIntent) -> Option<RowRevision> {
+    for peer in context.host.relay_peers(RELAY_PEERS) {
+        match context.rpc(peer).relay_lease(intent.clone()).await {
+            Ok(Some(revision)) => {
+                log::info!(peer:% = peer, revision; "lease written by way of a peer");
+                return Some(RowRevision(revision));
+            }
+            Ok(None) => return None,
+            Err(error) => log::warn!(peer:% = peer, error:% = error; "lease not relayed"),
+        }
+    }
+    None
+}
+
 fn begin_planning(context: &Rc<GatewayContext>) {
     let now = context.now();
     let catalog = context.catalog.borrow().clone();
@@ -200,6 +237,7 @@
         compio::time::sleep(Duration::from_millis(GATHER_MS)).await;
         let report = DemandReport {
             edge: context.node.instance.clone(),
+            address: context.config.peers,
             demand: context.take_demand(),
             crashes: context.drain_crashes(),
         };
@@ -255,7 +293,7 @@
             verb,
             need,
             precondition,
-            reason,
+            basis,
         } => {
             let order = EngineOrder {
                 verb,
@@ -264,7 +302,7 @@
                 fence: epoch,
                 holder: context.node.instance.clone(),
             };
-            give_order(context, key, target, order, reason).await;
+            give_order(context, key, target, order, basis).await;
         }
     }
 }
@@ -287,7 +325,7 @@
     key: UpstreamKey,
     target: UpstreamTarget,
     order: EngineOrder,
-    reason: &'static str,
+    basis: OrderBasis,
 ) {
     // The lease is checked again right before the order leaves.
     let may_order = context.host.order_epoch(context.now()) == Some(order.fence);
@@ -311,7 +349,11 @@
         need:% = need,
         precondition,
         fence,
-        reason,
+        reason = basis.reason,
+        source:? = basis.source,
+        rate_per_s = basis.rate_per_s,
+        copies = basis.copies,
+        store_loads = basis.store_loads,
         answer:? = answer;
         "order"
     );
--- a/src/gateway/planner_rpc.rs
+++ b/src/gateway/planner_rpc.rs
@@ -9,6 +9,8 @@
 use send_wrapper::SendWrapper;
 
 use super::GatewayContext;
+use super::planner_link::commit_lease;
+use crate::lease::LeaseIntent;
 use crate::orders::PlacementNews;
 use crate::sync::{DemandAnswer, DemandReport, FollowMark, PlannerApiServer};
 
@@ -47,6 +49,16 @@
         let following = SendWrapper::new(async move { wait_for_news(&context, mark).await });
         following.await.ok_or_else(not_planner)
     }
+
+    async fn relay_lease(&self, intent: LeaseIntent) -> RpcResult<Option<u64>> {
+        let context = Rc::clone(&self.context);
+        let writing = SendWrapper::new(async move { commit_lease(&context, &intent).await });
+        let outcome = writing.await.map_err(|error| {
+            let code = ErrorCode::InternalError.code();
+            ErrorObjectOwned::owned(code, error.to_string(), None::<()>)
+        })?;
+        Ok(outcome.map(|revision| revision.0))
+    }
 }
 
 async fn wait_for_news(context: &GatewayContext, mark: FollowMark) -> Option<PlacementNews> {
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -17,6 +17,9 @@
 /// Cost of an upstream that failed lately; it is taken only where no other can serve.
 const SUSPECT_COST: f64 = 10.0;
 
+/// Cost of each prompt token that waits to be read; 4,000 of them take about 100 ms.
+const UNREAD_TOKEN_COST: f64 = 0.000_08;
+
 /// Load above which an upstream counts as full, in parts of its slots.
 const FULL_LOAD: f64 = 1.0;
 
@@ -77,6 +80,9 @@
             continue;
         }
         has_upstream = true;
+        if input.loads.is_unreachable(input.now, key) {
+            continue;
+        }
         let can_serve = input
             .plan
             .need
@@ -118,7 +124,7 @@
 fn cost(input: &ChoiceInput<'_>, key: UpstreamKey, entry: &UpstreamEntry) -> f64 {
     let slots = f64::from(entry.slots.max(1));
     let load = f64::from(input.loads.estimate(input.now, key)) / slots;
-    let mut cost = load;
+    let mut cost = load + f64::from(input.loads.unread_tokens(key)) * UNREAD_TOKEN_COST;
     if load >= FULL_LOAD {
         cost += (load - FULL_LOAD + 1.0 / slots) * QUEUE_COST;
     }
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use super::{LeaseRow, LeaseWatch};
 use crate::prelude::*;
 use crate::table::RowRevision;
@@ -13,7 +15,7 @@
 const MARGIN_DIVISOR: u64 = 5;
 
 /// A write that the holder wants: the row, on condition of the revision.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseIntent {
     /// Revision that the row must still have.
     pub expected: RowRevision,
--- a/src/orders/demand_book.rs
+++ b/src/orders/demand_book.rs
@@ -53,6 +53,9 @@
     /// What was asked for.
     #[serde(rename = "q", default)]
     pub asked: Vec<AskedLine>,
+    /// Upstreams that it could not reach.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<UpstreamId>,
 }
 
 /// Demand of all entries for one model or adapter.
@@ -137,6 +140,23 @@
         self.runs.get(&key).copied().unwrap_or(0)
     }
 
+    /// Whether most entries that report could not reach an upstream.
+    #[must_use]
+    pub fn is_unreachable(&self, id: &UpstreamId) -> bool {
+        let without = self.reports.values().filter(|(_, demand)| demand.unreachable.contains(id));
+        let count = without.count();
+        count > 0 && count * 2 >= self.trying(id)
+    }
+
+    /// Entries that run requests at an upstream or could not reach it.
+    fn trying(&self, id: &UpstreamId) -> usize {
+        let demands = self.reports.values().map(|(_, demand)| demand);
+        let tries = |demand: &&EdgeDemand| {
+            demand.unreachable.contains(id) || demand.runs.iter().any(|line| line.0 == *id)
+        };
+        demands.filter(tries).count()
+    }
+
     /// Requests a second for a model.
     #[must_use]
     pub fn rate(&self, now: MonoTime, model: &ModelName) -> f64 {
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -13,7 +13,7 @@
 pub use engine_control::{
     EngineControl, EngineOrder, EngineReport, OrderAnswer, OrderFailure, OrderVerb, UpstreamTarget,
 };
-pub use order_planner::{OrderPlanner, PlannerAction};
+pub use order_planner::{OrderBasis, OrderPlanner, PlannerAction};
 pub use order_step::{LoadSource, OrderStep, RunningOrder};
 pub use placement_news::{PlacementNews, UpstreamHoldings};
 pub use planner_policy::PlannerPolicy;
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -70,16 +70,31 @@
             Self::Wanted { rank } if rank == MOST_URGENT_RANK => {
                 policy.store_loads + policy.urgent_loads
             }
-            Self::Wanted { .. } | Self::Goal => policy.store_loads,
-            Self::Copy | Self::Prefetch => {
-                policy.store_loads.saturating_sub(policy.reserved_loads)
-            }
+            Self::Wanted { .. } | Self::Copy => policy.store_loads,
+            Self::Prefetch => policy.store_loads.saturating_sub(policy.reserved_loads),
+            // Its place was taken when the goal was set.
+            Self::Goal => usize::MAX,
         }
     }
 }
 
+/// What an order was decided from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OrderBasis {
+    /// Purpose of the order.
+    pub reason: &'static str,
+    /// Where a load takes the weights from.
+    pub source: LoadSource,
+    /// Requests a second for the model.
+    pub rate_per_s: f64,
+    /// Engines that can serve the model.
+    pub copies: usize,
+    /// Loads from the weight store under way.
+    pub store_loads: usize,
+}
+
 /// A call that the planner wants made now.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum PlannerAction {
     /// Give an order.
     Order {
@@ -94,7 +109,7 @@
         /// Orders that the engine must have accepted.
         precondition: u64,
         /// Why, for the log.
-        reason: &'static str,
+        basis: OrderBasis,
     },
     /// Read the engine's state.
     Read {
@@ -221,7 +236,9 @@
     /// Milliseconds until a missing model should be usable.
     #[must_use]
     pub fn forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
-        let ledgers = || self.ledgers.values();
+        let is_reached =
+            |ledger: &&UpstreamLedger| !self.demand.is_unreachable(&ledger.target.id);
+        let ledgers = || self.ledgers.values().filter(is_reached);
         if ledgers().any(|ledger| ledger.can_serve(&need.model)) {
             return 0;
         }
@@ -254,8 +271,10 @@
         self.continue_goals(now, &catalog, &mut actions);
         let wants = self.demand.wants();
         self.serve_adapters(now, &catalog, &wants, &mut actions);
-        self.serve_models(now, &catalog, &wants, &mut actions);
+        let is_urgent = |rank: u8| rank == MOST_URGENT_RANK;
+        self.serve_models(now, &catalog, &wants, is_urgent, &mut actions);
         self.add_copies(now, &catalog, &wants, &mut actions);
+        self.serve_models(now, &catalog, &wants, |rank| !is_urgent(rank), &mut actions);
         self.prefetch(now, &catalog, &wants, &mut actions);
         actions
     }
@@ -331,13 +350,16 @@
         now: MonoTime,
         catalog: &FleetCatalog,
         wants: &BTreeMap<ModelNeed, WantSum>,
+        is_turn: impl Fn(u8) -> bool,
         actions: &mut Vec<PlannerAction>,
     ) {
-        let mut missing: Vec<(&ModelNeed, &WantSum)> = wants.iter().collect();
+        let mut missing: Vec<(&ModelNeed, &WantSum)> =
+            wants.iter().filter(|(_, sum)| is_turn(sum.rank)).collect();
         missing.sort_by_key(|(_, sum)| (sum.rank, sum.since));
         for (need, sum) in missing {
             let is_served = |ledger: &UpstreamLedger| {
-                ledger.can_serve(&need.model) || ledger.is_bringing(&need.model)
+                let has_it = ledger.can_serve(&need.model) || ledger.is_bringing(&need.model);
+                has_it && !self.demand.is_unreachable(&ledger.target.id)
             };
             if self.ledgers.values().any(is_served) {
                 continue;
@@ -434,6 +456,7 @@
             .ledgers
             .iter()
             .filter(|(_, ledger)| ledger.service == *service)
+            .filter(|(_, ledger)| !self.demand.is_unreachable(&ledger.target.id))
             .filter(|(_, ledger)| ledger.is_free() && ledger.running.is_none())
             .filter(|(_, ledger)| ledger.goal.is_none() && !ledger.models.contains_key(model))
             .filter(|(_, ledger)| may_store || load_source(ledger, model) == LoadSource::Local)
@@ -517,7 +540,7 @@
             model: name.clone(),
             adapter: None,
         };
-        self.send(key, verb, need, option.source, reason, actions);
+        self.send(now, key, verb, need, option.source, reason, actions);
     }
 
     fn serve_adapters(
@@ -528,7 +551,9 @@
         actions: &mut Vec<PlannerAction>,
     ) {
         for need in wants.keys().filter(|need| need.adapter.is_some()) {
-            let is_usable = self.ledgers.values().any(|ledger| ledger.can_serve_need(need));
+            let is_usable = self.ledgers.values().any(|ledger| {
+                ledger.can_serve_need(need) && !self.demand.is_unreachable(&ledger.target.id)
+            });
             let is_ordered = self.ledgers.values().any(|ledger| {
                 matches!(&ledger.step, OrderStep::Sent { need: sent, verb: OrderVerb::Load, .. }
                     if sent == need)
@@ -540,6 +565,7 @@
                 .ledgers
                 .iter()
                 .filter(|(_, ledger)| ledger.is_free() && ledger.running.is_none())
+                .filter(|(_, ledger)| !self.demand.is_unreachable(&ledger.target.id))
                 .filter(|(_, ledger)| ledger.can_serve(&need.model));
             let best = hosts.min_by_key(|(_, ledger)| {
                 let running = self.demand.running(&ledger.target.id, &need.model);
@@ -566,7 +592,15 @@
         let has_place = ledger.adapter_count() < plan.adapter_slots;
         let has_room = ledger.used_mb(plan) + adapter_mb <= plan.memory_mb;
         if has_place && has_room {
-            self.send(key, OrderVerb::Load, need.clone(), LoadSource::Local, "wanted", actions);
+            self.send(
+                now,
+                key,
+                OrderVerb::Load,
+                need.clone(),
+                LoadSource::Local,
+                "wanted",
+                actions,
+            );
             return;
         }
         let oldest = ledger
@@ -588,12 +622,22 @@
                 model: model.clone(),
                 adapter: Some(adapter.clone()),
             };
-            self.send(key, OrderVerb::Unload, victim, LoadSource::Local, "make room", actions);
+            self.send(
+                now,
+                key,
+                OrderVerb::Unload,
+                victim,
+                LoadSource::Local,
+                "make room",
+                actions,
+            );
         }
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn send(
         &mut self,
+        now: MonoTime,
         key: UpstreamKey,
         verb: OrderVerb,
         need: ModelNeed,
@@ -601,6 +645,13 @@
         reason: &'static str,
         actions: &mut Vec<PlannerAction>,
     ) {
+        let basis = OrderBasis {
+            reason,
+            source,
+            rate_per_s: self.demand.rate(now, &need.model),
+            copies: self.ledgers.values().filter(|ledger| ledger.can_serve(&need.model)).count(),
+            store_loads: self.ledgers.values().filter(|ledger| ledger.is_store_loading()).count(),
+        };
         let ledger = &mut self.ledgers[key];
         ledger.order_sent(verb, need.clone(), source);
         actions.push(PlannerAction::Order {
@@ -609,7 +660,7 @@
             verb,
             need,
             precondition: ledger.order_count,
-            reason,
+            basis,
         });
         if verb == OrderVerb::Unload {
             self.mark_changed(key);
--- a/src/orders/swap_choice.rs
+++ b/src/orders/swap_choice.rs
@@ -59,6 +59,7 @@
     let mut victims = Vec::new();
     #[allow(clippy::cast_precision_loss)]
     let mut cost_ms = load_ms as f64;
+    cost_ms += host_rate(view, ledger) * busy_weight_ms(source);
     if missing_mb > 0.0 {
         for (name, loss_ms) in victim_order(view, ledger, missing_mb) {
             missing_mb -= model_mb(view.plan, &name);
@@ -113,6 +114,20 @@
     order
 }
 
+/// Requests a second that an engine serves.
+fn host_rate(view: &SwapView<'_>, ledger: &UpstreamLedger) -> f64 {
+    ledger.models.keys().map(|model| rate_here(view, model)).sum()
+}
+
+/// Milliseconds of delay that each request a second of an engine weighs while it is busy with
+/// a load: it can take no other order then, of an adapter for instance.
+const fn busy_weight_ms(source: LoadSource) -> f64 {
+    match source {
+        LoadSource::Local => 30.0,
+        LoadSource::Store => 500.0,
+    }
+}
+
 /// Requests a second that one copy of a model serves.
 #[allow(clippy::cast_precision_loss)]
 fn rate_here(view: &SwapView<'_>, model: &ModelName) -> f64 {
--- a/src/orders/upstream_ledger.rs
+++ b/src/orders/upstream_ledger.rs
@@ -145,9 +145,12 @@
         is_loading || is_sent || self.goal.as_ref() == Some(model)
     }
 
-    /// Whether a load from the weight store runs here or was ordered.
+    /// Whether a load from the weight store runs here, was ordered, or waits for room.
     #[must_use]
     pub fn is_store_loading(&self) -> bool {
+        if self.goal.as_ref().is_some_and(|model| !self.local_copies.contains(model)) {
+            return true;
+        }
         let is_running = self
             .running
             .as_ref()
--- a/src/sync/messages.rs
+++ b/src/sync/messages.rs
@@ -1,5 +1,7 @@
 //! Bodies of the calls to the planner.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::ModelNeed;
@@ -17,6 +19,9 @@
     /// The reporting entry.
     #[serde(rename = "i")]
     pub edge: InstanceName,
+    /// Where other processes reach it.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
     /// What it asks for and runs.
     #[serde(rename = "d")]
     pub demand: EdgeDemand,
