--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! The daemon: `quetzalpind --config FILE`.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 
 use futures_util::future::{Either, select};
@@ -55,7 +55,7 @@
         eprintln!("--log: expected error, warn, info or debug");
         return ExitCode::from(EXIT_SETTINGS);
     };
-    match run(config, flags.config, level) {
+    match run(config, &flags.config, level) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -71,17 +71,19 @@
     })
 }
 
-fn run(config: DaemonConfig, path: PathBuf, level: LevelFilter) -> Result<(), DaemonError> {
+fn run(config: DaemonConfig, path: &Path, level: LevelFilter) -> Result<(), DaemonError> {
     let settings = config.clone();
     open_logging(level)?;
     let runtime = compio::runtime::Runtime::new().map_err(quetzalpin::net::NetError::Socket)?;
     runtime.block_on(async {
-        let handle = DaemonHandle::spawn(config, |node| open_ports(node.table, node.timeout_ms)).await?;
+        let handle =
+            DaemonHandle::spawn_on(config, |node| open_ports(node.table, node.timeout_ms)).await?;
         log::info!(address:% = handle.address(); "listening");
-        wait_for_stop(&path, &settings).await;
+        wait_for_stop(path, &settings).await;
         log::info!("stopping");
         let cut = handle.shutdown().await;
         log::info!(cut; "stopped");
+        log::logger().flush();
         Ok(())
     })
 }
--- a/src/daemon/common_routes.rs
+++ b/src/daemon/common_routes.rs
@@ -20,15 +20,31 @@
     request: &Request<Incoming>,
 ) -> Option<Response<HttpBody>> {
     match request.uri().path() {
-        "/healthz" => Some(plain_response(StatusCode::OK, "ok\n".to_owned(), "text/plain")),
-        "/readyz" if is_ready => Some(plain_response(StatusCode::OK, "ready\n".to_owned(), "text/plain")),
+        "/healthz" => Some(plain_response(
+            StatusCode::OK,
+            "ok\n".to_owned(),
+            "text/plain",
+        )),
+        "/readyz" if is_ready => Some(plain_response(
+            StatusCode::OK,
+            "ready\n".to_owned(),
+            "text/plain",
+        )),
         "/readyz" => {
             let text = "not ready\n".to_owned();
-            Some(plain_response(StatusCode::SERVICE_UNAVAILABLE, text, "text/plain"))
+            Some(plain_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                text,
+                "text/plain",
+            ))
         }
         "/metrics" => {
             let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-            Some(plain_response(StatusCode::OK, node.metrics.encode(), content_type))
+            Some(plain_response(
+                StatusCode::OK,
+                node.metrics.encode(),
+                content_type,
+            ))
         }
         _ => None,
     }
@@ -61,7 +77,11 @@
 
 /// Builds an answer with a text body.
 #[must_use]
-pub fn plain_response(status: StatusCode, text: String, content_type: &'static str) -> Response<HttpBody> {
+pub fn plain_response(
+    status: StatusCode,
+    text: String,
+    content_type: &'static str,
+) -> Response<HttpBody> {
     let mut response = Response::new(full_body(text));
     *response.status_mut() = status;
     let value = HeaderValue::from_static(content_type);
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -20,15 +20,12 @@
 }
 
 impl DaemonHandle {
-    /// Starts the daemon that the settings describe. A gateway reaches its platform through
-    /// the ports that `open_ports` makes.
+    /// Starts an entry or an agent.
     ///
     /// # Errors
-    /// [`DaemonError`] if the address is taken or a client cannot be set up.
-    pub async fn spawn(
-        config: DaemonConfig,
-        open_ports: impl FnOnce(&NodeConfig) -> GatewayPorts,
-    ) -> Result<Self, DaemonError> {
+    /// [`DaemonError`] if the address is taken or a client cannot be set up;
+    /// [`DaemonError::NoAdapter`] for a gateway.
+    pub async fn spawn(config: DaemonConfig) -> Result<Self, DaemonError> {
         match config.role {
             RoleConfig::Entry(entry) => EntryHandle::spawn(config.node, entry)
                 .await
@@ -36,10 +33,27 @@
             RoleConfig::Agent(agent) => AgentHandle::spawn(config.node, agent)
                 .await
                 .map(Self::Agent),
+            RoleConfig::Gateway(_) => Err(DaemonError::NoAdapter),
+        }
+    }
+
+    /// Starts a daemon of any role. A gateway reaches its platform through the ports that
+    /// `open_ports` makes.
+    ///
+    /// # Errors
+    /// [`DaemonError`] if an address is taken or a client cannot be set up.
+    pub async fn spawn_on(
+        config: DaemonConfig,
+        open_ports: impl FnOnce(&NodeConfig) -> GatewayPorts,
+    ) -> Result<Self, DaemonError> {
+        let DaemonConfig { node, role } = config;
+        match role {
             RoleConfig::Gateway(gateway) => {
-                let ports = open_ports(&config.node);
-                GatewayHandle::spawn(config.node, gateway, ports).await.map(Self::Gateway)
+                let ports = open_ports(&node);
+                let handle = GatewayHandle::spawn(node, gateway, ports).await?;
+                Ok(Self::Gateway(handle))
             }
+            role => Self::spawn(DaemonConfig { node, role }).await,
         }
     }
 
--- a/src/daemon/errors.rs
+++ b/src/daemon/errors.rs
@@ -19,6 +19,8 @@
     Membership(MembershipError),
     /// engine: {0}
     Engine(EngineError),
+    /// a gateway needs the adapter of a platform
+    NoAdapter,
     /// logging: {0}
     Logging(log::SetLoggerError),
     /// log thread: {0}
--- a/src/daemon/line_writer.rs
+++ b/src/daemon/line_writer.rs
@@ -21,10 +21,22 @@
 /// Stack of the writing thread in bytes; it keeps nothing on it.
 const STACK_BYTES: usize = 64 * 1024;
 
+/// Milliseconds that the end of a process waits for the last lines.
+const FLUSH_MS: u64 = 250;
+
+/// What the writing thread receives.
+#[derive(Debug)]
+enum LogItem {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Tell the sender once all lines before this are written.
+    Flush(SyncSender<()>),
+}
+
 /// Hands lines to a writing thread.
 #[derive(Debug)]
 pub struct LineWriter {
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<LogItem>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -53,30 +65,52 @@
 
 impl Append for LineWriter {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(log_line(record)) {
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(LogItem::Line(log_line(record))) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (done_sender, done) = sync_channel(1);
+        if self.sender.try_send(LogItem::Flush(done_sender)).is_ok() {
+            // A writer that is held up by its reader loses these lines.
+            let _ = done.recv_timeout(Duration::from_millis(FLUSH_MS));
+        }
+    }
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
+fn write_lines(receiver: &Receiver<LogItem>, dropped: &AtomicU64, mut output: impl Write) {
     while let Ok(first) = receiver.recv() {
-        thread::sleep(Duration::from_millis(GATHER_MS));
-        let mut batch = first;
-        while let Ok(line) = receiver.try_recv() {
-            batch.extend_from_slice(&line);
+        if matches!(first, LogItem::Line(_)) {
+            thread::sleep(Duration::from_millis(GATHER_MS));
+        }
+        let mut batch = Vec::new();
+        let mut waiting = Vec::new();
+        let rest = std::iter::from_fn(|| receiver.try_recv().ok());
+        for item in std::iter::once(first).chain(rest) {
+            match item {
+                LogItem::Line(line) => batch.extend_from_slice(&line),
+                LogItem::Flush(done) => waiting.push(done),
+            }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let text = format!("{{\"level\":\"WARN\",\"event\":\"log lines dropped\",\"lines\":{lost}}}\n");
+            let event = "log lines dropped";
+            let text = format!("{{\"level\":\"WARN\",\"event\":\"{event}\",\"lines\":{lost}}}\n");
             batch.extend_from_slice(text.as_bytes());
         }
         // A closed output leaves nobody to tell.
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(&batch)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             return;
         }
+        for done in waiting {
+            // The process may have given up waiting.
+            let _ = done.try_send(());
+        }
     }
 }
--- a/src/daemon/log_line.rs
+++ b/src/daemon/log_line.rs
@@ -30,7 +30,12 @@
 #[must_use]
 pub fn log_line(record: &Record<'_>) -> Vec<u8> {
     let mut line = Vec::with_capacity(256);
-    let _ = write!(line, "{{\"at_ms\":{},\"level\":\"{}\",\"event\":", unix_ms(), record.level());
+    let _ = write!(
+        line,
+        "{{\"at_ms\":{},\"level\":\"{}\",\"event\":",
+        unix_ms(),
+        record.level()
+    );
     write_json(&mut line, &record.args().to_string());
     let mut writer = FieldWriter { line: &mut line };
     // The writer above never fails.
--- a/src/entry/caller_answer.rs
+++ b/src/entry/caller_answer.rs
@@ -34,7 +34,10 @@
     detail: Option<String>,
 ) -> Response<HttpBody> {
     let document = ProblemDocument::of(refusal, detail);
-    metrics.refused.get_or_create(&RefusalLabels::of(refusal)).inc();
+    metrics
+        .refused
+        .get_or_create(&RefusalLabels::of(refusal))
+        .inc();
     let text = serde_json::to_vec(&document).unwrap_or_default();
     let mut response = Response::new(full_body(text));
     let status = StatusCode::from_u16(document.status);
--- a/src/fleet/fleet_catalog.rs
+++ b/src/fleet/fleet_catalog.rs
@@ -61,7 +61,9 @@
             Some(rules) => rules,
             None => self.routes.get(host.to_ascii_lowercase().as_str())?,
         };
-        rules.iter().find(|rule| path.starts_with(rule.path_prefix.as_str()))
+        rules
+            .iter()
+            .find(|rule| path.starts_with(rule.path_prefix.as_str()))
     }
 
     /// A service by name.
--- a/src/fleet/model_need.rs
+++ b/src/fleet/model_need.rs
@@ -6,9 +6,7 @@
 use crate::prelude::*;
 
 /// A model, with one of its adapters where the request names one.
-#[derive(
-    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
 #[display("{model}{}", adapter.as_ref().map(|name| format!("/{name}")).unwrap_or_default())]
 pub struct ModelNeed {
     /// The model.
--- a/src/fleet/route_rule.rs
+++ b/src/fleet/route_rule.rs
@@ -64,7 +64,11 @@
     /// The service that serves a request, the same one each time for the same number.
     #[must_use]
     pub fn service_for(&self, number: u64) -> &ServiceName {
-        let total: u64 = self.services.iter().map(|part| u64::from(part.weight)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|part| u64::from(part.weight))
+            .sum();
         let mut rest = number % total.max(1);
         for part in &self.services {
             let weight = u64::from(part.weight);
--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -63,12 +63,16 @@
         let mut changes = Vec::new();
         if news.is_whole {
             let listed = |id: &UpstreamId| {
-                news.changes
-                    .iter()
-                    .any(|change| matches!(change, UpstreamChange::Listed(entry) if entry.id == *id))
+                news.changes.iter().any(
+                    |change| matches!(change, UpstreamChange::Listed(entry) if entry.id == *id),
+                )
             };
-            let missing: Vec<UpstreamId> =
-                self.by_id.keys().filter(|id| !listed(id)).cloned().collect();
+            let missing: Vec<UpstreamId> = self
+                .by_id
+                .keys()
+                .filter(|id| !listed(id))
+                .cloned()
+                .collect();
             for id in missing {
                 self.remove(now, id, &mut changes);
             }
@@ -118,7 +122,9 @@
     }
 
     fn list(&mut self, entry: UpstreamEntry, changes: &mut Vec<RosterChange>) {
-        let known = self.key_of(&entry.id).and_then(|key| Some((key, self.rows.get_mut(key)?)));
+        let known = self
+            .key_of(&entry.id)
+            .and_then(|key| Some((key, self.rows.get_mut(key)?)));
         if let Some((key, row)) = known {
             if entry.started_at_ms < row.entry.started_at_ms {
                 return;
@@ -130,7 +136,11 @@
                     changes.push(RosterChange::Leaving(key));
                 }
                 // A leaving upstream does not come back under the same start.
-                let phase = if was_ready { entry.phase } else { UpstreamPhase::Draining };
+                let phase = if was_ready {
+                    entry.phase
+                } else {
+                    UpstreamPhase::Draining
+                };
                 row.entry = UpstreamEntry { phase, ..entry };
                 return;
             }
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -92,7 +92,8 @@
             loads.end_prompt(self.key, self.plan.prompt_tokens);
         }
         drop(loads);
-        self.context.track_run(self.key, self.plan.need.as_ref(), -1);
+        self.context
+            .track_run(self.key, self.plan.need.as_ref(), -1);
         let took_ms = self.context.now().millis_since(self.plan.arrived_at);
         log::info!(
             request:% = self.plan.request,
@@ -151,7 +152,9 @@
             error:% = error;
             "answer cut by the upstream"
         );
-        self.guard.context.note_crash(self.guard.fingerprint, self.guard.key);
+        self.guard
+            .context
+            .note_crash(self.guard.fingerprint, self.guard.key);
         self.fail("cut_by_upstream")
     }
 }
@@ -167,7 +170,9 @@
         let state = &mut *self.0;
         match Pin::new(&mut state.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                state.guard.note_part(frame.data_ref().map_or(0, Bytes::len));
+                state
+                    .guard
+                    .note_part(frame.data_ref().map_or(0, Bytes::len));
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => state.take_cut(&error),
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -163,7 +163,9 @@
             return Some(self.give_up(RefusalReason::NoReplica, Some(retry_ms)));
         }
         let place =
-            self.context.waits.enter(need.clone(), &plan.service, plan.rank, plan.arrived_at);
+            self.context
+                .waits
+                .enter(need.clone(), &plan.service, plan.rank, plan.arrived_at);
         let left_ms = wait_until.millis_since(now);
         self.pause(generation, left_ms.min(LOOK_AGAIN_MS)).await;
         // Upstreams that refused for want of the model may have it now.
@@ -192,7 +194,9 @@
     async fn attempt(&mut self, key: UpstreamKey, load: u32, candidates: usize) -> AttemptEnd {
         let context = self.context;
         let entry = context.roster.borrow().get(key).cloned();
-        let Some(entry) = entry else { return AttemptEnd::NotRun };
+        let Some(entry) = entry else {
+            return AttemptEnd::NotRun;
+        };
         let now = context.now();
         let plan = &self.call.plan;
         let left_ms = plan.ends_at.millis_since(now);
@@ -249,7 +253,10 @@
 
     fn build(&self, head: &AttemptHead) -> Request<HttpBody> {
         let mut parts = self.call.parts.clone();
-        self.context.ports.dialect.write_attempt(&mut parts.headers, head);
+        self.context
+            .ports
+            .dialect
+            .write_attempt(&mut parts.headers, head);
         Request::from_parts(parts, full_body(self.call.body.clone()))
     }
 
@@ -266,7 +273,11 @@
     ) -> AttemptEnd {
         let now = self.context.now();
         let (mut parts, incoming) = response.into_parts();
-        let head = self.context.ports.dialect.read_answer(parts.status, &parts.headers);
+        let head = self
+            .context
+            .ports
+            .dialect
+            .read_answer(parts.status, &parts.headers);
         if let Some(count) = head.load {
             self.context.loads.borrow_mut().reported(now, key, count);
         }
@@ -275,7 +286,10 @@
             self.note_refusal(now, key, &head, parts.status);
             return AttemptEnd::NotRun;
         }
-        let is_other = head.request.as_ref().is_some_and(|id| *id != self.call.plan.request);
+        let is_other = head
+            .request
+            .as_ref()
+            .is_some_and(|id| *id != self.call.plan.request);
         let is_promise = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
         if is_promise || is_other || (parts.status.is_success() && !head.is_sealed) {
             guard.end("wrong_answer");
@@ -324,7 +338,10 @@
         } else if let Some(need) = &self.call.plan.need
             && status == StatusCode::MISDIRECTED_REQUEST
         {
-            self.context.placement.borrow_mut().note_missing(now, key, need);
+            self.context
+                .placement
+                .borrow_mut()
+                .note_missing(now, key, need);
             return;
         }
         self.tried.push(key);
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -66,7 +66,9 @@
         let wait_ms = limit_ms.min(patience_ms).saturating_sub(WORK_RESERVE_MS);
         let shared = head.prompt.len().checked_sub(2);
         Self {
-            service: rule.service_for(rendezvous_weight(&head.request, "service")).clone(),
+            service: rule
+                .service_for(rendezvous_weight(&head.request, "service"))
+                .clone(),
             route: rule.name.clone(),
             kind: rule.kind,
             rank: rule.rank,
--- a/src/gateway/call_refusal.rs
+++ b/src/gateway/call_refusal.rs
@@ -15,7 +15,10 @@
     *response.status_mut() =
         StatusCode::from_u16(document.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
     if let Some(retry_ms) = retry_ms {
         let text = format!("{}.{:03}", retry_ms / 1_000, retry_ms % 1_000);
         if let Ok(value) = HeaderValue::from_str(&text) {
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -38,7 +38,11 @@
             let refusal = RequestRefusal::not_run(RefusalReason::NotReady);
             return refusal_response(refusal, Some(NOT_READY_RETRY_MS));
         };
-        let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let host = parts
+            .headers
+            .get(HOST)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
         let Some(rule) = catalog.route(host, parts.uri.path()) else {
             log::info!(path = parts.uri.path(), config = catalog.version, reason = "no route"; "refused");
             return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
@@ -49,7 +53,7 @@
         let body_ms = plan.ends_at.millis_since(arrived_at);
         let body = match read_body(incoming, catalog.limits.body_bytes, body_ms).await {
             Ok(body) => body,
-            Err(error) => return self.refuse_body(&plan, &error),
+            Err(error) => return refuse_body(&plan, &error),
         };
         self.context.note_asked(&plan);
         dialect.strip_call(&mut parts.headers);
@@ -63,16 +67,6 @@
         };
         serve_call(&self.context, call).await
     }
-
-    fn refuse_body(&self, plan: &CallPlan, error: &BodyError) -> Response<HttpBody> {
-        let reason = match error {
-            BodyError::TooLarge(_) => RefusalReason::OversizedBody,
-            BodyError::TooSlow(_) => RefusalReason::SlowBody,
-            BodyError::Cut => RefusalReason::MalformedBody,
-        };
-        log::info!(request:% = plan.request, error:% = error, reason:? = reason; "refused");
-        refusal_response(RequestRefusal::not_run(reason), None)
-    }
 }
 
 impl HttpHandler for FrontServer {
@@ -91,3 +85,13 @@
         })
     }
 }
+
+fn refuse_body(plan: &CallPlan, error: &BodyError) -> Response<HttpBody> {
+    let reason = match error {
+        BodyError::TooLarge(_) => RefusalReason::OversizedBody,
+        BodyError::TooSlow(_) => RefusalReason::SlowBody,
+        BodyError::Cut => RefusalReason::MalformedBody,
+    };
+    log::info!(request:% = plan.request, error:% = error, reason:? = reason; "refused");
+    refusal_response(RequestRefusal::not_run(reason), None)
+}
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -152,7 +152,9 @@
     #[must_use]
     pub fn wait_limit(&self, plan: &CallPlan) -> MonoTime {
         match self.stopped_at.get() {
-            Some(at) => plan.wait_until.min(at + self.node.drain_ms / STOP_WAIT_DIVISOR),
+            Some(at) => plan
+                .wait_until
+                .min(at + self.node.drain_ms / STOP_WAIT_DIVISOR),
             None => plan.wait_until,
         }
     }
@@ -160,7 +162,10 @@
     /// Whether an availability zone lies in the own region.
     #[must_use]
     pub fn is_near(&self, zone: &ZoneName) -> bool {
-        self.config.regions.get(zone).is_some_and(|region| *region == self.node.region)
+        self.config
+            .regions
+            .get(zone)
+            .is_some_and(|region| *region == self.node.region)
     }
 
     /// A caller of another process.
@@ -176,7 +181,8 @@
         self.metrics.settings_revision.set(version);
         let catalog = Rc::new(catalog);
         *self.catalog.borrow_mut() = Some(Rc::clone(&catalog));
-        self.host.with_planner(|planner| planner.take_catalog(catalog));
+        self.host
+            .with_planner(|planner| planner.take_catalog(catalog));
         self.share_roster();
     }
 
@@ -196,16 +202,25 @@
         let now = self.now();
         let roster = self.roster.borrow();
         self.placement.borrow_mut().take_roster(&roster);
-        self.loads.borrow_mut().retain(|key| roster.get(key).is_some());
-        self.host.with_planner(|planner| planner.take_roster(now, &roster));
+        self.loads
+            .borrow_mut()
+            .retain(|key| roster.get(key).is_some());
+        self.host
+            .with_planner(|planner| planner.take_roster(now, &roster));
         self.waits.wake_all();
     }
 
     /// Counts a request that arrived.
     pub fn note_asked(&self, plan: &CallPlan) {
-        self.resends.borrow_mut().earn(plan.arrived_at, &plan.service);
+        self.resends
+            .borrow_mut()
+            .earn(plan.arrived_at, &plan.service);
         if let Some(need) = &plan.need {
-            *self.asked.borrow_mut().entry(need.model.clone()).or_default() += 1;
+            *self
+                .asked
+                .borrow_mut()
+                .entry(need.model.clone())
+                .or_default() += 1;
         }
     }
 
@@ -217,7 +232,10 @@
         self.metrics.answered.get_or_create(&labels).inc();
         #[allow(clippy::cast_precision_loss)]
         let seconds = now.millis_since(plan.arrived_at) as f64 / 1_000.0;
-        self.metrics.first_byte_s.get_or_create(&labels).observe(seconds);
+        self.metrics
+            .first_byte_s
+            .get_or_create(&labels)
+            .observe(seconds);
     }
 
     /// Counts a request that begins or ends at an engine.
@@ -225,7 +243,11 @@
         let Some(need) = need else { return };
         let mut runs = self.runs.borrow_mut();
         let run = (key, need.model.clone());
-        let count = runs.get(&run).copied().unwrap_or(0).saturating_add_signed(change);
+        let count = runs
+            .get(&run)
+            .copied()
+            .unwrap_or(0)
+            .saturating_add_signed(change);
         if count == 0 {
             runs.remove(&run);
         } else {
@@ -246,7 +268,10 @@
         EdgeDemand {
             wants: self.waits.wants(self.now()),
             runs: lines.collect(),
-            asked: asked.into_iter().map(|(model, count)| AskedLine(model, count)).collect(),
+            asked: asked
+                .into_iter()
+                .map(|(model, count)| AskedLine(model, count))
+                .collect(),
             unreachable: self
                 .loads
                 .borrow()
@@ -266,7 +291,10 @@
     /// Whether a request crashed several upstreams.
     #[must_use]
     pub fn is_held_back(&self, fingerprint: RequestFingerprint) -> bool {
-        let verdict = self.crashes.borrow().verdict(self.now(), fingerprint, CRASH_HOLD_MS);
+        let verdict = self
+            .crashes
+            .borrow()
+            .verdict(self.now(), fingerprint, CRASH_HOLD_MS);
         verdict == QuarantineVerdict::HeldBack
     }
 
@@ -276,7 +304,11 @@
         let Some(entry) = roster.get(key) else { return };
         let instance = InstanceName::from(entry.id.as_str());
         let line = CrashLine(fingerprint, crash_number(&instance, entry.started_at_ms));
-        if self.crashes.borrow_mut().record(self.now(), fingerprint, line.1) {
+        if self
+            .crashes
+            .borrow_mut()
+            .record(self.now(), fingerprint, line.1)
+        {
             self.new_crashes.borrow_mut().push(line);
         }
     }
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -43,7 +43,9 @@
         let front_limits = ServerLimits {
             header_ms: config.idle_ms,
         };
-        let front = HttpServer::bind(node.listen).await?.with_limits(front_limits);
+        let front = HttpServer::bind(node.listen)
+            .await?
+            .with_limits(front_limits);
         let mut control_servers = Vec::new();
         for address in [config.ready, config.peers, config.metrics] {
             control_servers.push(HttpServer::bind(address).await?.with_limits(front_limits));
--- a/src/gateway/load_book.rs
+++ b/src/gateway/load_book.rs
@@ -99,7 +99,11 @@
     /// Takes the end of an attempt.
     pub fn ended(&mut self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
         let load = self.load(key);
-        let failed = if result == AttemptResult::Answered { 0.0 } else { 1.0 };
+        let failed = if result == AttemptResult::Answered {
+            0.0
+        } else {
+            1.0
+        };
         let known = decayed(load, now);
         load.failures = known + (failed - known) * FAILURE_WEIGHT;
         load.failures_at = now;
@@ -120,11 +124,14 @@
     /// Requests that run or wait at the upstream, as far as is known.
     #[must_use]
     pub fn estimate(&self, now: MonoTime, key: UpstreamKey) -> u32 {
-        let Some(load) = self.loads.get(key) else { return 0 };
+        let Some(load) = self.loads.get(key) else {
+            return 0;
+        };
         match load.reported {
-            Some((at, count, own)) if now.millis_since(at) < REPORTED_FRESH_MS => {
-                (count + load.in_flight).saturating_sub(own).max(load.in_flight)
-            }
+            Some((at, count, own)) if now.millis_since(at) < REPORTED_FRESH_MS => (count
+                + load.in_flight)
+                .saturating_sub(own)
+                .max(load.in_flight),
             _ => load.in_flight,
         }
     }
@@ -138,13 +145,18 @@
 
     /// Upstreams that could not be reached when last tried.
     pub fn unreachable(&self) -> impl Iterator<Item = UpstreamKey> {
-        self.loads.iter().filter(|(_, load)| load.ejected_until.is_some()).map(|(key, _)| key)
+        self.loads
+            .iter()
+            .filter(|(_, load)| load.ejected_until.is_some())
+            .map(|(key, _)| key)
     }
 
     /// Whether the upstream is better passed over.
     #[must_use]
     pub fn is_suspect(&self, now: MonoTime, key: UpstreamKey) -> bool {
-        self.loads.get(key).is_some_and(|load| decayed(load, now) > FAILING_SHARE)
+        self.loads
+            .get(key)
+            .is_some_and(|load| decayed(load, now) > FAILING_SHARE)
     }
 
     /// Own requests at the upstream.
--- a/src/gateway/placement_view.rs
+++ b/src/gateway/placement_view.rs
@@ -35,7 +35,10 @@
     pub fn take_roster(&mut self, roster: &UpstreamRoster) {
         self.known.retain(|key, _| roster.get(key).is_some());
         for (key, entry) in roster.iter() {
-            let is_news = self.known.get(key).is_none_or(|known| !known.is_from_planner);
+            let is_news = self
+                .known
+                .get(key)
+                .is_none_or(|known| !known.is_from_planner);
             if is_news {
                 self.known.insert(key, of_entry(entry));
             }
@@ -45,9 +48,12 @@
     /// Takes news from the planner.
     pub fn take_news(&mut self, roster: &UpstreamRoster, news: &PlacementNews) {
         for holdings in &news.holdings {
-            let Some(key) = roster.key_of(&holdings.id) else { continue };
-            let is_same_start =
-                roster.get(key).is_some_and(|entry| entry.started_at_ms == holdings.started_at_ms);
+            let Some(key) = roster.key_of(&holdings.id) else {
+                continue;
+            };
+            let is_same_start = roster
+                .get(key)
+                .is_some_and(|entry| entry.started_at_ms == holdings.started_at_ms);
             if !is_same_start {
                 continue;
             }
@@ -78,14 +84,22 @@
     #[must_use]
     pub fn can_serve(&self, now: MonoTime, key: UpstreamKey, need: &ModelNeed) -> bool {
         let is_missing = !self.missing.is_empty()
-            && self.missing.get(&(key, need.clone())).is_some_and(|until| now < *until);
+            && self
+                .missing
+                .get(&(key, need.clone()))
+                .is_some_and(|until| now < *until);
         if is_missing {
             return false;
         }
-        let Some(known) = self.known.get(key) else { return false };
+        let Some(known) = self.known.get(key) else {
+            return false;
+        };
         known.models.iter().any(|(model, adapters)| {
             *model == need.model
-                && need.adapter.as_ref().is_none_or(|adapter| adapters.contains(adapter))
+                && need
+                    .adapter
+                    .as_ref()
+                    .is_none_or(|adapter| adapters.contains(adapter))
         })
     }
 }
@@ -94,6 +108,8 @@
     let models = entry.models.iter();
     KnownHoldings {
         is_from_planner: false,
-        models: models.map(|held| (held.model.clone(), held.adapters.clone())).collect(),
+        models: models
+            .map(|held| (held.model.clone(), held.adapters.clone()))
+            .collect(),
     }
 }
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -50,8 +50,12 @@
     /// Opens a host that does not hold the lease.
     #[must_use]
     pub fn open(node: &NodeConfig, config: &GatewayConfig, start_id: u64) -> Self {
-        let lease =
-            LeaseHolder::open(node.instance.clone(), config.peers, start_id, config.lease_term_ms);
+        let lease = LeaseHolder::open(
+            node.instance.clone(),
+            config.peers,
+            start_id,
+            config.lease_term_ms,
+        );
         Self {
             lease: RefCell::new(lease),
             active: RefCell::default(),
@@ -135,10 +139,17 @@
         let was_ours = lease.is_last_ours();
         lease.committed(sent_at, intent, revision);
         let mut active = self.active.borrow_mut();
-        if active.as_ref().is_some_and(|active| active.epoch == intent.row.epoch) {
+        if active
+            .as_ref()
+            .is_some_and(|active| active.epoch == intent.row.epoch)
+        {
             return None;
         }
-        let pause_ms = if is_first || was_ours { 0 } else { self.turn_ms + TURN_MARGIN_MS };
+        let pause_ms = if is_first || was_ours {
+            0
+        } else {
+            self.turn_ms + TURN_MARGIN_MS
+        };
         *active = Some(ActivePlanner {
             planner: OrderPlanner::open(self.policy, intent.row.epoch),
             epoch: intent.row.epoch,
@@ -179,10 +190,18 @@
         let revision = self.lease.borrow().held_revision(now);
         let mut active = self.active.borrow_mut();
         let active = active.as_mut()?;
-        active.edges.insert(report.edge.clone(), (now, report.address));
-        active.edges.retain(|_, (at, _)| now.millis_since(*at) < EDGE_LIFE_MS);
-        active.crashes.retain(|(at, _)| now.millis_since(*at) < CRASH_NEWS_MS);
-        active.crashes.extend(report.crashes.iter().map(|line| (now, *line)));
+        active
+            .edges
+            .insert(report.edge.clone(), (now, report.address));
+        active
+            .edges
+            .retain(|_, (at, _)| now.millis_since(*at) < EDGE_LIFE_MS);
+        active
+            .crashes
+            .retain(|(at, _)| now.millis_since(*at) < CRASH_NEWS_MS);
+        active
+            .crashes
+            .extend(report.crashes.iter().map(|line| (now, *line)));
         let wants = report.demand.wants.clone();
         active.planner.take_demand(now, report.edge, report.demand);
         let forecasts = wants.iter().map(|line| {
@@ -203,17 +222,29 @@
     #[must_use]
     pub fn relay_peers(&self, count: usize) -> Vec<SocketAddr> {
         let active = self.active.borrow();
-        let Some(active) = active.as_ref() else { return Vec::new() };
+        let Some(active) = active.as_ref() else {
+            return Vec::new();
+        };
         let mut peers: Vec<(MonoTime, SocketAddr)> = active.edges.values().copied().collect();
         peers.retain(|(_, address)| *address != self.address);
         peers.sort_unstable();
-        peers.iter().rev().take(count).map(|(_, address)| *address).collect()
+        peers
+            .iter()
+            .rev()
+            .take(count)
+            .map(|(_, address)| *address)
+            .collect()
     }
 
     /// News after a mark, if this process plans.
     #[must_use]
     pub fn news_since(&self, mark: FollowMark) -> Option<PlacementNews> {
         let active = self.active.borrow();
-        Some(active.as_ref()?.planner.news_since(mark.epoch, mark.version))
+        Some(
+            active
+                .as_ref()?
+                .planner
+                .news_since(mark.epoch, mark.version),
+        )
     }
 }
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -131,8 +131,13 @@
         },
         Ok(revision) => revision,
     };
-    let Some(revision) = revision else { return Ok(false) };
-    if let Some(epoch) = context.host.committed(context.now(), sent_at, intent, revision) {
+    let Some(revision) = revision else {
+        return Ok(false);
+    };
+    if let Some(epoch) = context
+        .host
+        .committed(context.now(), sent_at, intent, revision)
+    {
         log::info!(epoch; "planning begun");
         begin_planning(context);
     }
@@ -167,7 +172,9 @@
 
 /// Gives the lease up, so that another process can take it at once.
 pub async fn release_lease(context: &Rc<GatewayContext>) {
-    let Some(intent) = context.host.release() else { return };
+    let Some(intent) = context.host.release() else {
+        return;
+    };
     match write_lease(context, &intent).await {
         Ok(true) => log::info!(epoch = intent.row.epoch; "lease given up"),
         Ok(false) => log::warn!("lease was not ours any more"),
@@ -197,14 +204,20 @@
                 mark.epoch = news.epoch;
                 mark.version = news.version;
                 if !news.holdings.is_empty() {
-                    context.placement.borrow_mut().take_news(&context.roster.borrow(), &news);
+                    context
+                        .placement
+                        .borrow_mut()
+                        .take_news(&context.roster.borrow(), &news);
                     context.waits.wake_all();
                 }
             }
             Err(error) => {
                 if was_heard {
                     log::warn!(planner:% = address, error:% = error; "planner lost");
-                    context.placement.borrow_mut().forget_planner(&context.roster.borrow());
+                    context
+                        .placement
+                        .borrow_mut()
+                        .forget_planner(&context.roster.borrow());
                     mark.version = 0;
                 }
                 was_heard = false;
@@ -222,7 +235,10 @@
         mark.epoch = news.epoch;
         mark.version = news.version;
         if !news.holdings.is_empty() {
-            context.placement.borrow_mut().take_news(&context.roster.borrow(), &news);
+            context
+                .placement
+                .borrow_mut()
+                .take_news(&context.roster.borrow(), &news);
             context.waits.wake_all();
         }
     }
@@ -267,11 +283,18 @@
     loop {
         let now = context.now();
         let Some(epoch) = context.host.order_epoch(now) else {
-            let pause_ms = if context.host.is_active() { PLANNER_STEP_MS } else { IDLE_STEP_MS };
+            let pause_ms = if context.host.is_active() {
+                PLANNER_STEP_MS
+            } else {
+                IDLE_STEP_MS
+            };
             context.host.work.wait(pause_ms).await;
             continue;
         };
-        let actions = context.host.with_planner(|planner| planner.tick(now)).unwrap_or_default();
+        let actions = context
+            .host
+            .with_planner(|planner| planner.tick(now))
+            .unwrap_or_default();
         let is_idle = actions.is_empty();
         for action in actions {
             let context = Rc::clone(&context);
@@ -317,7 +340,9 @@
         }
     };
     let now = context.now();
-    context.host.with_planner(|planner| planner.take_report(now, key, report.as_ref()));
+    context
+        .host
+        .with_planner(|planner| planner.take_report(now, key, report.as_ref()));
 }
 
 async fn give_order(
@@ -359,7 +384,9 @@
     );
     count_order(context, verb, answer);
     let now = context.now();
-    context.host.with_planner(|planner| planner.take_answer(now, key, answer));
+    context
+        .host
+        .with_planner(|planner| planner.take_answer(now, key, answer));
 }
 
 fn count_order(context: &GatewayContext, verb: OrderVerb, answer: Option<OrderAnswer>) {
--- a/src/gateway/planner_rpc.rs
+++ b/src/gateway/planner_rpc.rs
@@ -41,7 +41,10 @@
     fn demand(&self, report: DemandReport) -> RpcResult<DemandAnswer> {
         let now = self.context.now();
         self.context.take_crashes(&report.crashes);
-        self.context.host.take_report(now, report).ok_or_else(not_planner)
+        self.context
+            .host
+            .take_report(now, report)
+            .ok_or_else(not_planner)
     }
 
     async fn follow(&self, mark: FollowMark) -> RpcResult<PlacementNews> {
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -130,7 +130,11 @@
     }
     if entry.zone != *input.zone {
         let is_near = (input.is_near)(&entry.zone);
-        cost += if is_near { OTHER_ZONE_COST } else { OTHER_REGION_COST };
+        cost += if is_near {
+            OTHER_ZONE_COST
+        } else {
+            OTHER_REGION_COST
+        };
     }
     if input.loads.is_suspect(input.now, key) {
         cost += SUSPECT_COST;
--- a/src/gateway/wait_board.rs
+++ b/src/gateway/wait_board.rs
@@ -7,8 +7,8 @@
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::fleet::ModelNeed;
 use crate::orders::WantLine;
-use crate::sync::ForecastLine;
 use crate::prelude::*;
+use crate::sync::ForecastLine;
 
 #[derive(Debug)]
 struct WaitGroup {
@@ -82,7 +82,12 @@
                 service: group.service.clone(),
                 count: u32::try_from(group.arrivals.len()).unwrap_or(u32::MAX),
                 rank: group.rank,
-                waited_ms: group.arrivals.iter().map(|at| now.millis_since(*at)).max().unwrap_or(0),
+                waited_ms: group
+                    .arrivals
+                    .iter()
+                    .map(|at| now.millis_since(*at))
+                    .max()
+                    .unwrap_or(0),
             })
             .collect()
     }
@@ -120,7 +125,9 @@
 impl Drop for WaitPlace {
     fn drop(&mut self) {
         let mut groups = self.board.groups.borrow_mut();
-        let Some(group) = groups.get_mut(&self.need) else { return };
+        let Some(group) = groups.get_mut(&self.need) else {
+            return;
+        };
         let position = group.arrivals.iter().position(|at| *at == self.arrived_at);
         if let Some(position) = position {
             group.arrivals.swap_remove(position);
--- a/src/net/tcp_dial.rs
+++ b/src/net/tcp_dial.rs
@@ -11,6 +11,9 @@
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
 /// Connects with the options of every connection.
+///
+/// # Errors
+/// [`NetError::ConnectTimeout`] or [`NetError::Socket`]; nothing was sent then.
 pub async fn dial(address: SocketAddr) -> Result<TcpStream, NetError> {
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = compio::time::timeout(limit, TcpStream::connect(address))
--- /dev/null
+++ b/src/orders/adapter_orders.rs
@@ -0,0 +1,76 @@
+//! Orders of adapters.
+
+use super::order_planner::{NextOrder, PlanView, engine_plan};
+use super::upstream_ledger::UpstreamLedger;
+use super::{LoadSource, OrderPlanner, OrderStep, OrderVerb};
+use crate::fleet::{ModelNeed, UpstreamKey};
+
+/// Milliseconds that an adapter stays loaded after its order.
+const ADAPTER_HOLD_MS: u64 = 600;
+
+impl OrderPlanner {
+    /// Loads the adapters that requests wait for at engines that hold their models.
+    pub(super) fn serve_adapters(&mut self, view: PlanView<'_>) {
+        for need in view.wants.keys().filter(|need| need.adapter.is_some()) {
+            let is_usable = self.ledgers.values().any(|ledger| {
+                ledger.can_serve_need(need) && !self.demand.is_unreachable(&ledger.target.id)
+            });
+            let is_ordered = self.ledgers.values().any(|ledger| {
+                matches!(&ledger.step, OrderStep::Sent { need: sent, verb: OrderVerb::Load, .. }
+                    if sent == need)
+            });
+            if is_usable || is_ordered {
+                continue;
+            }
+            let hosts = self
+                .ledgers
+                .iter()
+                .filter(|(_, ledger)| ledger.is_free() && ledger.running.is_none())
+                .filter(|(_, ledger)| !self.demand.is_unreachable(&ledger.target.id))
+                .filter(|(_, ledger)| ledger.can_serve(&need.model));
+            let best = hosts.min_by_key(|(_, ledger)| {
+                let running = self.demand.running(&ledger.target.id, &need.model);
+                (ledger.adapter_count(), running)
+            });
+            if let Some(key) = best.map(|(key, _)| key) {
+                self.order_adapter(view, key, need);
+            }
+        }
+    }
+
+    fn order_adapter(&mut self, view: PlanView<'_>, key: UpstreamKey, need: &ModelNeed) {
+        let ledger = &self.ledgers[key];
+        let Some(plan) = engine_plan(view.catalog, ledger) else {
+            return;
+        };
+        let adapter_mb = plan
+            .models
+            .get(&need.model)
+            .map_or(0.0, |model| model.adapter_mb);
+        let has_place = ledger.adapter_count() < plan.adapter_slots;
+        let has_room = ledger.used_mb(plan) + adapter_mb <= plan.memory_mb;
+        if has_place && has_room {
+            let order = NextOrder::load(need.clone(), LoadSource::Local);
+            self.send(view.now, key, order, "wanted");
+        } else if let Some(victim) = oldest_adapter(view, ledger) {
+            self.send(view.now, key, NextOrder::unload(victim), "make room");
+        }
+    }
+}
+
+/// The adapter that was ordered longest ago and that nothing waits for.
+fn oldest_adapter(view: PlanView<'_>, ledger: &UpstreamLedger) -> Option<ModelNeed> {
+    let adapters = ledger.models.iter().flat_map(|(model, held)| {
+        held.adapters.iter().map(move |(adapter, at)| {
+            let need = ModelNeed {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            };
+            (*at, need)
+        })
+    });
+    let idle = adapters.filter(|(at, need)| {
+        view.now.millis_since(*at) >= ADAPTER_HOLD_MS && !view.wants.contains_key(need)
+    });
+    idle.min().map(|(_, need)| need)
+}
--- /dev/null
+++ b/src/orders/bring_purpose.rs
@@ -0,0 +1,47 @@
+//! Why a model is brought to an engine, and what that allows.
+
+use super::PlannerPolicy;
+
+/// Rank of the most urgent requests.
+pub(super) const MOST_URGENT_RANK: u8 = 0;
+
+/// Why a model is brought to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BringPurpose {
+    /// Requests wait for it.
+    Wanted {
+        /// The most urgent rank among them.
+        rank: u8,
+    },
+    /// Its copies are crowded.
+    Copy,
+    /// No engine has a copy yet.
+    Prefetch,
+    /// Room is being made for it already.
+    Goal,
+}
+
+impl BringPurpose {
+    /// The purpose in the log.
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::Wanted { .. } => "wanted",
+            Self::Copy => "crowded",
+            Self::Prefetch => "prefetch",
+            Self::Goal => "continue",
+        }
+    }
+
+    /// Loads from the weight store that may run at once, this one included.
+    pub(super) const fn store_loads(self, policy: &PlannerPolicy) -> usize {
+        match self {
+            Self::Wanted { rank } if rank == MOST_URGENT_RANK => {
+                policy.store_loads + policy.urgent_loads
+            }
+            Self::Wanted { .. } | Self::Copy => policy.store_loads,
+            Self::Prefetch => policy.store_loads.saturating_sub(policy.reserved_loads),
+            // Its place was taken when the goal was set.
+            Self::Goal => usize::MAX,
+        }
+    }
+}
--- a/src/orders/demand_book.rs
+++ b/src/orders/demand_book.rs
@@ -143,7 +143,10 @@
     /// Whether most entries that report could not reach an upstream.
     #[must_use]
     pub fn is_unreachable(&self, id: &UpstreamId) -> bool {
-        let without = self.reports.values().filter(|(_, demand)| demand.unreachable.contains(id));
+        let without = self
+            .reports
+            .values()
+            .filter(|(_, demand)| demand.unreachable.contains(id));
         let count = without.count();
         count > 0 && count * 2 >= self.trying(id)
     }
@@ -165,6 +168,7 @@
 
     /// Drops the reports of entries that fell silent.
     pub fn forget_old(&mut self, now: MonoTime) {
-        self.reports.retain(|_, (at, _)| now.millis_since(*at) < REPORT_LIFE_MS);
+        self.reports
+            .retain(|_, (at, _)| now.millis_since(*at) < REPORT_LIFE_MS);
     }
 }
--- /dev/null
+++ b/src/orders/load_forecast.rs
@@ -0,0 +1,67 @@
+//! When a missing model should be usable.
+
+use super::demand_book::WantSum;
+use super::upstream_ledger::UpstreamLedger;
+use super::{LoadSource, OrderPlanner, OrderVerb};
+use crate::fleet::ModelNeed;
+use crate::prelude::*;
+
+/// Milliseconds that a swap from an engine's own disk takes with its messages.
+const SWAP_FORECAST_MS: u64 = 900;
+
+impl OrderPlanner {
+    /// Milliseconds until a missing model should be usable.
+    #[must_use]
+    pub fn forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
+        let is_reached = |ledger: &&UpstreamLedger| !self.demand.is_unreachable(&ledger.target.id);
+        let ledgers = || self.ledgers.values().filter(is_reached);
+        if ledgers().any(|ledger| ledger.can_serve(&need.model)) {
+            return 0;
+        }
+        let running = ledgers()
+            .filter_map(|ledger| ledger.running.as_ref())
+            .find(|order| order.verb == OrderVerb::Load && order.model == need.model);
+        if let Some(order) = running {
+            return order.due_at.millis_since(now);
+        }
+        let has_copy =
+            |ledger: &&UpstreamLedger| ledger.is_ready && ledger.local_copies.contains(&need.model);
+        if ledgers().any(|ledger| has_copy(&ledger)) {
+            return SWAP_FORECAST_MS;
+        }
+        self.store_forecast_ms(now, need)
+    }
+
+    fn store_forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
+        let plan = self.catalog.as_ref().and_then(|catalog| {
+            let mut plans = catalog.services().filter_map(|plan| plan.engine.as_ref());
+            plans.find_map(|plan| plan.models.get(&need.model))
+        });
+        let load_ms = plan.map_or(0, |model| model.store_load_ms);
+        let loads = self
+            .ledgers
+            .values()
+            .filter_map(|ledger| ledger.running.as_ref());
+        let mut due_ms: Vec<u64> = loads
+            .filter(|order| order.source == LoadSource::Store && order.verb == OrderVerb::Load)
+            .map(|order| order.due_at.millis_since(now))
+            .collect();
+        due_ms.sort_unstable();
+        let wants = self.demand.wants();
+        let rank = wants.get(need).map(|sum| (sum.rank, sum.since));
+        let is_ahead = |(other, sum): &(&ModelNeed, &WantSum)| {
+            let has_copy = |ledger: &UpstreamLedger| ledger.local_copies.contains(&other.model);
+            rank.is_none_or(|rank| (sum.rank, sum.since) < rank)
+                && !self.ledgers.values().any(has_copy)
+        };
+        let ahead = wants.iter().filter(is_ahead).count();
+        let slots = self.policy.store_loads.max(1);
+        let round = u64::try_from(ahead / slots).unwrap_or(u64::MAX);
+        let next_ms = if due_ms.len() < slots {
+            0
+        } else {
+            due_ms[ahead % slots]
+        };
+        next_ms + load_ms.saturating_mul(round + 1)
+    }
+}
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -1,10 +1,15 @@
 //! Orders to model engines: which upstream holds which models, decided by one planner.
 
+mod adapter_orders;
+mod bring_purpose;
 mod demand_book;
 mod engine_control;
+mod load_forecast;
+mod model_orders;
 mod order_planner;
 mod order_step;
 mod placement_news;
+mod planner_action;
 mod planner_policy;
 mod swap_choice;
 mod upstream_ledger;
@@ -13,8 +18,9 @@
 pub use engine_control::{
     EngineControl, EngineOrder, EngineReport, OrderAnswer, OrderFailure, OrderVerb, UpstreamTarget,
 };
-pub use order_planner::{OrderBasis, OrderPlanner, PlannerAction};
+pub use order_planner::OrderPlanner;
 pub use order_step::{LoadSource, OrderStep, RunningOrder};
 pub use placement_news::{PlacementNews, UpstreamHoldings};
+pub use planner_action::{OrderBasis, PlannerAction};
 pub use planner_policy::PlannerPolicy;
 pub use upstream_ledger::UpstreamLedger;
--- /dev/null
+++ b/src/orders/model_orders.rs
@@ -0,0 +1,270 @@
+//! Orders of whole models: wanted ones, further copies, and loads ahead of need.
+
+use super::bring_purpose::BringPurpose;
+use super::demand_book::WantSum;
+use super::order_planner::{NextOrder, PlanView, engine_plan};
+use super::swap_choice::{SwapOption, SwapView, load_source, swap_option};
+use super::upstream_ledger::UpstreamLedger;
+use super::{LoadSource, OrderPlanner};
+use crate::fleet::{EnginePlan, ModelNeed, UpstreamKey};
+use crate::prelude::*;
+
+/// Milliseconds over which loads from the weight store are counted against its rate.
+const STORE_WINDOW_MS: u64 = 5_000;
+
+/// Milliseconds after which an unfinished goal of an engine is given up.
+const GOAL_LIFE_MS: u64 = 6_000;
+
+/// Least gain of a model that requests wait for, in requests a second.
+const WANTED_GAIN_PER_S: f64 = 0.6;
+
+/// Gain of a model that is loaded ahead, in requests a second.
+const PREFETCH_GAIN_PER_S: f64 = 0.35;
+
+/// Rate that an adapter of a model is taken for when models are loaded ahead, in requests a
+/// second: operators add adapters to models that are used.
+const ADAPTER_HINT_PER_S: f64 = 1.0;
+
+impl OrderPlanner {
+    /// Goes on with engines where room was made for a model.
+    pub(super) fn continue_goals(&mut self, view: PlanView<'_>) {
+        let goals: Vec<(UpstreamKey, ModelName)> = self
+            .ledgers
+            .iter()
+            .filter(|(_, ledger)| ledger.is_free() && ledger.running.is_none())
+            .filter_map(|(key, ledger)| Some((key, ledger.goal.clone()?)))
+            .collect();
+        for (key, model) in goals {
+            let is_old = view.now.millis_since(self.ledgers[key].goal_at) > GOAL_LIFE_MS;
+            let option = self.option_at(view, key, &model, BringPurpose::Goal);
+            match option.filter(|_| !is_old) {
+                Some(option) => self.pursue(view, key, &model, &option, BringPurpose::Goal),
+                None => self.ledgers[key].goal = None,
+            }
+        }
+    }
+
+    /// Brings the models that requests of some ranks wait for.
+    pub(super) fn serve_models(&mut self, view: PlanView<'_>, is_turn: impl Fn(u8) -> bool) {
+        let mut missing: Vec<(&ModelNeed, &WantSum)> = view
+            .wants
+            .iter()
+            .filter(|(_, sum)| is_turn(sum.rank))
+            .collect();
+        missing.sort_by_key(|(_, sum)| (sum.rank, sum.since));
+        for (need, sum) in missing {
+            let is_served = |ledger: &UpstreamLedger| {
+                let has_it = ledger.can_serve(&need.model) || ledger.is_bringing(&need.model);
+                has_it && !self.demand.is_unreachable(&ledger.target.id)
+            };
+            if !self.ledgers.values().any(is_served) {
+                let purpose = BringPurpose::Wanted { rank: sum.rank };
+                self.bring(view, &sum.service, &need.model, purpose);
+            }
+        }
+    }
+
+    /// Gives crowded models a further copy.
+    pub(super) fn add_copies(&mut self, view: PlanView<'_>) {
+        let mut crowded: Vec<(ServiceName, ModelName)> = Vec::new();
+        for service in view.catalog.services() {
+            let Some(plan) = &service.engine else {
+                continue;
+            };
+            let models = plan
+                .models
+                .keys()
+                .filter(|model| self.is_crowded(view, plan, model));
+            crowded.extend(models.map(|model| (service.name.clone(), model.clone())));
+        }
+        for (service, model) in crowded {
+            let is_coming = self
+                .ledgers
+                .values()
+                .any(|ledger| ledger.is_bringing(&model));
+            if !is_coming {
+                self.bring(view, &service, &model, BringPurpose::Copy);
+            }
+        }
+    }
+
+    /// Loads models that no engine has a copy of, while the weight store has nothing to do.
+    pub(super) fn prefetch(&mut self, view: PlanView<'_>) {
+        if !self.may_load_from_store(view, BringPurpose::Prefetch) {
+            return;
+        }
+        let mut missing: Vec<(f64, ServiceName, ModelName)> = Vec::new();
+        for service in view.catalog.services() {
+            let Some(plan) = &service.engine else {
+                continue;
+            };
+            for (model, known) in &plan.models {
+                let has_copy = |ledger: &UpstreamLedger| {
+                    ledger.local_copies.contains(model) || ledger.is_bringing(model)
+                };
+                if !self.ledgers.values().any(has_copy) {
+                    let hint = if known.adapter_count > 0 {
+                        ADAPTER_HINT_PER_S
+                    } else {
+                        0.0
+                    };
+                    let rate = self.demand.rate(view.now, model) + hint;
+                    missing.push((rate, service.name.clone(), model.clone()));
+                }
+            }
+        }
+        missing.sort_by(|left, right| right.0.total_cmp(&left.0));
+        for (_, service, model) in missing {
+            if !self.may_load_from_store(view, BringPurpose::Prefetch) {
+                return;
+            }
+            self.bring(view, &service, &model, BringPurpose::Prefetch);
+        }
+    }
+
+    fn is_crowded(&self, view: PlanView<'_>, plan: &EnginePlan, model: &ModelName) -> bool {
+        let mut copies = 0;
+        let mut running = 0;
+        for ledger in self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.can_serve(model))
+        {
+            copies += 1;
+            running += self.demand.running(&ledger.target.id, model);
+        }
+        let rate = self.demand.rate(view.now, model);
+        let is_busy = running * 100 > copies * plan.slots * self.policy.crowded_percent;
+        copies > 0 && (is_busy || rate > f64::from(copies) * self.policy.copy_rate_per_s)
+    }
+
+    fn bring(
+        &mut self,
+        view: PlanView<'_>,
+        service: &ServiceName,
+        model: &ModelName,
+        purpose: BringPurpose,
+    ) {
+        let may_store = self.may_load_from_store(view, purpose);
+        let free: Vec<UpstreamKey> = self
+            .ledgers
+            .iter()
+            .filter(|(_, ledger)| ledger.service == *service)
+            .filter(|(_, ledger)| !self.demand.is_unreachable(&ledger.target.id))
+            .filter(|(_, ledger)| ledger.is_free() && ledger.running.is_none())
+            .filter(|(_, ledger)| ledger.goal.is_none() && !ledger.models.contains_key(model))
+            .filter(|(_, ledger)| may_store || load_source(ledger, model) == LoadSource::Local)
+            .map(|(key, _)| key)
+            .collect();
+        let options = free.into_iter().filter_map(|key| {
+            let option = self.option_at(view, key, model, purpose)?;
+            Some((key, option))
+        });
+        let best = options.min_by(|left, right| left.1.cost_ms.total_cmp(&right.1.cost_ms));
+        if let Some((key, option)) = best {
+            self.pursue(view, key, model, &option, purpose);
+        }
+    }
+
+    fn option_at(
+        &self,
+        view: PlanView<'_>,
+        key: UpstreamKey,
+        model: &ModelName,
+        purpose: BringPurpose,
+    ) -> Option<SwapOption> {
+        let ledger = self.ledgers.get(key)?;
+        let copies = |name: &ModelName| {
+            self.ledgers
+                .values()
+                .filter(|ledger| ledger.can_serve(name))
+                .count()
+        };
+        let is_wanted = |name: &ModelName| {
+            purpose != BringPurpose::Goal && view.wants.keys().any(|need| need.model == *name)
+        };
+        let swap = SwapView {
+            now: view.now,
+            plan: engine_plan(view.catalog, ledger)?,
+            demand: &self.demand,
+            policy: self.policy,
+            copies: &copies,
+            wanted: &is_wanted,
+            gain_per_s: self.gain_per_s(view, model, copies(model), purpose),
+        };
+        swap_option(&swap, ledger, model)
+    }
+
+    /// Requests a second that a copy brought for a purpose would serve.
+    #[allow(clippy::cast_precision_loss)]
+    fn gain_per_s(
+        &self,
+        view: PlanView<'_>,
+        model: &ModelName,
+        copies: usize,
+        purpose: BringPurpose,
+    ) -> f64 {
+        let rate = self.demand.rate(view.now, model);
+        match purpose {
+            BringPurpose::Wanted { .. } | BringPurpose::Goal => rate.max(WANTED_GAIN_PER_S),
+            BringPurpose::Copy => rate / (copies as f64 + 1.0),
+            BringPurpose::Prefetch => PREFETCH_GAIN_PER_S,
+        }
+    }
+
+    /// Takes the next step towards a model: unloads the first victim, or loads the model.
+    fn pursue(
+        &mut self,
+        view: PlanView<'_>,
+        key: UpstreamKey,
+        model: &ModelName,
+        option: &SwapOption,
+        purpose: BringPurpose,
+    ) {
+        let ledger = &mut self.ledgers[key];
+        if ledger.goal.as_ref() != Some(model) {
+            ledger.goal = Some(model.clone());
+            ledger.goal_at = view.now;
+        }
+        let order = match option.victims.first() {
+            Some(victim) => NextOrder::unload(whole(victim)),
+            None => NextOrder::load(whole(model), option.source),
+        };
+        if option.victims.is_empty() && option.source == LoadSource::Store {
+            self.store_starts.push_back(view.now);
+        }
+        self.send(view.now, key, order, purpose.reason());
+    }
+
+    /// Whether the weight store has a place for another load with a purpose.
+    #[allow(clippy::cast_precision_loss)]
+    fn may_load_from_store(&mut self, view: PlanView<'_>, purpose: BringPurpose) -> bool {
+        let is_old = |at: &MonoTime| view.now.millis_since(*at) > STORE_WINDOW_MS;
+        while self.store_starts.front().is_some_and(is_old) {
+            self.store_starts.pop_front();
+        }
+        let plans = view
+            .catalog
+            .services()
+            .filter_map(|service| service.engine.as_ref());
+        let per_s = plans
+            .map(|plan| plan.loads_per_s)
+            .fold(f64::INFINITY, f64::min);
+        let window_s = STORE_WINDOW_MS as f64 / 1_000.0;
+        let is_in_rate = self.store_starts.len() as f64 + 1.0 <= per_s * window_s;
+        let loading = self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.is_store_loading())
+            .count();
+        loading < purpose.store_loads(&self.policy) && is_in_rate
+    }
+}
+
+/// The model without an adapter.
+fn whole(model: &ModelName) -> ModelNeed {
+    ModelNeed {
+        model: model.clone(),
+        adapter: None,
+    }
+}
--- a/src/orders/swap_choice.rs
+++ b/src/orders/swap_choice.rs
@@ -116,7 +116,11 @@
 
 /// Requests a second that an engine serves.
 fn host_rate(view: &SwapView<'_>, ledger: &UpstreamLedger) -> f64 {
-    ledger.models.keys().map(|model| rate_here(view, model)).sum()
+    ledger
+        .models
+        .keys()
+        .map(|model| rate_here(view, model))
+        .sum()
 }
 
 /// Milliseconds of delay that each request a second of an engine weighs while it is busy with
--- a/src/orders/upstream_ledger.rs
+++ b/src/orders/upstream_ledger.rs
@@ -104,7 +104,10 @@
             .iter()
             .map(|(name, held)| model_mb(plan, name) + adapter_mb(plan, name, held.adapters.len()))
             .sum();
-        let loading = self.running.as_ref().filter(|order| order.verb == OrderVerb::Load);
+        let loading = self
+            .running
+            .as_ref()
+            .filter(|order| order.verb == OrderVerb::Load);
         loaded + loading.map_or(0.0, |order| model_mb(plan, &order.model))
     }
 
@@ -148,13 +151,16 @@
     /// Whether a load from the weight store runs here, was ordered, or waits for room.
     #[must_use]
     pub fn is_store_loading(&self) -> bool {
-        if self.goal.as_ref().is_some_and(|model| !self.local_copies.contains(model)) {
+        if self
+            .goal
+            .as_ref()
+            .is_some_and(|model| !self.local_copies.contains(model))
+        {
             return true;
         }
-        let is_running = self
-            .running
-            .as_ref()
-            .is_some_and(|order| order.source == LoadSource::Store && order.verb == OrderVerb::Load);
+        let is_running = self.running.as_ref().is_some_and(|order| {
+            order.source == LoadSource::Store && order.verb == OrderVerb::Load
+        });
         let is_sent = matches!(
             &self.step,
             OrderStep::Sent { verb: OrderVerb::Load, source: LoadSource::Store, need }
@@ -207,11 +213,15 @@
                 true
             }
             Some(OrderAnswer::AlreadyDone | OrderAnswer::Conflict) => {
-                self.step = OrderStep::Stale { read_at: now + REREAD_MS };
+                self.step = OrderStep::Stale {
+                    read_at: now + REREAD_MS,
+                };
                 true
             }
             _ => {
-                self.step = OrderStep::Stale { read_at: now + REPORT_LAG_MS };
+                self.step = OrderStep::Stale {
+                    read_at: now + REPORT_LAG_MS,
+                };
                 true
             }
         }
@@ -270,12 +280,15 @@
 
     /// Takes the engine's own state. Returns whether what is usable changed.
     pub(super) fn take_report(&mut self, now: MonoTime, report: &EngineReport) -> bool {
-        self.local_copies.extend(report.local_copies.iter().cloned());
+        self.local_copies
+            .extend(report.local_copies.iter().cloned());
         self.step = OrderStep::Idle;
         if report.order_count < self.order_count && self.older_reports < MAX_OLDER_REPORTS {
             // The report is older than an accepted order.
             self.older_reports += 1;
-            self.step = OrderStep::Stale { read_at: now + REREAD_MS };
+            self.step = OrderStep::Stale {
+                read_at: now + REREAD_MS,
+            };
             return false;
         }
         self.older_reports = 0;
@@ -289,7 +302,9 @@
         self.settle_running(now, report);
         self.adopt(now, &report.models);
         if report.is_busy && self.running.is_none() {
-            self.step = OrderStep::Stale { read_at: now + REREAD_MS };
+            self.step = OrderStep::Stale {
+                read_at: now + REREAD_MS,
+            };
         }
         before != self.holdings()
     }
@@ -312,7 +327,9 @@
     }
 
     fn settle_running(&mut self, now: MonoTime, report: &EngineReport) {
-        let Some(order) = &mut self.running else { return };
+        let Some(order) = &mut self.running else {
+            return;
+        };
         let is_held = report.models.iter().any(|held| held.model == order.model);
         if is_held == (order.verb == OrderVerb::Load) {
             let order = self.running.take();
@@ -339,13 +356,19 @@
     }
 
     fn adopt(&mut self, now: MonoTime, held: &[HeldModel]) {
-        self.models.retain(|name, _| held.iter().any(|model| model.model == *name));
+        self.models
+            .retain(|name, _| held.iter().any(|model| model.model == *name));
         for model in held {
-            let loaded = self.models.entry(model.model.clone()).or_insert_with(|| LoadedModel {
-                adapters: BTreeMap::new(),
-                since: now,
-            });
-            loaded.adapters.retain(|name, _| model.adapters.contains(name));
+            let loaded = self
+                .models
+                .entry(model.model.clone())
+                .or_insert_with(|| LoadedModel {
+                    adapters: BTreeMap::new(),
+                    since: now,
+                });
+            loaded
+                .adapters
+                .retain(|name, _| model.adapters.contains(name));
             for adapter in &model.adapters {
                 loaded.adapters.entry(adapter.clone()).or_insert(now);
             }
@@ -372,7 +395,9 @@
 
 /// Megabytes of a model; an unknown one counts as filling the engine.
 pub(super) fn model_mb(plan: &EnginePlan, model: &ModelName) -> f64 {
-    plan.models.get(model).map_or(plan.memory_mb, |known| known.memory_mb)
+    plan.models
+        .get(model)
+        .map_or(plan.memory_mb, |known| known.memory_mb)
 }
 
 #[allow(clippy::cast_precision_loss)]
--- a/src/retry/resend_window.rs
+++ b/src/retry/resend_window.rs
@@ -66,7 +66,10 @@
 }
 
 fn forget(sends: &mut VecDeque<MonoTime>, now: MonoTime) {
-    while sends.front().is_some_and(|at| now.millis_since(*at) > WINDOW_MS) {
+    while sends
+        .front()
+        .is_some_and(|at| now.millis_since(*at) > WINDOW_MS)
+    {
         sends.pop_front();
     }
 }
--- /dev/null
+++ b/tests/order_planner.rs
@@ -0,0 +1,204 @@
+//! The planner under the loads that it is made for, with engines that behave like real ones.
+
+mod planner_cases;
+
+use planner_cases::{EngineFleet, FleetShape, rare_models};
+use proptest::prelude::*;
+use quetzalpin::prelude::*;
+use rstest::rstest;
+
+/// Milliseconds between two steps of the simulated fleet.
+const STEP_MS: u64 = 20;
+
+/// Rank of chats, the most urgent work.
+const CHAT_RANK: u8 = 0;
+
+/// Rank of work that can wait for a swap.
+const PATIENT_RANK: u8 = 2;
+
+/// Load pattern: one model takes most requests while rare ones come by. The busy model's only
+/// copy must stay although rare models are waited for.
+#[test]
+fn a_busy_copy_does_not_make_room_for_a_rare_model() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 1,
+        models: 4,
+        held: 2,
+        ..FleetShape::default()
+    });
+    let busy = fleet.held_at(0)[0].clone();
+    let rare = rare_models(&fleet)[0].clone();
+    for _ in 0..400 {
+        fleet.ask(&busy, 1);
+        fleet.want(&rare, PATIENT_RANK);
+        fleet.step(STEP_MS);
+        assert!(
+            fleet.held_at(0).contains(&busy),
+            "the busy copy was unloaded"
+        );
+    }
+    assert!(
+        fleet.held_at(0).contains(&rare),
+        "the rare model never came"
+    );
+}
+
+/// Load pattern: demand moves to a model with a single copy. It gets further copies without
+/// being waited for.
+#[test]
+fn a_model_that_becomes_popular_gets_further_copies() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 6,
+        models: 12,
+        held: 2,
+        ..FleetShape::default()
+    });
+    let popular = fleet.held_at(0)[0].clone();
+    for _ in 0..1_200 {
+        fleet.ask_each(&popular, 100);
+        fleet.step(STEP_MS);
+    }
+    assert!(
+        fleet.copies(&popular) >= 2,
+        "{} copies",
+        fleet.copies(&popular)
+    );
+}
+
+/// Load pattern: many rare models are asked for at once. Loads from the weight store, those
+/// that still wait for room included, stay within what it serves at full speed.
+#[test]
+fn waiting_for_room_counts_as_a_load_from_the_store() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 10,
+        models: 40,
+        held: 2,
+        ..FleetShape::default()
+    });
+    let rare = rare_models(&fleet);
+    for _ in 0..1_000 {
+        for model in &rare {
+            fleet.want(model, PATIENT_RANK);
+        }
+        fleet.step(STEP_MS);
+        assert!(
+            fleet.store_loads() <= 4,
+            "{} loads at once",
+            fleet.store_loads()
+        );
+    }
+}
+
+/// Load pattern: the weight store is busy with loads ahead of need when a chat needs a model
+/// that no engine has. The chat's load begins at once.
+#[test]
+fn a_chat_does_not_wait_for_loads_ahead_of_need() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 10,
+        models: 40,
+        held: 1,
+        ..FleetShape::default()
+    });
+    fleet.run(1_000, STEP_MS);
+    let ahead = fleet.store_loads();
+    assert!(ahead > 0, "nothing was loaded ahead");
+    let wanted = rare_models(&fleet).pop().expect("a rare model");
+    for _ in 0..20 {
+        fleet.want(&wanted, CHAT_RANK);
+        fleet.step(STEP_MS);
+    }
+    assert!(
+        fleet.is_loading(&wanted),
+        "the chat's model is not being loaded"
+    );
+}
+
+/// Load pattern: the only engine with a model is dead but still listed. The model is brought
+/// to another engine once entries tell that they cannot reach the first.
+#[test]
+fn a_model_leaves_an_unreachable_engine() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 4,
+        models: 8,
+        held: 2,
+        ..FleetShape::default()
+    });
+    let model = fleet.held_at(0)[0].clone();
+    fleet.cut(0);
+    for _ in 0..800 {
+        fleet.want(&model, CHAT_RANK);
+        fleet.step(STEP_MS);
+    }
+    let elsewhere = (1..4).any(|engine| fleet.held_at(engine).contains(&model));
+    assert!(elsewhere, "the model stayed at the dead engine only");
+}
+
+/// Adapters are ordered at engines that hold their model, and an idle one makes room.
+#[test]
+fn adapters_share_the_places_of_an_engine() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 1,
+        models: 1,
+        held: 1,
+        ..FleetShape::default()
+    });
+    let model = fleet.held_at(0)[0].clone();
+    for number in 0..20 {
+        let adapter = AdapterName::from(format!("a{number}").as_str());
+        for _ in 0..60 {
+            fleet.want_adapter(&model, &adapter);
+            fleet.step(STEP_MS);
+        }
+        assert!(
+            fleet.has_adapter(0, &model, &adapter),
+            "adapter {number} is missing"
+        );
+    }
+}
+
+/// An order without an answer leaves the engine's state open until the engine itself is read.
+#[rstest]
+#[case::carried_out(true)]
+#[case::lost(false)]
+fn an_unanswered_order_is_settled_by_the_engine(#[case] is_carried_out: bool) {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 1,
+        models: 3,
+        held: 1,
+        ..FleetShape::default()
+    });
+    fleet.lose_next_answer(is_carried_out);
+    let wanted = rare_models(&fleet)[0].clone();
+    for _ in 0..1_500 {
+        fleet.want(&wanted, PATIENT_RANK);
+        fleet.step(STEP_MS);
+    }
+    assert!(fleet.held_at(0).contains(&wanted));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Whatever is asked for and whatever happens to orders, no engine is ordered to hold more
+    /// than it can, and no order goes out with an older precondition than the engine's own.
+    #[test]
+    fn engines_are_never_overcommitted(
+        seed in any::<u64>(),
+        engines in 1_usize..5,
+        held in 0_usize..3,
+    ) {
+        let mut fleet = EngineFleet::open(FleetShape {
+            engines,
+            models: 9,
+            held,
+            seed,
+            loss_percent: 10,
+            ..FleetShape::default()
+        });
+        for _ in 0..600 {
+            fleet.random_demand();
+            fleet.step(STEP_MS);
+            fleet.check();
+        }
+    }
+}
--- /dev/null
+++ b/tests/planner_cases/sim_engine.rs
@@ -0,0 +1,126 @@
+//! One simulated engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quetzalpin::fleet::{HeldModel, ModelNeed};
+use quetzalpin::orders::{EngineReport, OrderAnswer, OrderVerb};
+use quetzalpin::prelude::*;
+
+/// Megabytes of one simulated engine.
+pub const ENGINE_MB: f64 = 200_000.0;
+
+/// Adapters that it holds at once.
+pub const ADAPTER_PLACES: usize = 8;
+
+/// Megabytes of one adapter.
+pub const ADAPTER_MB: f64 = 66.0;
+
+/// Milliseconds of a load from the weight store.
+pub const STORE_LOAD_MS: u64 = 6_000;
+
+/// Milliseconds of a load from the engine's disk.
+pub const DISK_LOAD_MS: u64 = 500;
+
+/// Carries out orders as engines do: one whole model at a time.
+#[derive(Debug, Default)]
+pub struct SimEngine {
+    pub order_count: u64,
+    pub models: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    pub on_disk: BTreeSet<ModelName>,
+    /// Verb, model, end and whether the weights come from the store.
+    pub running: Option<(OrderVerb, ModelName, u64, bool)>,
+    pub is_cut: bool,
+}
+
+impl SimEngine {
+    /// Ends what is due.
+    pub fn advance(&mut self, now_ms: u64) {
+        let is_due = |running: &&mut (OrderVerb, ModelName, u64, bool)| now_ms >= running.2;
+        if self.running.as_mut().filter(is_due).is_none() {
+            return;
+        }
+        if let Some((OrderVerb::Load, model, _, _)) = self.running.take() {
+            self.on_disk.insert(model.clone());
+            self.models.entry(model).or_default();
+        }
+    }
+
+    /// Takes an order as an engine does.
+    pub fn order(
+        &mut self,
+        now_ms: u64,
+        verb: OrderVerb,
+        need: &ModelNeed,
+        precondition: u64,
+    ) -> OrderAnswer {
+        if precondition != self.order_count || self.running.is_some() {
+            return OrderAnswer::Conflict;
+        }
+        let answer = match (verb, &need.adapter) {
+            (OrderVerb::Load, None) if self.models.contains_key(&need.model) => {
+                return OrderAnswer::AlreadyDone;
+            }
+            (OrderVerb::Load, None) => {
+                let is_store = !self.on_disk.contains(&need.model);
+                let load_ms = if is_store {
+                    STORE_LOAD_MS
+                } else {
+                    DISK_LOAD_MS
+                };
+                self.running = Some((verb, need.model.clone(), now_ms + load_ms, is_store));
+                OrderAnswer::Accepted
+            }
+            (OrderVerb::Unload, None) => {
+                self.models.remove(&need.model);
+                OrderAnswer::Accepted
+            }
+            (OrderVerb::Load, Some(adapter)) => match self.models.get_mut(&need.model) {
+                Some(adapters) => {
+                    adapters.insert(adapter.clone());
+                    OrderAnswer::Accepted
+                }
+                None => return OrderAnswer::Refused,
+            },
+            (OrderVerb::Unload, Some(adapter)) => {
+                if let Some(adapters) = self.models.get_mut(&need.model) {
+                    adapters.remove(adapter);
+                }
+                OrderAnswer::Accepted
+            }
+        };
+        self.order_count += 1;
+        answer
+    }
+
+    /// Megabytes in use, those of a running load included.
+    pub fn used_mb(&self, model_mb: impl Fn(&ModelName) -> f64) -> f64 {
+        let models: f64 = self.models.keys().map(&model_mb).sum();
+        #[allow(clippy::cast_precision_loss)]
+        let adapters = self.adapter_count() as f64 * ADAPTER_MB;
+        let loading = match &self.running {
+            Some((OrderVerb::Load, model, _, _)) => model_mb(model),
+            _ => 0.0,
+        };
+        models + adapters + loading
+    }
+
+    /// Adapters over all models.
+    pub fn adapter_count(&self) -> usize {
+        self.models.values().map(BTreeSet::len).sum()
+    }
+
+    /// The state as the engine tells it.
+    pub fn report(&self) -> EngineReport {
+        let models = self.models.iter().map(|(model, adapters)| HeldModel {
+            model: model.clone(),
+            version: 1,
+            adapters: adapters.iter().cloned().collect(),
+        });
+        EngineReport {
+            order_count: self.order_count,
+            is_busy: self.running.is_some(),
+            models: models.collect(),
+            local_copies: self.on_disk.iter().cloned().collect(),
+        }
+    }
+}
