--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,12 +3,13 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use futures_util::future::{Either, select};
-use futures_util::pin_mut;
 use log::LevelFilter;
 use quetzalpin::config::DaemonConfig;
 use quetzalpin::daemon::{DaemonError, DaemonHandle, open_logging};
 use quetzalpin_platform::open_ports;
+use signal_watch::SignalWatch;
+
+mod signal_watch;
 
 mod flags {
     #![allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -28,12 +29,6 @@
     }
 }
 
-/// Signal sent by the platform to end a process.
-const SIGTERM: i32 = 15;
-
-/// Signal that says the settings file has changed.
-const SIGHUP: i32 = 1;
-
 /// Exit code for faulty settings.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -74,12 +69,13 @@
 fn run(config: DaemonConfig, path: &Path, level: LevelFilter) -> Result<(), DaemonError> {
     let settings = config.clone();
     open_logging(level)?;
+    let signals = SignalWatch::open().map_err(quetzalpin::net::NetError::Socket)?;
     let runtime = compio::runtime::Runtime::new().map_err(quetzalpin::net::NetError::Socket)?;
     runtime.block_on(async {
         let handle =
             DaemonHandle::spawn_on(config, |node| open_ports(node.table, node.timeout_ms)).await?;
         log::info!(address:% = handle.address(); "listening");
-        wait_for_stop(path, &settings).await;
+        signals.wait_for_stop(|| check_reload(path, &settings)).await;
         log::info!("stopping");
         let cut = handle.shutdown().await;
         log::info!(cut; "stopped");
@@ -88,35 +84,12 @@
     })
 }
 
-/// Waits for the end of the process; meanwhile a hang-up signal has the settings read again.
-async fn wait_for_stop(path: &Path, settings: &DaemonConfig) {
-    let stopping = async {
-        let terminate = compio::signal::unix::signal(SIGTERM);
-        let interrupt = compio::signal::ctrl_c();
-        pin_mut!(terminate, interrupt);
-        let (Either::Left((result, _)) | Either::Right((result, _))) =
-            select(terminate, interrupt).await;
-        if let Err(error) = result {
-            log::error!(error:% = error; "signals cannot be watched");
-        }
-    };
-    let reloading = watch_reloads(path, settings);
-    pin_mut!(stopping, reloading);
-    select(stopping, reloading).await;
-}
-
-/// Checks the settings file at each hang-up signal. Addresses and roles cannot change while a
-/// process runs: a changed file comes into force at its next start, which the log says.
-async fn watch_reloads(path: &Path, settings: &DaemonConfig) {
-    loop {
-        if let Err(error) = compio::signal::unix::signal(SIGHUP).await {
-            log::error!(error:% = error; "reload signals cannot be watched");
-            return std::future::pending().await;
-        }
-        match DaemonConfig::open(path) {
-            Ok(found) if found == *settings => log::info!(changed = false; "settings read again"),
-            Ok(_) => log::warn!(changed = true; "settings read again: in force at the next start"),
-            Err(error) => log::error!(error:% = error; "settings not taken"),
-        }
+/// Checks the settings file again. Addresses and roles cannot change while a process runs: a
+/// changed file comes into force at its next start, which the log says.
+fn check_reload(path: &Path, settings: &DaemonConfig) {
+    match DaemonConfig::open(path) {
+        Ok(found) if found == *settings => log::info!(changed = false; "settings read again"),
+        Ok(_) => log::warn!(changed = true; "settings read again: in force at the next start"),
+        Err(error) => log::error!(error:% = error; "settings not taken"),
     }
 }
