--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -75,7 +75,9 @@
         let handle =
             DaemonHandle::spawn_on(config, |node| open_ports(node.table, node.timeout_ms)).await?;
         log::info!(address:% = handle.address(); "listening");
-        signals.wait_for_stop(|| check_reload(path, &settings)).await;
+        signals
+            .wait_for_stop(|| check_reload(path, &settings))
+            .await;
         log::info!("stopping");
         let cut = handle.shutdown().await;
         log::info!(cut; "stopped");
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -3,12 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
 use super::GatewayContext;
+use crate::daemon::WakeSignal;
 use crate::fleet::{FeedVersion, SourceError};
 
 /// Milliseconds that a call waits for changes.
 const FEED_WAIT_MS: u64 = 10_000;
 
+/// Milliseconds after which a call is made anew even without word; longer than any call takes.
+const HINT_WAIT_MS: u64 = 60_000;
+
 /// Milliseconds between two reads of the list; many changes come in one answer.
 const ROSTER_PAUSE_MS: u64 = 700;
 
@@ -29,7 +36,11 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryPause::open("configuration");
     loop {
-        match context.ports.fleet.catalog(after, FEED_WAIT_MS).await {
+        let reading = context.ports.fleet.catalog(after, retry.wait_ms());
+        let Some(read) = until_hint(reading, &context.feeds.catalog).await else {
+            continue;
+        };
+        match read {
             Ok(news) => {
                 retry.succeeded();
                 after = Some(news.version);
@@ -60,7 +71,11 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryPause::open("list of upstreams");
     loop {
-        match context.ports.fleet.upstreams(after, FEED_WAIT_MS).await {
+        let reading = context.ports.fleet.upstreams(after, retry.wait_ms());
+        let Some(read) = until_hint(reading, &context.feeds.roster).await else {
+            continue;
+        };
+        match read {
             Ok(news) => {
                 if retry.succeeded() {
                     // Entries that lapsed meanwhile are listed again soon.
@@ -95,6 +110,16 @@
     }
 }
 
+/// Waits for a call, or drops it when there is word that it should be made anew.
+async fn until_hint<T>(reading: impl Future<Output = T>, hint: &WakeSignal) -> Option<T> {
+    let hinted = hint.wait(HINT_WAIT_MS);
+    pin_mut!(reading, hinted);
+    match select(reading, hinted).await {
+        Either::Left((read, _)) => Some(read),
+        Either::Right(((), _)) => None,
+    }
+}
+
 async fn sleep_ms(millis: u64) {
     compio::time::sleep(Duration::from_millis(millis)).await;
 }
@@ -115,6 +140,12 @@
         }
     }
 
+    /// Milliseconds that the next call may wait for changes. After a failure it is answered at
+    /// once, so that a platform that is silent again is noticed early.
+    const fn wait_ms(&self) -> u64 {
+        if self.failures == 0 { FEED_WAIT_MS } else { 0 }
+    }
+
     /// Returns whether an outage has ended.
     fn succeeded(&mut self) -> bool {
         let was_down = self.failures > 0;
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+use super::feed_watch::FeedWatch;
 use super::planner_host::PlannerHost;
 use super::{CallDialect, CallPlan, LoadBook, PlacementView, WaitBoard};
 use crate::config::{GatewayConfig, NodeConfig};
@@ -81,6 +82,8 @@
     pub crashes: RefCell<QuarantineBook>,
     /// The planner's lease and, while it is held, the planner.
     pub host: PlannerHost,
+    /// How far configuration and list were read.
+    pub feeds: FeedWatch,
     /// Wakes the lease loop.
     pub lease_hint: WakeSignal,
     /// When shutdown began; never cleared.
@@ -114,6 +117,7 @@
             waits: WaitBoard::open(),
             crashes: RefCell::new(QuarantineBook::open()),
             host,
+            feeds: FeedWatch::default(),
             lease_hint: WakeSignal::default(),
             stopped_at: Cell::new(None),
             new_crashes: RefCell::default(),
@@ -176,6 +180,7 @@
 
     /// Takes a configuration.
     pub fn take_catalog(&self, catalog: FleetCatalog) {
+        self.feeds.note_catalog(catalog.version);
         log::info!(version = catalog.version; "configuration in force");
         let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
         self.metrics.settings_revision.set(version);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod call_plan;
 mod call_refusal;
 mod control_server;
+mod feed_watch;
 mod fleet_follower;
 mod front_server;
 mod gateway_context;
@@ -22,6 +23,7 @@
 
 pub use call_dialect::{AnswerHead, AttemptHead, CallDialect, CallHead, PromptPart};
 pub use call_plan::CallPlan;
+pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
 pub use load_book::{AttemptResult, LoadBook};
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -189,7 +189,12 @@
 
     /// Answers an entry's report, if this process plans.
     #[must_use]
-    pub fn take_report(&self, now: MonoTime, report: DemandReport) -> Option<DemandAnswer> {
+    pub fn take_report(
+        &self,
+        now: MonoTime,
+        report: DemandReport,
+        catalog_version: u64,
+    ) -> Option<DemandAnswer> {
         let revision = self.lease.borrow().held_revision(now);
         let mut active = self.active.borrow_mut();
         let active = active.as_mut()?;
@@ -214,6 +219,7 @@
         let answer = DemandAnswer {
             lease_revision: revision.map_or(0, |revision| revision.0),
             edge_count: u32::try_from(active.edges.len()).unwrap_or(u32::MAX),
+            catalog_version,
             forecasts: forecasts.collect(),
             crashes: active.crashes.iter().map(|(_, line)| *line).collect(),
         };
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -48,12 +48,22 @@
 
 /// Takes, renews and gives up the planner's lease.
 pub async fn run_lease(context: Rc<GatewayContext>) {
+    let mut was_lost = false;
     loop {
         if context.is_stopping() {
             return;
         }
-        if let Err(error) = tend_lease(&context).await {
-            log::warn!(dependency = "table", error:% = error; "lease not read or written");
+        match tend_lease(&context).await {
+            Ok(()) => {
+                if std::mem::take(&mut was_lost) {
+                    log::info!(dependency = "table"; "dependency regained");
+                    context.feeds.read_anew();
+                }
+            }
+            Err(error) => {
+                was_lost = true;
+                log::warn!(dependency = "table", error:% = error; "lease not read or written");
+            }
         }
         let pause_ms = lease_pause_ms(&context);
         context.lease_hint.wait(pause_ms).await;
@@ -255,10 +265,14 @@
             edge: context.node.instance.clone(),
             address: context.config.peers,
             demand: context.take_demand(),
+            catalog_version: context.feeds.version(),
             crashes: context.drain_crashes(),
         };
         let answer = match context.host.remote_address() {
-            None => context.host.take_report(context.now(), report),
+            None => {
+                let version = context.feeds.version();
+                context.host.take_report(context.now(), report, version)
+            }
             Some(address) => match context.rpc(address).demand(report).await {
                 Ok(answer) => {
                     context.host.heard(context.now(), answer.lease_revision);
@@ -271,6 +285,7 @@
             },
         };
         if let Some(answer) = answer {
+            context.feeds.hear(context.now(), answer.catalog_version);
             context.share_reserve(answer.edge_count);
             context.take_crashes(&answer.crashes);
             context.waits.take_forecasts(answer.forecasts);
--- a/src/sync/messages.rs
+++ b/src/sync/messages.rs
@@ -25,6 +25,9 @@
     /// What it asks for and runs.
     #[serde(rename = "d")]
     pub demand: EdgeDemand,
+    /// Version of the configuration in force there.
+    #[serde(rename = "k")]
+    pub catalog_version: u64,
     /// Crashes that the entry saw since its last report.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashLine>,
@@ -43,6 +46,10 @@
     /// Entries that reported lately, this one included.
     #[serde(rename = "n")]
     pub edge_count: u32,
+    /// Version of the configuration in force at the planner. An entry that hears of a higher one
+    /// than its own reads anew: its call for changes may hang.
+    #[serde(rename = "k")]
+    pub catalog_version: u64,
     /// Forecasts for the reported wants.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub forecasts: Vec<ForecastLine>,
--- /dev/null
+++ b/tests/feed_watch.rs
@@ -0,0 +1,39 @@
+//! Word of newer configurations while a process's own call for changes hangs.
+
+use quetzalpin::gateway::FeedWatch;
+use quetzalpin::prelude::*;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn a_newer_version_elsewhere_leads_to_a_call_anew() {
+    let watch = FeedWatch::default();
+    watch.note_catalog(6);
+    assert!(!watch.hear(at(0), 6));
+    assert!(watch.hear(at(10), 9));
+}
+
+/// A slow platform must be able to answer: reports that repeat the word do not cut the call off.
+#[test]
+fn the_same_word_does_not_cut_a_slow_call_off() {
+    let watch = FeedWatch::default();
+    watch.note_catalog(6);
+    assert!(watch.hear(at(0), 9));
+    for millis in [500, 1_000, 1_500, 2_000, 2_500] {
+        assert!(!watch.hear(at(millis), 9));
+    }
+    assert!(
+        watch.hear(at(3_500), 9),
+        "a call that hangs again is never made anew"
+    );
+}
+
+#[test]
+fn a_version_in_force_leads_to_no_call() {
+    let watch = FeedWatch::default();
+    watch.note_catalog(9);
+    assert!(!watch.hear(at(0), 8));
+    assert_eq!(watch.version(), 9);
+}
