--- /dev/null
+++ b/cli/src/commands/explain_log.rs
@@ -0,0 +1,100 @@
+//! `quetzalpin explain --log`: the way of one request, read from logs.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::ExitCode;
+
+use serde_json::{Map, Value};
+
+use crate::errors::ToolError;
+use crate::output::say;
+
+/// Fields that stand at the front of a line or say nothing about the request.
+const FRONT_FIELDS: [&str; 4] = ["at_ms", "level", "event", "request"];
+
+/// One line about the request.
+struct LogEvent {
+    at_ms: u64,
+    /// What stands before the JSON text, such as the name of the process.
+    source: String,
+    fields: Map<String, Value>,
+}
+
+/// Prints what the logs of any number of processes say about a request, in order.
+///
+/// # Errors
+/// [`ToolError::Log`] if the file cannot be read, [`ToolError::NotInLog`] if no line names the
+/// request.
+pub fn run(path: &Path, request: &str, as_json: bool) -> Result<ExitCode, ToolError> {
+    let file = File::open(path).map_err(|source| log_error(path, source))?;
+    let mut events = Vec::new();
+    let mut broken = 0_usize;
+    for line in BufReader::new(file).split(b'\n') {
+        let line = line.map_err(|source| log_error(path, source))?;
+        let line = String::from_utf8_lossy(&line);
+        match read_event(&line) {
+            Some(event) if event.fields.get("request").and_then(Value::as_str) == Some(request) => {
+                events.push(event);
+            }
+            Some(_) => {}
+            None => broken += usize::from(line.contains(request)),
+        }
+    }
+    if broken > 0 {
+        eprintln!("{broken} lines that name the request cannot be read");
+    }
+    if events.is_empty() {
+        return Err(ToolError::NotInLog(request.to_owned()));
+    }
+    events.sort_by_key(|event| event.at_ms);
+    let start_ms = events[0].at_ms;
+    for event in &events {
+        if as_json {
+            say!("{}", serde_json::to_string(&event.fields)?);
+        } else {
+            say!("{}", describe(event, start_ms));
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn log_error(path: &Path, source: std::io::Error) -> ToolError {
+    ToolError::Log {
+        path: path.display().to_string(),
+        source,
+    }
+}
+
+fn read_event(line: &str) -> Option<LogEvent> {
+    let (source, text) = line.split_at(line.find('{')?);
+    let fields: Map<String, Value> = serde_json::from_str(text.trim_end()).ok()?;
+    Some(LogEvent {
+        at_ms: fields.get("at_ms")?.as_u64()?,
+        source: source.trim().to_owned(),
+        fields,
+    })
+}
+
+fn describe(event: &LogEvent, start_ms: u64) -> String {
+    let name = event
+        .fields
+        .get("event")
+        .and_then(Value::as_str)
+        .unwrap_or("-");
+    let mut text = format!("{:>6} ms  {name}", event.at_ms - start_ms);
+    for (key, value) in &event.fields {
+        if FRONT_FIELDS.contains(&key.as_str()) || value.is_null() {
+            continue;
+        }
+        match value.as_str() {
+            Some("") => {}
+            Some(word) => text += &format!("  {key}={word}"),
+            None => text += &format!("  {key}={value}"),
+        }
+    }
+    if !event.source.is_empty() {
+        text += &format!("  [{}]", event.source);
+    }
+    text
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod campaign_command;
 mod explain_command;
+mod explain_log;
 mod quickstart_command;
 mod settings_command;
 mod status_command;
@@ -57,9 +58,10 @@
                 settings_command::run(&context, settings.subcommand).await
             }
             QuetzalpinCmd::Status(_) => status_command::run(&context).await,
-            QuetzalpinCmd::Explain(explain) => {
-                explain_command::run(&context, &explain.request).await
-            }
+            QuetzalpinCmd::Explain(explain) => match &explain.log {
+                Some(path) => explain_log::run(path, &explain.request, context.json),
+                None => explain_command::run(&context, &explain.request).await,
+            },
             QuetzalpinCmd::Release(release) => {
                 explain_command::release(&context, &release.fingerprint).await
             }
--- a/cli/src/errors.rs
+++ b/cli/src/errors.rs
@@ -11,6 +11,17 @@
 pub enum ToolError {
     /// {0}
     Io(std::io::Error),
+    /// cannot read {path}: {source}
+    #[from(ignore)]
+    Log {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// no line of the log names request {0}
+    #[from(ignore)]
+    NotInLog(#[error(not(source))] String),
     /// the entry cannot be reached: {0}
     Transport(cyper::Error),
     /// the entry's answer cannot be read: {0}
@@ -69,6 +80,8 @@
             Self::UnknownSubtree(_)
             | Self::UnknownFleet(_)
             | Self::UnknownRank(_)
+            | Self::Log { .. }
+            | Self::NotInLog(_)
             | Self::NoCredential => ExitCode::from(EXIT_INPUT),
             Self::Refused(_) | Self::NoDecision => ExitCode::from(EXIT_REFUSED),
             Self::Transport(_) => ExitCode::from(EXIT_UNREACHABLE),
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -53,8 +53,10 @@
         cmd status {}
         /// Tell why a request was routed or refused.
         cmd explain {
-            /// Value of the answer's x-request-id header
+            /// Identity of the request
             required request: String
+            /// Read the logs in this file, of any number of processes, in place of an entry.
+            optional --log file: PathBuf
         }
         /// Release a request that is held back for crashing upstreams.
         cmd release {
