Read an engine again when it denies a model

Change: reports name engines that denied a model, and the planner reads their state. Test a_denied_model_is_brought_back fails without the change.

--- a/cli/src/commands/explain_log.rs
+++ b/cli/src/commands/explain_log.rs
@@ -77,24 +77,24 @@
 }
 
 fn describe(event: &LogEvent, start_ms: u64) -> String {
-    let name = event
-        .fields
-        .get("event")
-        .and_then(Value::as_str)
-        .unwrap_or("-");
-    let mut text = format!("{:>6} ms  {name}", event.at_ms - start_ms);
+    let name = event.fields.get("event").and_then(Value::as_str);
+    let mut parts = vec![format!(
+        "{:>6} ms  {}",
+        event.at_ms - start_ms,
+        name.unwrap_or("-")
+    )];
     for (key, value) in &event.fields {
-        if FRONT_FIELDS.contains(&key.as_str()) || value.is_null() {
+        let is_empty = value.is_null() || value.as_str() == Some("");
+        if is_empty || FRONT_FIELDS.contains(&key.as_str()) {
             continue;
         }
-        match value.as_str() {
-            Some("") => {}
-            Some(word) => text += &format!("  {key}={word}"),
-            None => text += &format!("  {key}={value}"),
-        }
+        parts.push(match value.as_str() {
+            Some(word) => format!("{key}={word}"),
+            None => format!("{key}={value}"),
+        });
     }
     if !event.source.is_empty() {
-        text += &format!("  [{}]", event.source);
+        parts.push(format!("[{}]", event.source));
     }
-    text
+    parts.join("  ")
 }
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -338,10 +338,7 @@
         } else if let Some(need) = &self.call.plan.need
             && status == StatusCode::MISDIRECTED_REQUEST
         {
-            self.context
-                .placement
-                .borrow_mut()
-                .note_missing(now, key, need);
+            self.context.note_missing(now, key, need);
             return;
         }
         self.tried.push(key);
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -1,7 +1,7 @@
 //! What all parts of a gateway share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 use super::feed_watch::FeedWatch;
@@ -89,6 +89,8 @@
     /// When shutdown began; never cleared.
     stopped_at: Cell<Option<MonoTime>>,
     new_crashes: RefCell<Vec<CrashLine>>,
+    /// Upstreams that denied a model since the last report.
+    lacking: RefCell<BTreeSet<UpstreamId>>,
     asked: RefCell<BTreeMap<ModelName, u32>>,
     /// Own requests in flight; every count is above zero.
     runs: RefCell<HashMap<(UpstreamKey, ModelName), u32>>,
@@ -121,6 +123,7 @@
             lease_hint: WakeSignal::default(),
             stopped_at: Cell::new(None),
             new_crashes: RefCell::default(),
+            lacking: RefCell::default(),
             asked: RefCell::default(),
             runs: RefCell::default(),
         })
@@ -277,6 +280,9 @@
                 .into_iter()
                 .map(|(model, count)| AskedLine(model, count))
                 .collect(),
+            lacking: std::mem::take(&mut *self.lacking.borrow_mut())
+                .into_iter()
+                .collect(),
             unreachable: self
                 .loads
                 .borrow()
@@ -293,6 +299,15 @@
         self.resends.borrow_mut().set_reserve(part);
     }
 
+    /// Takes an engine's own word that it cannot serve a need.
+    pub fn note_missing(&self, now: MonoTime, key: UpstreamKey, need: &ModelNeed) {
+        self.placement.borrow_mut().note_missing(now, key, need);
+        if let Some(entry) = self.roster.borrow().get(key) {
+            self.lacking.borrow_mut().insert(entry.id.clone());
+            self.waits.wanted.notify();
+        }
+    }
+
     /// Whether a request crashed several upstreams.
     #[must_use]
     pub fn is_held_back(&self, fingerprint: RequestFingerprint) -> bool {
--- a/src/orders/demand_book.rs
+++ b/src/orders/demand_book.rs
@@ -53,6 +53,9 @@
     /// What was asked for.
     #[serde(rename = "q", default)]
     pub asked: Vec<AskedLine>,
+    /// Upstreams that said since the last report that they lack a model they should have.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub lacking: Vec<UpstreamId>,
     /// Upstreams that it could not reach.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<UpstreamId>,
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -122,6 +122,13 @@
 
     /// Takes an entry's report.
     pub fn take_demand(&mut self, now: MonoTime, edge: InstanceName, demand: EdgeDemand) {
+        let doubted = self
+            .ledgers
+            .values_mut()
+            .filter(|ledger| demand.lacking.contains(&ledger.target.id));
+        for ledger in doubted {
+            ledger.doubt(now);
+        }
         self.demand.take(now, edge, demand);
     }
 
--- a/src/orders/upstream_ledger.rs
+++ b/src/orders/upstream_ledger.rs
@@ -261,6 +261,13 @@
         }
     }
 
+    /// Has the engine's state read, because it denied what the ledger says.
+    pub(super) fn doubt(&mut self, now: MonoTime) {
+        if self.step == OrderStep::Idle {
+            self.step = OrderStep::Stale { read_at: now };
+        }
+    }
+
     /// Moves on with time. Returns whether what is usable changed.
     pub(super) fn advance(&mut self, now: MonoTime) -> bool {
         let Some(order) = self.running.clone().filter(|order| now >= order.due_at) else {
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -150,6 +150,26 @@
     assert!(elsewhere, "the model stayed at the dead engine only");
 }
 
+/// An engine that lost a model without an order, and denies it, is read again at once.
+#[test]
+fn a_denied_model_is_brought_back() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 2,
+        models: 4,
+        held: 2,
+        ..FleetShape::default()
+    });
+    fleet.run(500, STEP_MS);
+    let model = fleet.held_at(0)[0].clone();
+    fleet.drop_model(0, &model);
+    for _ in 0..150 {
+        fleet.want(&model, CHAT_RANK);
+        fleet.deny(0);
+        fleet.step(STEP_MS);
+    }
+    assert!(fleet.copies(&model) > 0, "the model never came back");
+}
+
 /// Adapters are ordered at engines that hold their model, and an idle one makes room.
 #[test]
 fn adapters_share_the_places_of_an_engine() {
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -188,6 +188,17 @@
         self.demand.unreachable.push(id);
     }
 
+    /// Drops a model without an order.
+    pub fn drop_model(&mut self, engine: usize, model: &ModelName) {
+        self.engines[engine].2.models.remove(model);
+    }
+
+    /// Lets an engine deny a model to the entry.
+    pub fn deny(&mut self, engine: usize) {
+        let id = self.engines[engine].1.clone();
+        self.demand.lacking.push(id);
+    }
+
     /// Loses the answer to the next order.
     pub const fn lose_next_answer(&mut self, is_carried_out: bool) {
         self.next_loss = Some(is_carried_out);
