--- a/src/orders/bring_purpose.rs
+++ b/src/orders/bring_purpose.rs
@@ -14,7 +14,10 @@
         rank: u8,
     },
     /// Its copies are crowded.
-    Copy,
+    Copy {
+        /// Whether they are far beyond what they can serve in time.
+        is_urgent: bool,
+    },
     /// No engine has a copy yet.
     Prefetch,
     /// Room is being made for it already.
@@ -26,7 +29,7 @@
     pub(super) const fn reason(self) -> &'static str {
         match self {
             Self::Wanted { .. } => "wanted",
-            Self::Copy => "crowded",
+            Self::Copy { .. } => "crowded",
             Self::Prefetch => "prefetch",
             Self::Goal => "continue",
         }
@@ -38,7 +41,8 @@
             Self::Wanted { rank } if rank == MOST_URGENT_RANK => {
                 policy.store_loads + policy.urgent_loads
             }
-            Self::Wanted { .. } | Self::Copy => policy.store_loads,
+            Self::Copy { is_urgent: true } => policy.store_loads + policy.urgent_loads,
+            Self::Wanted { .. } | Self::Copy { .. } => policy.store_loads,
             Self::Prefetch => policy.store_loads.saturating_sub(policy.reserved_loads),
             // Its place was taken when the goal was set.
             Self::Goal => usize::MAX,
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -95,7 +95,9 @@
     let rare = rare_models(&fleet);
     for _ in 0..1_000 {
         for model in &rare {
-            fleet.want(model, PATIENT_RANK);
+            if fleet.copies(model) == 0 {
+                fleet.want(model, PATIENT_RANK);
+            }
         }
         fleet.step(STEP_MS);
         assert!(
@@ -130,6 +132,33 @@
     );
 }
 
+/// Load pattern: demand comes back to a model that lies on the disk of an engine which is busy
+/// for a moment. It is not fetched from the weight store at another engine meanwhile.
+#[test]
+fn a_copy_on_a_disk_is_worth_a_short_wait() {
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 3,
+        models: 6,
+        held: 2,
+        ..FleetShape::default()
+    });
+    fleet.run(1_500, STEP_MS);
+    let model = fleet.held_at(0)[0].clone();
+    fleet.drop_model(0, &model);
+    fleet.deny(0);
+    fleet.run(300, STEP_MS);
+    fleet.occupy(0);
+    for _ in 0..100 {
+        if fleet.copies(&model) > 0 {
+            return;
+        }
+        fleet.want(&model, CHAT_RANK);
+        fleet.step(STEP_MS);
+        assert!(!fleet.is_store_loading(&model), "fetched from the store");
+    }
+    panic!("the model never came");
+}
+
 /// Load pattern: the only engine with a model is dead but still listed. The model is brought
 /// to another engine once entries tell that they cannot reach the first.
 #[test]
