Make the test of busy disks show the fault

The engine must be known to be busy; now it is loading another model, and the test fails without the wait and passes with it.

--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -143,11 +143,16 @@
         ..FleetShape::default()
     });
     fleet.run(1_500, STEP_MS);
-    let model = fleet.held_at(0)[0].clone();
+    let held = fleet.held_at(0);
+    let (other, model) = (held[0].clone(), held[1].clone());
+    fleet.drop_model(0, &other);
     fleet.drop_model(0, &model);
     fleet.deny(0);
     fleet.run(300, STEP_MS);
-    fleet.occupy(0);
+    while !fleet.is_loading(&other) {
+        fleet.want(&other, CHAT_RANK);
+        fleet.step(STEP_MS);
+    }
     for _ in 0..100 {
         if fleet.copies(&model) > 0 {
             return;
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -9,7 +9,7 @@
     UpstreamRoster,
 };
 use quetzalpin::orders::{
-    AskedLine, EdgeDemand, OrderPlanner, OrderVerb, PlannerAction, PlannerPolicy, WantLine,
+    AskedLine, EdgeDemand, OrderPlanner, PlannerAction, PlannerPolicy, WantLine,
 };
 use quetzalpin::prelude::*;
 
@@ -188,16 +188,6 @@
         self.demand.unreachable.push(id);
     }
 
-    /// Keeps an engine busy with a load from its own disk.
-    pub fn occupy(&mut self, engine: usize) {
-        let model = self.engines[engine].2.models.keys().next().cloned();
-        let engine = &mut self.engines[engine].2;
-        engine.running = model.map(|model| {
-            let ends_ms = self.now_ms + DISK_LOAD_MS;
-            (OrderVerb::Load, model, ends_ms, false)
-        });
-    }
-
     /// Whether a model is being loaded from the weight store.
     pub fn is_store_loading(&self, model: &ModelName) -> bool {
         let mut running = self
