--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -16,8 +16,9 @@
 /// Milliseconds after which a call is made anew even without word; longer than any call takes.
 const HINT_WAIT_MS: u64 = 60_000;
 
-/// Milliseconds between two reads of the list; many changes come in one answer.
-const ROSTER_PAUSE_MS: u64 = 700;
+/// Milliseconds between two reads of the list; many changes come in one answer. A leaving
+/// upstream must be known within 3 s.
+const ROSTER_PAUSE_MS: u64 = 1_100;
 
 /// Milliseconds between two reads of the configuration.
 const CATALOG_PAUSE_MS: u64 = 300;
