--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -55,7 +55,8 @@
             config.peers,
             start_id,
             config.lease_term_ms,
-        );
+        )
+        .as_sole_process();
         Self {
             lease: RefCell::new(lease),
             active: RefCell::default(),
@@ -137,6 +138,7 @@
         let is_first = intent.expected == RowRevision::ABSENT;
         let mut lease = self.lease.borrow_mut();
         let was_ours = lease.is_last_ours();
+        let was_predecessor = lease.is_last_predecessor();
         lease.committed(sent_at, intent, revision);
         if intent.row.is_released {
             return None;
@@ -150,6 +152,8 @@
         }
         let pause_ms = if is_first || was_ours {
             0
+        } else if was_predecessor {
+            TURN_MARGIN_MS
         } else {
             self.turn_ms + TURN_MARGIN_MS
         };
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -43,6 +43,8 @@
     term_ms: u64,
     watch: LeaseWatch,
     seen: Option<(RowRevision, Option<LeaseRow>)>,
+    /// Whether a lease of an earlier process of this instance may be taken at once.
+    is_sole_process: bool,
     held: Option<HeldLease>,
 }
 
@@ -57,10 +59,19 @@
             term_ms,
             watch: LeaseWatch::default(),
             seen: None,
+            is_sole_process: false,
             held: None,
         }
     }
 
+    /// Says that no earlier process of this instance can still be alive, since this one has
+    /// bound the address that the lease names.
+    #[must_use]
+    pub const fn as_sole_process(mut self) -> Self {
+        self.is_sole_process = true;
+        self
+    }
+
     /// Takes the row as the table has it.
     pub fn observe(&mut self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
         self.watch.observe(revision, now);
@@ -85,7 +96,8 @@
         let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
         let is_released = row.as_ref().is_some_and(|row| row.is_released);
         let is_free = may_take && (is_released || self.watch.has_lapsed(now, self.term_ms));
-        if !ours && !is_free {
+        let is_predecessor = row.as_ref().is_some_and(|row| self.is_predecessor(row));
+        if !ours && !is_predecessor && !is_free {
             return None;
         }
         let epoch = row.as_ref().map_or(0, |row| row.epoch) + 1;
@@ -137,6 +149,13 @@
         self.last_row().is_some_and(|row| self.is_ours(row))
     }
 
+    /// Whether the newest row seen was written by an earlier process of this instance that has
+    /// certainly ended.
+    #[must_use]
+    pub fn is_last_predecessor(&self) -> bool {
+        self.last_row().is_some_and(|row| self.is_predecessor(row))
+    }
+
     /// Whether decisions may be made under the lease now.
     #[must_use]
     pub fn is_held(&self, now: MonoTime) -> bool {
@@ -167,6 +186,10 @@
         row.holder == self.holder && row.start_id == self.start_id
     }
 
+    fn is_predecessor(&self, row: &LeaseRow) -> bool {
+        self.is_sole_process && row.holder == self.holder && row.address == self.address
+    }
+
     fn renewal(&self, held: &HeldLease) -> LeaseIntent {
         LeaseIntent {
             expected: held.revision,
--- a/tests/lease_turns.rs
+++ b/tests/lease_turns.rs
@@ -73,6 +73,23 @@
     );
 }
 
+/// The restarted planner of an instance goes on at once under a higher epoch, where the bound
+/// address proves that its predecessor has ended; another instance waits for the term.
+#[test]
+fn a_restarted_process_takes_its_predecessors_lease() {
+    let (_, row) = taken();
+    let mut restarted = holder("a", 2).as_sole_process();
+    restarted.observe(at(500), RowRevision(1), Some(row.clone()));
+    assert!(restarted.is_last_predecessor());
+    let intent = restarted
+        .intent(at(500), true)
+        .expect("the predecessor's lease");
+    assert_eq!(intent.row.epoch, row.epoch + 1);
+    let mut other = holder("b", 3).as_sole_process();
+    other.observe(at(500), RowRevision(1), Some(row));
+    assert!(other.intent(at(500), true).is_none());
+}
+
 /// A machine that was suspended finds its lease run out before it gives another order.
 #[test]
 fn a_lease_runs_out_during_a_suspension() {
