Split the planner's loops by concern; call entries entries

planner_link.rs held the lease, the link and the orders; taking news stood twice. The platform's word for an entry had slipped into names. Behaviour is unchanged.

--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -15,7 +15,7 @@
 };
 use crate::metrics::{NodeMetrics, RequestLabels};
 use crate::net::PeerClient;
-use crate::orders::{AskedLine, EdgeDemand, EngineControl, RunLine};
+use crate::orders::{AskedLine, EngineControl, EntryDemand, RunLine};
 use crate::prelude::*;
 use crate::quarantine::{QuarantineBook, QuarantineVerdict, RequestFingerprint, crash_number};
 use crate::retry::ResendWindow;
@@ -28,7 +28,7 @@
 const RPC_TIMEOUT_MS: u64 = 1_800;
 
 /// Entries assumed before the planner has told their number.
-const UNKNOWN_EDGES: usize = 12;
+const ASSUMED_ENTRIES: usize = 12;
 
 /// Part of the shutdown's time for which requests may still wait, as a divisor.
 const STOP_WAIT_DIVISOR: u64 = 3;
@@ -103,7 +103,7 @@
         let start_id = (unix_ms() << 16) | fastrand::u64(..1 << 16);
         let host = PlannerHost::open(&node, &config, start_id);
         Rc::new(Self {
-            resends: RefCell::new(ResendWindow::open(config.resend_reserve / UNKNOWN_EDGES)),
+            resends: RefCell::new(ResendWindow::open(config.resend_reserve / ASSUMED_ENTRIES)),
             config,
             node,
             ports,
@@ -265,7 +265,7 @@
 
     /// What this process asks for and runs. Counts of arrivals start anew.
     #[must_use]
-    pub fn take_demand(&self) -> EdgeDemand {
+    pub fn take_demand(&self) -> EntryDemand {
         let asked = std::mem::take(&mut *self.asked.borrow_mut());
         let roster = self.roster.borrow();
         let runs = self.runs.borrow();
@@ -273,7 +273,7 @@
             let entry = roster.get(*key)?;
             Some(RunLine(entry.id.clone(), model.clone(), *count))
         });
-        EdgeDemand {
+        EntryDemand {
             wants: self.waits.wants(self.now()),
             runs: lines.collect(),
             asked: asked
@@ -293,8 +293,8 @@
     }
 
     /// Takes this process's part of the fleet's reserve of further sends.
-    pub fn share_reserve(&self, edge_count: u32) {
-        let count = usize::try_from(edge_count.max(1)).unwrap_or(usize::MAX);
+    pub fn share_reserve(&self, entry_count: u32) {
+        let count = usize::try_from(entry_count.max(1)).unwrap_or(usize::MAX);
         let part = self.config.resend_reserve / (count + 1);
         self.resends.borrow_mut().set_reserve(part);
     }
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -13,7 +13,7 @@
 use crate::table::RowRevision;
 
 /// Milliseconds after which an entry that fell silent no longer counts.
-const EDGE_LIFE_MS: u64 = 3_000;
+const ENTRY_LIFE_MS: u64 = 3_000;
 
 /// Milliseconds for which crashes are passed on to other entries.
 const CRASH_NEWS_MS: u64 = 2_000;
@@ -27,7 +27,7 @@
     /// No order goes out before this time: an earlier holder's last order must be long past.
     orders_from: MonoTime,
     /// Entries that reported lately: when, and where they listen.
-    edges: HashMap<InstanceName, (MonoTime, SocketAddr)>,
+    entries: HashMap<InstanceName, (MonoTime, SocketAddr)>,
     crashes: Vec<(MonoTime, CrashLine)>,
 }
 
@@ -161,7 +161,7 @@
             planner: OrderPlanner::open(self.policy, intent.row.epoch),
             epoch: intent.row.epoch,
             orders_from: now + pause_ms,
-            edges: HashMap::new(),
+            entries: HashMap::new(),
             crashes: Vec::new(),
         });
         Some(intent.row.epoch)
@@ -204,10 +204,10 @@
         let active = active.as_mut()?;
         active
             .edges
-            .insert(report.edge.clone(), (now, report.address));
+            .insert(report.entry.clone(), (now, report.address));
         active
             .edges
-            .retain(|_, (at, _)| now.millis_since(*at) < EDGE_LIFE_MS);
+            .retain(|_, (at, _)| now.millis_since(*at) < ENTRY_LIFE_MS);
         active
             .crashes
             .retain(|(at, _)| now.millis_since(*at) < CRASH_NEWS_MS);
@@ -215,14 +215,14 @@
             .crashes
             .extend(report.crashes.iter().map(|line| (now, *line)));
         let wants = report.demand.wants.clone();
-        active.planner.take_demand(now, report.edge, report.demand);
+        active.planner.take_demand(now, report.entry, report.demand);
         let forecasts = wants.iter().map(|line| {
             let forecast_ms = active.planner.forecast_ms(now, &line.need);
             ForecastLine(line.need.clone(), forecast_ms)
         });
         let answer = DemandAnswer {
             lease_revision: revision.map_or(0, |revision| revision.0),
-            edge_count: u32::try_from(active.edges.len()).unwrap_or(u32::MAX),
+            entry_count: u32::try_from(active.entries.len()).unwrap_or(u32::MAX),
             catalog_version,
             forecasts: forecasts.collect(),
             crashes: active.crashes.iter().map(|(_, line)| *line).collect(),
@@ -238,7 +238,7 @@
         let Some(active) = active.as_ref() else {
             return Vec::new();
         };
-        let mut peers: Vec<(MonoTime, SocketAddr)> = active.edges.values().copied().collect();
+        let mut peers: Vec<(MonoTime, SocketAddr)> = active.entries.values().copied().collect();
         peers.retain(|(_, address)| *address != self.address);
         peers.sort_unstable();
         peers
--- a/src/gateway/planner_rpc.rs
+++ b/src/gateway/planner_rpc.rs
@@ -9,7 +9,7 @@
 use send_wrapper::SendWrapper;
 
 use super::GatewayContext;
-use super::planner_link::commit_lease;
+use super::planner_lease::commit_lease;
 use crate::lease::LeaseIntent;
 use crate::orders::PlacementNews;
 use crate::sync::{DemandAnswer, DemandReport, FollowMark, PlannerApiServer};
--- a/src/orders/demand_book.rs
+++ b/src/orders/demand_book.rs
@@ -43,7 +43,7 @@
 
 /// What one entry reports.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct EdgeDemand {
+pub struct EntryDemand {
     /// What its requests wait for.
     #[serde(rename = "w", default)]
     pub wants: Vec<WantLine>,
@@ -91,7 +91,7 @@
 /// Sums the reports of all entries.
 #[derive(Debug, Default)]
 pub struct DemandBook {
-    reports: HashMap<InstanceName, (MonoTime, EdgeDemand)>,
+    reports: HashMap<InstanceName, (MonoTime, EntryDemand)>,
     rates: HashMap<ModelName, RateEstimate>,
     /// Requests running by engine and model; rebuilt with each report.
     runs: HashMap<(UpstreamId, ModelName), u32>,
@@ -99,13 +99,13 @@
 
 impl DemandBook {
     /// Takes an entry's report.
-    pub fn take(&mut self, now: MonoTime, edge: InstanceName, demand: EdgeDemand) {
+    pub fn take(&mut self, now: MonoTime, entry: InstanceName, demand: EntryDemand) {
         for AskedLine(model, count) in &demand.asked {
             let rate = self.rates.entry(model.clone()).or_default();
             let per_s = rate.at(now) + f64::from(*count) * 1_000.0 / RATE_WINDOW_MS;
             *rate = RateEstimate { per_s, at: now };
         }
-        self.reports.insert(edge, (now, demand));
+        self.reports.insert(entry, (now, demand));
         self.forget_old(now);
         self.runs.clear();
         for (_, demand) in self.reports.values() {
@@ -157,7 +157,7 @@
     /// Entries that run requests at an upstream or could not reach it.
     fn trying(&self, id: &UpstreamId) -> usize {
         let demands = self.reports.values().map(|(_, demand)| demand);
-        let tries = |demand: &&EdgeDemand| {
+        let tries = |demand: &&EntryDemand| {
             demand.unreachable.contains(id) || demand.runs.iter().any(|line| line.0 == *id)
         };
         demands.filter(tries).count()
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -14,7 +14,7 @@
 mod swap_choice;
 mod upstream_ledger;
 
-pub use demand_book::{AskedLine, DemandBook, EdgeDemand, RunLine, WantLine};
+pub use demand_book::{AskedLine, DemandBook, EntryDemand, RunLine, WantLine};
 pub use engine_control::{
     EngineControl, EngineOrder, EngineReport, OrderAnswer, OrderFailure, OrderVerb, UpstreamTarget,
 };
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -9,7 +9,7 @@
 use super::demand_book::WantSum;
 use super::upstream_ledger::{REPORT_LAG_MS, UpstreamLedger};
 use super::{
-    DemandBook, EdgeDemand, EngineReport, LoadSource, OrderAnswer, OrderBasis, OrderStep,
+    DemandBook, EngineReport, EntryDemand, LoadSource, OrderAnswer, OrderBasis, OrderStep,
     OrderVerb, PlacementNews, PlannerAction, PlannerPolicy,
 };
 use crate::fleet::{
@@ -121,7 +121,7 @@
     }
 
     /// Takes an entry's report.
-    pub fn take_demand(&mut self, now: MonoTime, edge: InstanceName, demand: EdgeDemand) {
+    pub fn take_demand(&mut self, now: MonoTime, entry: InstanceName, demand: EntryDemand) {
         let doubted = self
             .ledgers
             .values_mut()
@@ -129,7 +129,7 @@
         for ledger in doubted {
             ledger.doubt(now);
         }
-        self.demand.take(now, edge, demand);
+        self.demand.take(now, entry, demand);
     }
 
     /// Takes an engine's own state; `None` where it did not answer.
--- a/src/sync/messages.rs
+++ b/src/sync/messages.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::ModelNeed;
-use crate::orders::EdgeDemand;
+use crate::orders::EntryDemand;
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
 
@@ -18,13 +18,13 @@
 pub struct DemandReport {
     /// The reporting entry.
     #[serde(rename = "i")]
-    pub edge: InstanceName,
+    pub entry: InstanceName,
     /// Where other processes reach it.
     #[serde(rename = "a")]
     pub address: SocketAddr,
     /// What it asks for and runs.
     #[serde(rename = "d")]
-    pub demand: EdgeDemand,
+    pub demand: EntryDemand,
     /// Version of the configuration in force there.
     #[serde(rename = "k")]
     pub catalog_version: u64,
@@ -45,7 +45,7 @@
     pub lease_revision: u64,
     /// Entries that reported lately, this one included.
     #[serde(rename = "n")]
-    pub edge_count: u32,
+    pub entry_count: u32,
     /// Version of the configuration in force at the planner. An entry that hears of a higher one
     /// than its own reads anew: its call for changes may hang.
     #[serde(rename = "k")]
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -9,7 +9,7 @@
     UpstreamRoster,
 };
 use quetzalpin::orders::{
-    AskedLine, EdgeDemand, OrderPlanner, PlannerAction, PlannerPolicy, WantLine,
+    AskedLine, EntryDemand, OrderPlanner, PlannerAction, PlannerPolicy, WantLine,
 };
 use quetzalpin::prelude::*;
 
@@ -54,7 +54,7 @@
     plan: EnginePlan,
     service: ServiceName,
     now_ms: u64,
-    demand: EdgeDemand,
+    demand: EntryDemand,
     random: fastrand::Rng,
     loss_percent: u8,
     next_loss: Option<bool>,
@@ -112,7 +112,7 @@
             plan,
             service,
             now_ms: 0,
-            demand: EdgeDemand::default(),
+            demand: EntryDemand::default(),
             random: fastrand::Rng::with_seed(shape.seed),
             loss_percent: shape.loss_percent,
             next_loss: None,
