--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -203,10 +203,10 @@
         let mut active = self.active.borrow_mut();
         let active = active.as_mut()?;
         active
-            .edges
+            .entries
             .insert(report.entry.clone(), (now, report.address));
         active
-            .edges
+            .entries
             .retain(|_, (at, _)| now.millis_since(*at) < ENTRY_LIFE_MS);
         active
             .crashes
