Hold prompts back from an engine that still reads others

Change: a process leaves an engine at most 5,000 tokens to read (2,500 for patient requests) before it sends another prompt, for half of the request's target at most.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -72,12 +72,19 @@
             self.gap_ms = self.gap_ms.max(pause_ms);
         } else {
             self.first_ms = Some(now.millis_since(self.plan.arrived_at));
-            let mut loads = self.context.loads.borrow_mut();
-            loads.end_prompt(self.key, self.plan.prompt_tokens);
+            self.end_prompt();
         }
         self.last_at = now;
     }
 
+    /// Records that the engine no longer reads the prompt.
+    fn end_prompt(&self) {
+        let mut loads = self.context.loads.borrow_mut();
+        loads.end_prompt(self.key, self.plan.prompt_tokens);
+        drop(loads);
+        self.context.prompt_read.notify();
+    }
+
     /// Says how the request ended.
     pub const fn end(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -86,12 +93,10 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        let mut loads = self.context.loads.borrow_mut();
-        loads.end(self.key);
+        self.context.loads.borrow_mut().end(self.key);
         if self.first_ms.is_none() {
-            loads.end_prompt(self.key, self.plan.prompt_tokens);
+            self.end_prompt();
         }
-        drop(loads);
         self.context
             .track_run(self.key, self.plan.need.as_ref(), -1);
         let took_ms = self.context.now().millis_since(self.plan.arrived_at);
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -13,8 +13,8 @@
 use super::call_refusal::refusal_response;
 use super::upstream_call::{CallFailure, UpstreamLine, call_upstream};
 use super::{
-    AnswerHead, AttemptHead, AttemptResult, CallPlan, ChoiceInput, GatewayContext, UpstreamChoice,
-    choose_upstream,
+    AnswerHead, AttemptHead, AttemptResult, CallPlan, ChoiceInput, GatewayContext, PromptOffer,
+    UpstreamChoice, choose_upstream,
 };
 use crate::fleet::UpstreamKey;
 use crate::metrics::RefusalLabels;
@@ -34,6 +34,9 @@
 /// Milliseconds after which a caller may come back where nothing better is known.
 const RETRY_MS: u64 = 400;
 
+/// Milliseconds after which a prompt that is held back looks for another engine.
+const HOLD_STEP_MS: u64 = 60;
+
 /// Times that one request is handed to an upstream at most, refusals included.
 const MAX_SENDS: usize = 4;
 
@@ -70,6 +73,7 @@
         tried: Vec::new(),
         sends: 0,
         unknowns: 0,
+        held_since: None,
     };
     flow.run().await
 }
@@ -83,6 +87,8 @@
     sends: usize,
     /// Attempts that may have run.
     unknowns: u32,
+    /// When its prompt was first held back from a busy engine.
+    held_since: Option<MonoTime>,
 }
 
 impl CallFlow<'_> {
@@ -105,6 +111,9 @@
                     if self.sends > 0 && !self.may_resend(now) {
                         return self.give_up(RefusalReason::Overloaded, Some(RETRY_MS));
                     }
+                    if self.hold_prompt(now, key).await {
+                        continue;
+                    }
                     match self.attempt(key, load, candidates).await {
                         AttemptEnd::Answer(response) => return response,
                         AttemptEnd::NotRun => {}
@@ -180,6 +189,32 @@
         None
     }
 
+    /// Waits a while if the engine still reads other prompts. Returns whether it waited, so that
+    /// the upstream is chosen again.
+    async fn hold_prompt(&mut self, now: MonoTime, key: UpstreamKey) -> bool {
+        let plan = &self.call.plan;
+        if !plan.is_stream() {
+            return false;
+        }
+        let generation = self.context.prompt_read.generation();
+        let offer = PromptOffer {
+            now,
+            prompt_tokens: plan.prompt_tokens,
+            rank: plan.rank,
+            target_ms: plan.target_ms,
+            held_since: self.held_since,
+            unread_tokens: self.context.loads.borrow().unread_tokens(key),
+        };
+        let Some(hold_ms) = offer.hold_ms() else {
+            return false;
+        };
+        self.held_since.get_or_insert(now);
+        let reading = self.context.prompt_read.after(generation);
+        let limit = Duration::from_millis(hold_ms.min(HOLD_STEP_MS));
+        let _ = compio::time::timeout(limit, reading).await;
+        true
+    }
+
     async fn pause(&self, generation: u64, limit_ms: u64) {
         let limit = Duration::from_millis(limit_ms);
         let waking = self.context.waits.woken_after(generation);
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -8,7 +8,7 @@
 use super::planner_host::PlannerHost;
 use super::{CallDialect, CallPlan, LoadBook, PlacementView, WaitBoard};
 use crate::config::{GatewayConfig, NodeConfig};
-use crate::daemon::WakeSignal;
+use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::decision::unix_ms;
 use crate::fleet::{
     FleetCatalog, FleetSource, ModelNeed, RosterChange, UpstreamKey, UpstreamNews, UpstreamRoster,
@@ -76,6 +76,8 @@
     pub loads: RefCell<LoadBook>,
     /// Requests that wait for a model.
     pub waits: Rc<WaitBoard>,
+    /// Notified when an engine has read a prompt of this process.
+    pub prompt_read: BroadcastSignal,
     /// Limit on requests sent again.
     pub resends: RefCell<ResendWindow>,
     /// Requests that were in flight at crashes.
@@ -117,6 +119,7 @@
             placement: RefCell::new(PlacementView::open()),
             loads: RefCell::new(LoadBook::open()),
             waits: WaitBoard::open(),
+            prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineBook::open()),
             host,
             feeds: FeedWatch::default(),
--- /dev/null
+++ b/tests/prompt_window.rs
@@ -0,0 +1,87 @@
+//! How many prompts an engine gets at once, under the loads that the limit is made for.
+
+use quetzalpin::gateway::PromptOffer;
+use quetzalpin::prelude::*;
+use rstest::rstest;
+
+const URGENT: u8 = 0;
+const PATIENT: u8 = 2;
+const CHAT_TARGET_MS: u64 = 500;
+const CHAT_TOKENS: u32 = 826;
+
+/// Tokens that an engine reads within one pause of 300 ms between six-token events.
+const TOKENS_IN_PAUSE: u32 = 10_000;
+
+fn offer(unread_tokens: u32) -> PromptOffer {
+    PromptOffer {
+        now: MonoTime::from_millis(10_000),
+        prompt_tokens: CHAT_TOKENS,
+        rank: URGENT,
+        target_ms: CHAT_TARGET_MS,
+        held_since: None,
+        unread_tokens,
+    }
+}
+
+/// Load: 26 chats of one model arrive within a moment, and one engine holds the model.
+#[test]
+fn a_clump_of_chats_leaves_time_for_running_streams() {
+    let mut unread_tokens = 0;
+    let mut held = 0;
+    for _ in 0..26 {
+        if offer(unread_tokens).hold_ms().is_some() {
+            held += 1;
+        } else {
+            unread_tokens += CHAT_TOKENS;
+        }
+    }
+    assert!(held > 0, "the whole clump was sent at once");
+    assert!(
+        unread_tokens * 2 <= TOKENS_IN_PAUSE,
+        "two processes with the same clump would stop the streams: {unread_tokens} tokens each"
+    );
+}
+
+/// Load: long reports, each larger than what may wait to be read.
+#[test]
+fn a_prompt_larger_than_the_window_goes_out_alone() {
+    let long = PromptOffer {
+        prompt_tokens: 7_400,
+        ..offer(0)
+    };
+    assert_eq!(long.hold_ms(), None);
+    let behind = PromptOffer {
+        unread_tokens: CHAT_TOKENS,
+        ..long
+    };
+    assert!(behind.hold_ms().is_some());
+}
+
+/// Load: patient requests that waited for their model are all sent when it is loaded.
+#[test]
+fn patient_prompts_leave_room_for_urgent_ones() {
+    let unread_tokens = 3_000;
+    let patient = PromptOffer {
+        rank: PATIENT,
+        target_ms: 4_000,
+        ..offer(unread_tokens)
+    };
+    assert!(patient.hold_ms().is_some());
+    assert_eq!(offer(unread_tokens).hold_ms(), None);
+}
+
+#[rstest]
+#[case::just_held(0, Some(250))]
+#[case::held_for_a_while(200, Some(50))]
+#[case::held_for_half_its_target(250, None)]
+fn a_prompt_is_held_for_half_of_its_target_at_most(
+    #[case] held_ms: u64,
+    #[case] hold_ms: Option<u64>,
+) {
+    let now = MonoTime::from_millis(10_000);
+    let held = PromptOffer {
+        held_since: Some(now - held_ms),
+        ..offer(20_000)
+    };
+    assert_eq!(held.hold_ms(), hold_ms);
+}
