Let a new planner read engines in its pause; leave waits time for the answer

Ruled out: the pause itself; two holders may not take turns any sooner. Change: engines are read during the pause, forecasts count it, and a wait ends early enough for the answer that the caller expects (hint and most tokens, 6 ms each).

--- a/src/gateway/call_dialect.rs
+++ b/src/gateway/call_dialect.rs
@@ -26,6 +26,8 @@
     pub need: Option<ModelNeed>,
     /// Parts of the prompt in order; the last one is the request's own.
     pub prompt: Vec<PromptPart>,
+    /// Tokens of the answer, as far as the caller can say.
+    pub output_tokens: Option<u32>,
 }
 
 /// What is added to a request on its way to an upstream.
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -16,9 +16,12 @@
 /// Multiple of the longest pause that callers wait for the first event.
 const GAP_PATIENCE: u64 = 8;
 
-/// Milliseconds kept for the work itself when a request waits for its model.
+/// Milliseconds kept for reading the prompt when a request waits for its model.
 const WORK_RESERVE_MS: u64 = 200;
 
+/// Milliseconds kept for each token of the answer; an engine with few requests is no faster.
+const TOKEN_MS: u64 = 6;
+
 /// Route, service and times of one request.
 #[derive(Debug, Clone)]
 pub struct CallPlan {
@@ -63,7 +66,11 @@
                 .max(gap_ms * GAP_PATIENCE),
             _ => limit_ms,
         };
-        let wait_ms = limit_ms.min(patience_ms).saturating_sub(WORK_RESERVE_MS);
+        let answer_ms = u64::from(head.output_tokens.unwrap_or(0)) * TOKEN_MS;
+        let wait_ms = limit_ms
+            .saturating_sub(answer_ms)
+            .min(patience_ms)
+            .saturating_sub(WORK_RESERVE_MS);
         let shared = head.prompt.len().checked_sub(2);
         Self {
             service: rule
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -24,8 +24,6 @@
 struct ActivePlanner {
     planner: OrderPlanner,
     epoch: u64,
-    /// No order goes out before this time: an earlier holder's last order must be long past.
-    orders_from: MonoTime,
     /// Entries that reported lately: when, and where they listen.
     entries: HashMap<InstanceName, (MonoTime, SocketAddr)>,
     crashes: Vec<(MonoTime, CrashLine)>,
@@ -86,13 +84,12 @@
         Some(result)
     }
 
-    /// Epoch under which orders may be given now.
+    /// Epoch of the planner of this process, while the lease is held.
     #[must_use]
-    pub fn order_epoch(&self, now: MonoTime) -> Option<u64> {
+    pub fn held_epoch(&self, now: MonoTime) -> Option<u64> {
         let active = self.active.borrow();
-        let active = active.as_ref()?;
-        let may_order = self.lease.borrow().is_held(now) && now >= active.orders_from;
-        may_order.then_some(active.epoch)
+        let epoch = active.as_ref()?.epoch;
+        self.lease.borrow().is_held(now).then_some(epoch)
     }
 
     /// Whether this process plans.
@@ -158,9 +155,8 @@
             self.turn_ms + TURN_MARGIN_MS
         };
         *active = Some(ActivePlanner {
-            planner: OrderPlanner::open(self.policy, intent.row.epoch),
+            planner: OrderPlanner::open(self.policy, intent.row.epoch, now + pause_ms),
             epoch: intent.row.epoch,
-            orders_from: now + pause_ms,
             entries: HashMap::new(),
             crashes: Vec::new(),
         });
--- a/src/gateway/planner_orders.rs
+++ b/src/gateway/planner_orders.rs
@@ -20,7 +20,7 @@
 pub async fn run_orders(context: Rc<GatewayContext>) {
     loop {
         let now = context.now();
-        let Some(epoch) = context.host.order_epoch(now) else {
+        let Some(epoch) = context.host.held_epoch(now) else {
             let pause_ms = if context.host.is_active() {
                 PLANNER_STEP_MS
             } else {
@@ -91,7 +91,7 @@
     basis: OrderBasis,
 ) {
     // The lease is checked again right before the order leaves.
-    let may_order = context.host.order_epoch(context.now()) == Some(order.fence);
+    let may_order = context.host.held_epoch(context.now()) == Some(order.fence);
     let (verb, need, id) = (order.verb, order.need.clone(), target.id.clone());
     let precondition = order.precondition;
     let fence = order.fence;
--- a/src/orders/load_forecast.rs
+++ b/src/orders/load_forecast.rs
@@ -10,7 +10,8 @@
 const SWAP_FORECAST_MS: u64 = 900;
 
 impl OrderPlanner {
-    /// Milliseconds until a missing model should be usable.
+    /// Milliseconds until a missing model should be usable, the time before orders may be given
+    /// included.
     #[must_use]
     pub fn forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
         let is_reached = |ledger: &&UpstreamLedger| !self.demand.is_unreachable(&ledger.target.id);
@@ -24,12 +25,13 @@
         if let Some(order) = running {
             return order.due_at.millis_since(now);
         }
+        let pause_ms = self.orders_from.millis_since(now);
         let has_copy =
             |ledger: &&UpstreamLedger| ledger.is_ready && ledger.local_copies.contains(&need.model);
         if ledgers().any(|ledger| has_copy(&ledger)) {
-            return SWAP_FORECAST_MS;
+            return pause_ms + SWAP_FORECAST_MS;
         }
-        self.store_forecast_ms(now, need)
+        pause_ms + self.store_forecast_ms(now, need)
     }
 
     fn store_forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -63,17 +63,20 @@
     pub(super) store_starts: VecDeque<MonoTime>,
     /// Calls decided in this step.
     actions: Vec<PlannerAction>,
+    /// No order goes out before this time: an earlier holder's last order must be long past.
+    pub(super) orders_from: MonoTime,
     epoch: u64,
     version: u64,
 }
 
 impl OrderPlanner {
-    /// Opens a planner that knows nothing yet.
+    /// Opens a planner that knows nothing yet and may give orders from a time on.
     #[must_use]
-    pub fn open(policy: PlannerPolicy, epoch: u64) -> Self {
+    pub fn open(policy: PlannerPolicy, epoch: u64, orders_from: MonoTime) -> Self {
         Self {
             policy,
             epoch,
+            orders_from,
             ..Self::default()
         }
     }
@@ -193,7 +196,8 @@
         self.version
     }
 
-    /// Moves on with time and returns the calls to make.
+    /// Moves on with time and returns the calls to make. Before orders may be given, it only
+    /// reads engines.
     pub fn tick(&mut self, now: MonoTime) -> Vec<PlannerAction> {
         let keys: Vec<UpstreamKey> = self.ledgers.keys().collect();
         for key in keys {
@@ -203,7 +207,8 @@
         }
         self.demand.forget_old(now);
         self.read_stale(now);
-        let Some(catalog) = self.catalog.clone() else {
+        let catalog = self.catalog.clone().filter(|_| now >= self.orders_from);
+        let Some(catalog) = catalog else {
             return std::mem::take(&mut self.actions);
         };
         let wants = self.demand.wants();
--- /dev/null
+++ b/tests/call_plan.rs
@@ -0,0 +1,53 @@
+//! How long a request may wait for its model.
+
+use quetzalpin::fleet::{ModelNeed, RouteKind, RouteRule, WeightedService};
+use quetzalpin::gateway::{CallHead, CallPlan};
+use quetzalpin::prelude::*;
+use rstest::rstest;
+
+const DEADLINE_MS: u64 = 20_000;
+const TARGET_MS: u64 = 4_000;
+
+/// Load: a patient request for a model that no engine holds. It waits as long as its caller
+/// waits for the first event, unless the answer would then end after the deadline: an engine
+/// makes a token in 6 ms at best.
+#[rstest]
+#[case::short_answer(Some(100), 15_800)]
+#[case::answer_of_unknown_length(None, 15_800)]
+#[case::long_answer(Some(900), 14_400)]
+#[case::answer_that_never_ends_in_time(Some(10_000), 0)]
+fn a_wait_leaves_time_for_the_answer(#[case] output_tokens: Option<u32>, #[case] wait_ms: u64) {
+    let now = MonoTime::from_millis(1_000);
+    let plan = CallPlan::open(now, head(output_tokens), &rule(), 1);
+    assert_eq!(plan.wait_until.millis_since(now), wait_ms);
+}
+
+fn head(output_tokens: Option<u32>) -> CallHead {
+    CallHead {
+        request: "r1".into(),
+        deadline_ms: Some(DEADLINE_MS),
+        need: Some(ModelNeed::parse("m1")),
+        prompt: Vec::new(),
+        output_tokens,
+    }
+}
+
+fn rule() -> RouteRule {
+    RouteRule {
+        name: "notes".into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Stream {
+            is_resumable: true,
+            gap_ms: 300,
+        },
+        timeout_ms: DEADLINE_MS,
+        target_ms: TARGET_MS,
+        rank: 2,
+        services: vec![WeightedService {
+            service: ServiceName::from("engines"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+    }
+}
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -264,6 +264,7 @@
             held,
             seed,
             loss_percent: 10,
+            ..FleetShape::default()
         });
         for _ in 0..600 {
             fleet.random_demand();
@@ -272,3 +273,35 @@
         }
     }
 }
+
+/// Load pattern: a planner takes over from one that may have ordered a moment ago. Until orders
+/// may be given it reads the engines, so that it knows their disks when they may, and its
+/// forecast counts the pause.
+#[test]
+fn a_new_planner_reads_engines_before_it_may_order() {
+    const PAUSE_MS: u64 = 3_250;
+    let mut fleet = EngineFleet::open(FleetShape {
+        engines: 2,
+        models: 8,
+        held: 2,
+        orders_from_ms: PAUSE_MS,
+        ..FleetShape::default()
+    });
+    let rare = rare_models(&fleet)[0].clone();
+    fleet.put_on_disk(0, &rare);
+    while !fleet.has_run_ms(1_000) {
+        fleet.want(&rare, CHAT_RANK);
+        fleet.step(STEP_MS);
+    }
+    assert_eq!(fleet.orders(), 0);
+    let forecast_ms = fleet.forecast_ms(&rare);
+    assert!(
+        (PAUSE_MS - 1_100..5_000).contains(&forecast_ms),
+        "{forecast_ms} ms for a copy on a disk"
+    );
+    while !fleet.has_run_ms(PAUSE_MS + 1_000) {
+        fleet.want(&rare, CHAT_RANK);
+        fleet.step(STEP_MS);
+    }
+    assert!(fleet.copies(&rare) > 0, "the copy on the disk was not used");
+}
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// Percent of answers that are lost, half of them of orders that are carried out.
     pub loss_percent: u8,
+    /// When orders may be given.
+    pub orders_from_ms: u64,
 }
 
 impl Default for FleetShape {
@@ -43,6 +45,7 @@
             held: 0,
             seed: 1,
             loss_percent: 0,
+            orders_from_ms: 0,
         }
     }
 }
@@ -90,7 +93,7 @@
             changes: changes.collect(),
         };
         roster.take(MonoTime::default(), news);
-        let mut planner = OrderPlanner::open(PlannerPolicy::default(), 1);
+        let mut planner = OrderPlanner::open(PlannerPolicy::default(), 1, MonoTime::from_millis(shape.orders_from_ms));
         let limits = CallerLimits {
             body_bytes: 1,
             idle_ms: 1,
@@ -208,6 +211,27 @@
         self.demand.lacking.push(id);
     }
 
+    /// Puts a copy on an engine's disk that the list does not tell.
+    pub fn put_on_disk(&mut self, engine: usize, model: &ModelName) {
+        self.engines[engine].2.on_disk.insert(model.clone());
+    }
+
+    /// Orders that engines accepted.
+    pub fn orders(&self) -> u64 {
+        let engines = self.engines.iter();
+        engines.map(|(_, _, engine)| engine.order_count).sum()
+    }
+
+    /// The planner's forecast for a model.
+    pub fn forecast_ms(&self, model: &ModelName) -> u64 {
+        let need = ModelNeed {
+            model: model.clone(),
+            adapter: None,
+        };
+        self.planner
+            .forecast_ms(MonoTime::from_millis(self.now_ms), &need)
+    }
+
     /// Loses the answer to the next order.
     pub const fn lose_next_answer(&mut self, is_carried_out: bool) {
         self.next_loss = Some(is_carried_out);
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -119,6 +119,7 @@
         deadline_ms: Some(12_000),
         need: Some(ModelNeed::parse(MODEL)),
         prompt: parts.collect(),
+        output_tokens: None,
     };
     CallPlan::open(MonoTime::from_millis(1_000), head, &rule, 1)
 }
