--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -62,9 +62,7 @@
             .collect();
         missing.sort_by_key(|(_, sum)| (sum.rank, sum.since));
         for (need, sum) in missing {
-            let is_held = self
-                .reached()
-                .any(|ledger| ledger.can_serve(&need.model));
+            let is_held = self.reached().any(|ledger| ledger.can_serve(&need.model));
             if !is_held {
                 let purpose = BringPurpose::Wanted { rank: sum.rank };
                 self.bring_further(view, &sum.service, &need.model, purpose);
--- a/standins/src/campaign/mod.rs
+++ b/standins/src/campaign/mod.rs
@@ -9,4 +9,4 @@
 mod slot_watch;
 
 pub use campaign_runner::{CampaignOptions, run_campaign};
-pub use promise_check::CampaignReport;
+pub use promise_check::{CampaignReport, PromiseCheck};
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -23,7 +23,7 @@
 mod weight_store;
 
 pub use caller_client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
-pub use campaign::{CampaignOptions, CampaignReport, run_campaign};
+pub use campaign::{CampaignOptions, CampaignReport, PromiseCheck, run_campaign};
 pub use engine_audit::{EngineAudit, HoldingChange};
 pub use engine_options::EngineOptions;
 pub use engine_standin::EngineStandin;
@@ -33,7 +33,7 @@
 pub use member_list::MemberList;
 pub use platform_standin::{PlatformStandin, StandinServing};
 pub use prefix_cache::{CacheEvent, PrefixCache};
-pub use process_fleet::{DaemonProcess, ProcessFleet};
+pub use process_fleet::{DaemonProcess, ProcessFleet, fleet_ip};
 pub use prompt_words::{POISON_WORD, answer_word};
 pub use service_standin::{ServiceAudit, ServiceOptions, ServiceStandin};
 pub use small_fleet::{
--- a/standins/src/process_fleet.rs
+++ b/standins/src/process_fleet.rs
@@ -35,6 +35,7 @@
     Stop,
     Continue,
     Terminate,
+    HangUp,
 }
 
 impl ProcessSignal {
@@ -43,6 +44,7 @@
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
             Self::Terminate => "-TERM",
+            Self::HangUp => "-HUP",
         }
     }
 }
@@ -59,6 +61,18 @@
 }
 
 impl DaemonProcess {
+    /// A process that is not started yet.
+    #[must_use]
+    pub fn open(daemon: &Path, config: PathBuf, log: PathBuf, address: SocketAddr) -> Self {
+        Self {
+            daemon: daemon.to_owned(),
+            config,
+            log,
+            address,
+            child: None,
+        }
+    }
+
     /// Starts the process.
     ///
     /// # Errors
@@ -111,6 +125,11 @@
         self.signal(ProcessSignal::Terminate);
     }
 
+    /// Tells the process that its settings may have changed.
+    pub fn hang_up(&self) {
+        self.signal(ProcessSignal::HangUp);
+    }
+
     /// Whether the process has ended, and how.
     pub fn try_wait(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok().flatten();
@@ -441,13 +460,8 @@
     ) -> Result<DaemonProcess, StandinError> {
         let config = self.folder.join(format!("{instance}.ini"));
         std::fs::write(&config, text)?;
-        let mut process = DaemonProcess {
-            daemon: self.daemon.clone(),
-            config,
-            log: self.folder.join(format!("{instance}.log")),
-            address,
-            child: None,
-        };
+        let log = self.folder.join(format!("{instance}.log"));
+        let mut process = DaemonProcess::open(&self.daemon, config, log, address);
         process.start()?;
         Ok(process)
     }
@@ -473,7 +487,8 @@
 }
 
 /// A loopback address that no other fleet uses, so that its ports are free.
-fn fleet_ip() -> Ipv4Addr {
+#[must_use]
+pub fn fleet_ip() -> Ipv4Addr {
     Ipv4Addr::new(
         127,
         fastrand::u8(1..=250),
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -357,7 +357,10 @@
         fleet.step(STEP_MS);
     }
     assert!(fleet.is_store_loading(&popular), "the load is over already");
-    assert!(fleet.copies(&popular) >= 2, "the copy on the disk was not used");
+    assert!(
+        fleet.copies(&popular) >= 2,
+        "the copy on the disk was not used"
+    );
 }
 
 /// Load pattern: every model is busy, and the copies of the most popular one are crowded. Its
@@ -377,7 +380,10 @@
     while fleet.copies(&steady) < 2 {
         fleet.ask_each(&steady, 160);
         fleet.step(STEP_MS);
-        assert!(!fleet.has_run_ms(20_000), "no second copy of the steady model");
+        assert!(
+            !fleet.has_run_ms(20_000),
+            "no second copy of the steady model"
+        );
     }
     for _ in 0..1_000 {
         fleet.ask_each(&steady, 160);
@@ -388,6 +394,9 @@
         fleet.step(STEP_MS);
         assert_eq!(fleet.copies(&steady), 2, "the steady model lost a copy");
         let held = fleet.held_at(1);
-        assert!(others.iter().all(|model| held.contains(model)), "a last copy left");
+        assert!(
+            others.iter().all(|model| held.contains(model)),
+            "a last copy left"
+        );
     }
 }
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -93,7 +93,11 @@
             changes: changes.collect(),
         };
         roster.take(MonoTime::default(), news);
-        let mut planner = OrderPlanner::open(PlannerPolicy::default(), 1, MonoTime::from_millis(shape.orders_from_ms));
+        let mut planner = OrderPlanner::open(
+            PlannerPolicy::default(),
+            1,
+            MonoTime::from_millis(shape.orders_from_ms),
+        );
         let limits = CallerLimits {
             body_bytes: 1,
             idle_ms: 1,
