Answer connections that are queued when a server stops

Change: a stopping server takes what is queued, and a new connection has half a second for its first request before it is closed. The test fails without the change (connection reset).

--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -41,6 +41,12 @@
 /// Interval and timeout of HTTP/2 pings in milliseconds.
 const PING_MS: u64 = 1_000;
 
+/// Milliseconds within which a connection that was queued when the server stopped is taken.
+const QUEUED_MS: u64 = 2;
+
+/// Milliseconds after the stop within which a new connection may send its first request.
+const FIRST_HEAD_MS: u64 = 500;
+
 /// Milliseconds between checks for open connections while draining.
 const DRAIN_POLL_MS: u64 = 20;
 
@@ -63,7 +69,7 @@
 #[display("the handler closed the connection")]
 struct ConnectionAborted;
 
-type StopSignal = Shared<oneshot::Receiver<()>>;
+type StopSignal = Shared<LocalBoxFuture<'static, ()>>;
 
 /// A bound socket that does not serve yet.
 #[derive(Debug)]
@@ -121,7 +127,7 @@
             self.listener,
             self.limits,
             handler,
-            stop_receiver.shared(),
+            stop_receiver.map(|_| ()).boxed_local().shared(),
             Rc::clone(&open_count),
         );
         Ok(HttpServing {
@@ -140,18 +146,19 @@
         self.address
     }
 
-    /// Stops accepting and lets open exchanges finish for at most `limit_ms`.
-    /// Returns the number of connections that were still open.
-    pub async fn drain(mut self, limit_ms: u64) -> usize {
-        if let Some(stop_sender) = self.stop.take() {
+    /// Takes the connections that are queued already, stops accepting, and lets open exchanges
+    /// finish for at most `limit_ms`. Returns the number of connections that were still open.
+    pub async fn drain(self, limit_ms: u64) -> usize {
+        if let Some(stop_sender) = self.stop {
             let _ = stop_sender.send(());
         }
+        let accepting = self.task;
+        let _ = compio::time::timeout(Duration::from_millis(limit_ms), accepting).await;
         let mut waited_ms = 0;
         while self.open_count.get() > 0 && waited_ms < limit_ms {
             compio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
             waited_ms += DRAIN_POLL_MS;
         }
-        drop(self.task);
         self.open_count.get()
     }
 }
@@ -178,20 +185,9 @@
     stop: StopSignal,
     open_count: Rc<Cell<usize>>,
 ) {
-    loop {
-        let accepting = listener.accept().fuse();
-        let stopping = stop.clone().fuse();
-        pin_mut!(accepting, stopping);
-        let accepted = select! {
-            accepted = accepting => accepted,
-            _ = stopping => return,
-        };
-        let Ok((stream, peer)) = accepted else {
-            compio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
-            continue;
-        };
+    let serve = |stream, peer| {
         if open_count.get() >= MAX_CONNECTIONS || socket_options::apply(&stream).is_err() {
-            continue;
+            return;
         }
         let guard = OpenGuard::open(&open_count);
         let serving = serve_connection(stream, peer, limits, Rc::clone(&handler), stop.clone());
@@ -200,6 +196,24 @@
             drop(guard);
         })
         .detach();
+    };
+    loop {
+        let accepting = listener.accept().fuse();
+        let stopping = stop.clone().fuse();
+        pin_mut!(accepting, stopping);
+        let accepted = select! {
+            accepted = accepting => accepted,
+            () = stopping => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => serve(stream, peer),
+            Err(_) => compio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await,
+        }
+    }
+    // What is queued already was promised to be served.
+    let limit = Duration::from_millis(QUEUED_MS);
+    while let Ok(Ok((stream, peer))) = compio::time::timeout(limit, listener.accept()).await {
+        serve(stream, peer);
     }
 }
 
@@ -211,7 +225,10 @@
     stop: StopSignal,
 ) {
     let handler = SendWrapper::new(handler);
+    let has_begun = Rc::new(Cell::new(false));
+    let begun = SendWrapper::new(Rc::clone(&has_begun));
     let service = service_fn(move |request| {
+        begun.set(true);
         let answering = Rc::clone(&handler).handle(peer, request);
         SendWrapper::new(async move {
             let response = answering.await;
@@ -240,9 +257,19 @@
         let mut running = connection.as_mut().fuse();
         select! {
             _ = running => false,
-            _ = stopping => true,
+            () = stopping => true,
         }
     };
+    if stopped && !has_begun.get() {
+        // A graceful shutdown would close it without reading a request that is here already.
+        let limit = Duration::from_millis(FIRST_HEAD_MS);
+        if compio::time::timeout(limit, connection.as_mut())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+    }
     if stopped {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
--- /dev/null
+++ b/tests/http_server.rs
@@ -0,0 +1,57 @@
+//! What a server does with connections around its end.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use quetzalpin::net::{HttpBody, HttpHandler, HttpServer, full_body};
+
+/// Connections that are queued while the process stands still.
+const QUEUED: usize = 16;
+
+/// Milliseconds that a drain may take.
+const DRAIN_MS: u64 = 5_000;
+
+struct Greeter;
+
+impl HttpHandler for Greeter {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        _request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<HttpBody>> {
+        Box::pin(async { Response::new(full_body("hello")) })
+    }
+}
+
+/// A process that was suspended in the middle of its shutdown finds callers in the queue of its
+/// listener. They are answered.
+#[test]
+fn queued_connections_are_answered_before_the_listener_closes() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    let (cut, callers) = runtime.block_on(async {
+        let server = HttpServer::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let serving = server
+            .await
+            .expect("a bound server")
+            .spawn(Rc::new(Greeter));
+        let serving = serving.expect("a serving server");
+        let mut callers: Vec<TcpStream> = (0..QUEUED)
+            .map(|_| TcpStream::connect(serving.address()).expect("a connection"))
+            .collect();
+        for caller in &mut callers {
+            let request = b"GET / HTTP/1.1\r\nHost: host\r\n\r\n";
+            caller.write_all(request).expect("a sent request");
+        }
+        (serving.drain(DRAIN_MS).await, callers)
+    });
+    assert_eq!(cut, 0);
+    for mut caller in callers {
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    }
+}
