Idle models make room first; drop what was missing during a cut sooner

Change: a busy model makes room only for chats, urgent copies, and requests that waited 2.5 s.

Change: connections are given up after 450 ms instead of 1 s, a store out of reach is tried again after 250 ms at most, and the time in which entries may come back counts from the last try that failed.

--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -90,8 +90,8 @@
         changes
     }
 
-    /// Drops the entries that stayed missing; returns whether any was.
-    pub fn expire(&mut self, now: MonoTime) -> bool {
+    /// Drops the entries that stayed missing and returns them.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<UpstreamId> {
         let ended: Vec<UpstreamId> = self
             .rows
             .values()
@@ -101,7 +101,7 @@
         for id in &ended {
             self.drop_now(id);
         }
-        !ended.is_empty()
+        ended
     }
 
     /// An upstream by key.
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -26,11 +26,14 @@
 /// Milliseconds before the first try after a failure; doubles up to the longest.
 const FIRST_RETRY_MS: u64 = 150;
 
-/// Longest pause between tries.
+/// Longest pause between tries of a platform that answers.
 const MAX_RETRY_MS: u64 = 800;
 
+/// Longest pause between tries of a platform that cannot be reached; these cost it nothing.
+const MAX_DIAL_RETRY_MS: u64 = 250;
+
 /// Milliseconds between looks for upstreams that stayed missing.
-const EXPIRE_MS: u64 = 500;
+const EXPIRE_MS: u64 = 100;
 
 /// Follows the configuration.
 pub async fn follow_catalog(context: Rc<GatewayContext>) {
@@ -78,8 +81,9 @@
         };
         match read {
             Ok(news) => {
-                if retry.succeeded() {
-                    // Entries that lapsed meanwhile are listed again soon.
+                if retry.succeeded() == Some(OutageKind::Refusing) {
+                    // Entries that lapsed meanwhile are listed again soon. Where the platform was
+                    // out of reach, the last try has just been noted.
                     context.roster.borrow_mut().note_outage(context.now());
                 }
                 after = Some(news.version);
@@ -103,9 +107,11 @@
     loop {
         sleep_ms(EXPIRE_MS).await;
         let now = context.now();
-        let is_changed = context.roster.borrow_mut().expire(now);
-        if is_changed {
-            log::info!("upstreams that stayed missing were dropped");
+        let dropped = context.roster.borrow_mut().expire(now);
+        for id in &dropped {
+            log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
+        }
+        if !dropped.is_empty() {
             context.share_roster();
         }
     }
@@ -125,11 +131,22 @@
     compio::time::sleep(Duration::from_millis(millis)).await;
 }
 
+/// What the platform did in an outage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OutageKind {
+    /// It could not be reached.
+    Unreachable,
+    /// It refused calls or did not answer them.
+    Refusing,
+}
+
 /// Pauses between tries, and a log line at the first failure and at the end of an outage.
 struct RetryPause {
     what: &'static str,
     pause_ms: u64,
     failures: u32,
+    /// What the newest failure was; set while there are failures.
+    outage: Option<OutageKind>,
 }
 
 impl RetryPause {
@@ -138,6 +155,7 @@
             what,
             pause_ms: FIRST_RETRY_MS,
             failures: 0,
+            outage: None,
         }
     }
 
@@ -147,15 +165,14 @@
         if self.failures == 0 { FEED_WAIT_MS } else { 0 }
     }
 
-    /// Returns whether an outage has ended.
-    fn succeeded(&mut self) -> bool {
-        let was_down = self.failures > 0;
-        if was_down {
+    /// Returns the outage that has ended, if there was one.
+    fn succeeded(&mut self) -> Option<OutageKind> {
+        if self.failures > 0 {
             log::info!(dependency = self.what, failures = self.failures; "dependency regained");
         }
         self.failures = 0;
         self.pause_ms = FIRST_RETRY_MS;
-        was_down
+        self.outage.take()
     }
 
     async fn failed(&mut self, error: &SourceError) {
@@ -163,8 +180,16 @@
             log::warn!(dependency = self.what, error:% = error; "dependency lost");
         }
         self.failures += 1;
+        let (outage, longest_ms) = match error {
+            SourceError::Unreachable(_) => (Some(OutageKind::Unreachable), MAX_DIAL_RETRY_MS),
+            // The platform answers; nothing lapsed.
+            SourceError::HistoryLost => (self.outage, MAX_RETRY_MS),
+            _ => (Some(OutageKind::Refusing), MAX_RETRY_MS),
+        };
+        self.outage = outage;
+        self.pause_ms = self.pause_ms.min(longest_ms);
         let pause_ms = self.pause_ms * 3 / 4 + fastrand::u64(..=self.pause_ms / 4);
-        self.pause_ms = (self.pause_ms * 2).min(MAX_RETRY_MS);
+        self.pause_ms = (self.pause_ms * 2).min(longest_ms);
         sleep_ms(pause_ms).await;
     }
 }
--- a/src/net/tcp_dial.rs
+++ b/src/net/tcp_dial.rs
@@ -7,8 +7,9 @@
 
 use super::{NetError, socket_options};
 
-/// Milliseconds within which a connection is made.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Milliseconds within which a connection is made; the far regions answer within 60 ms, and a
+/// lost opening packet is sent again sooner by a new attempt.
+const CONNECT_TIMEOUT_MS: u64 = 450;
 
 /// Connects with the options of every connection.
 ///
--- a/src/orders/bring_purpose.rs
+++ b/src/orders/bring_purpose.rs
@@ -12,6 +12,8 @@
     Wanted {
         /// The most urgent rank among them.
         rank: u8,
+        /// Whether it may wait for the requests of a busy model that makes room.
+        is_pressing: bool,
     },
     /// Its copies are crowded.
     Copy {
@@ -44,10 +46,21 @@
         matches!(self, Self::Copy { .. })
     }
 
+    /// Whether a busy model may make room: its unload waits for its requests, and the engine
+    /// takes no other order meanwhile.
+    pub(super) const fn may_wait_for_runs(self) -> bool {
+        match self {
+            Self::Wanted { is_pressing, .. } => is_pressing,
+            Self::Copy { is_urgent } => is_urgent,
+            Self::Bridge | Self::Prefetch => false,
+            Self::Goal => true,
+        }
+    }
+
     /// Loads from the weight store that may run at once, this one included.
     pub(super) const fn store_loads(self, policy: &PlannerPolicy) -> usize {
         match self {
-            Self::Wanted { rank } if rank == MOST_URGENT_RANK => {
+            Self::Wanted { rank, .. } if rank == MOST_URGENT_RANK => {
                 policy.store_loads + policy.urgent_loads
             }
             Self::Copy { is_urgent: true } => policy.store_loads + policy.urgent_loads,
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -1,6 +1,6 @@
 //! Orders of whole models: wanted ones, further copies, and loads ahead of need.
 
-use super::bring_purpose::BringPurpose;
+use super::bring_purpose::{BringPurpose, MOST_URGENT_RANK};
 use super::demand_book::WantSum;
 use super::order_planner::{NextOrder, PlanView, engine_plan};
 use super::swap_choice::{SwapOption, SwapView, load_source, swap_option};
@@ -15,6 +15,10 @@
 /// Milliseconds after which an unfinished goal of an engine is given up.
 const GOAL_LIFE_MS: u64 = 6_000;
 
+/// Milliseconds that a less urgent request waits for an engine with an idle model before a busy
+/// one may make room; an idle one turns up within a second or two.
+const PRESSING_MS: u64 = 2_500;
+
 /// Least gain of a model that requests wait for, in requests a second.
 const WANTED_GAIN_PER_S: f64 = 0.6;
 
@@ -64,7 +68,11 @@
         for (need, sum) in missing {
             let is_held = self.reached().any(|ledger| ledger.can_serve(&need.model));
             if !is_held {
-                let purpose = BringPurpose::Wanted { rank: sum.rank };
+                let waited_ms = view.now.millis_since(sum.since);
+                let purpose = BringPurpose::Wanted {
+                    rank: sum.rank,
+                    is_pressing: sum.rank == MOST_URGENT_RANK || waited_ms >= PRESSING_MS,
+                };
                 self.bring_further(view, &sum.service, &need.model, purpose);
             }
         }
@@ -261,6 +269,7 @@
             copies: &copies,
             wanted: &is_wanted,
             gain_per_s,
+            may_wait_for_runs: gain_purpose.may_wait_for_runs(),
             last_copy_gain_per_s: if gain_purpose.is_copy() {
                 gain_per_s * LAST_COPY_SHARE
             } else {
--- a/src/orders/swap_choice.rs
+++ b/src/orders/swap_choice.rs
@@ -32,6 +32,8 @@
     pub gain_per_s: f64,
     /// The same for the last copy of a model.
     pub last_copy_gain_per_s: f64,
+    /// Whether a model with running requests may make room.
+    pub may_wait_for_runs: bool,
 }
 
 /// A way to bring a model to one engine.
@@ -101,6 +103,7 @@
         .filter(|(_, held)| view.now.millis_since(held.since) >= view.policy.min_hold_ms)
         .filter(|(name, _)| !(view.wanted)(name) || (view.copies)(name) > 1)
         .filter(|(name, _)| may_leave(view, name))
+        .filter(|(name, _)| view.may_wait_for_runs || !is_busy(view, ledger, name))
         .map(|(name, _)| (name.clone(), eviction_ms(view, ledger, name)))
         .collect();
     order.sort_by(|left, right| left.1.total_cmp(&right.1));
@@ -141,6 +144,10 @@
     view.demand.rate(view.now, model) / copies as f64
 }
 
+fn is_busy(view: &SwapView<'_>, ledger: &UpstreamLedger, model: &ModelName) -> bool {
+    view.demand.running(&ledger.target.id, model) > 0
+}
+
 /// Whether the gain is worth a copy of a model. The other copies may not become crowded.
 #[allow(clippy::cast_precision_loss)]
 fn may_leave(view: &SwapView<'_>, model: &ModelName) -> bool {
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -66,7 +66,7 @@
         "dropped within the grace period"
     );
     roster.take(at(6_500), news(entry(1, UpstreamPhase::Ready)));
-    assert!(!roster.expire(at(60_000)));
+    assert!(roster.expire(at(60_000)).is_empty());
     assert!(roster.key_of(&id()).is_some());
 }
 
@@ -75,11 +75,27 @@
     let mut roster = listed(1);
     roster.note_outage(at(5_000));
     roster.take(at(5_100), news(UpstreamChange::Removed(id())));
-    assert!(!roster.expire(at(7_000)));
-    assert!(roster.expire(at(7_400)));
+    assert!(roster.expire(at(7_000)).is_empty());
+    assert_eq!(roster.expire(at(7_400)), vec![id()]);
     assert!(roster.key_of(&id()).is_none());
 }
 
+/// The platform was out of reach for this process only. An upstream that left meanwhile is dropped
+/// soon after the last try that failed, however late the list is read.
+#[test]
+fn the_time_to_be_listed_again_begins_with_the_last_failed_try() {
+    let mut roster = listed(1);
+    roster.note_outage(at(5_000));
+    let whole = UpstreamNews {
+        version: FeedVersion(9),
+        is_whole: true,
+        changes: Vec::new(),
+    };
+    roster.take(at(6_900), whole);
+    assert!(roster.key_of(&id()).is_some());
+    assert_eq!(roster.expire(at(7_300)), vec![id()]);
+}
+
 /// A leaving upstream is never given work again, whatever late entries say.
 #[test]
 fn a_leaving_upstream_stays_leaving() {
