Keep the planner's sums instead of counting in each step

Cause: the planner's process answered nothing for seconds when many upstreams were out of reach: each question whether an upstream is out of reach went through all runs of all reports, some 10,000 times a step, and each forecast summed all wants anew. Ruled out: the network (other cut gateways read the list within 0.9 s), the store. Change: wants, runs and upstreams out of reach are summed when a report comes; copies are counted once a step; steps are at least 12 ms apart.

--- a/src/gateway/planner_orders.rs
+++ b/src/gateway/planner_orders.rs
@@ -13,6 +13,9 @@
 /// Milliseconds between steps of the planner without news.
 const PLANNER_STEP_MS: u64 = 40;
 
+/// Least milliseconds between two steps; news that come faster are looked at together.
+const MIN_STEP_MS: u64 = 12;
+
 /// Milliseconds between checks whether this process plans.
 const IDLE_STEP_MS: u64 = 2_000;
 
@@ -39,7 +42,7 @@
             compio::runtime::spawn(async move { perform(&context, epoch, action).await }).detach();
         }
         if is_idle {
-            compio::time::sleep(Duration::from_millis(PLANNER_STEP_MS / 8)).await;
+            compio::time::sleep(Duration::from_millis(MIN_STEP_MS)).await;
             context.host.work.wait(PLANNER_STEP_MS).await;
         }
     }
--- a/src/orders/demand_book.rs
+++ b/src/orders/demand_book.rs
@@ -1,6 +1,6 @@
 //! What entries ask for and run, summed over all of them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -93,8 +93,67 @@
 pub struct DemandBook {
     reports: HashMap<InstanceName, (MonoTime, EntryDemand)>,
     rates: HashMap<ModelName, RateEstimate>,
-    /// Requests running by engine and model; rebuilt with each report.
-    runs: HashMap<(UpstreamId, ModelName), u32>,
+    /// Sums over `reports`; rebuilt whenever these change.
+    sums: DemandSums,
+}
+
+#[derive(Debug, Default)]
+struct DemandSums {
+    wants: BTreeMap<ModelNeed, WantSum>,
+    /// Requests running by engine and model.
+    runs: HashMap<UpstreamId, HashMap<ModelName, u32>>,
+    /// Upstreams that most of the entries that try could not reach.
+    unreachable: HashSet<UpstreamId>,
+}
+
+impl DemandSums {
+    fn of(reports: &HashMap<InstanceName, (MonoTime, EntryDemand)>) -> Self {
+        let mut sums = Self::default();
+        for (at, demand) in reports.values() {
+            for line in &demand.wants {
+                sums.add_want(*at, line);
+            }
+            for RunLine(id, model, count) in &demand.runs {
+                let models = sums.runs.entry(id.clone()).or_default();
+                *models.entry(model.clone()).or_default() += count;
+            }
+        }
+        sums.unreachable = unreachable(reports);
+        sums
+    }
+
+    fn add_want(&mut self, at: MonoTime, line: &WantLine) {
+        let since = at - line.waited_ms;
+        let sum = self.wants.entry(line.need.clone()).or_insert_with(|| WantSum {
+            service: line.service.clone(),
+            count: 0,
+            rank: line.rank,
+            since,
+        });
+        sum.count += line.count;
+        sum.rank = sum.rank.min(line.rank);
+        sum.since = sum.since.min(since);
+    }
+}
+
+/// Upstreams that at least half of the entries that run requests there, or tried to, could not
+/// reach.
+fn unreachable(reports: &HashMap<InstanceName, (MonoTime, EntryDemand)>) -> HashSet<UpstreamId> {
+    let mut missed: HashMap<&UpstreamId, usize> = HashMap::new();
+    for (_, demand) in reports.values() {
+        for id in &demand.unreachable {
+            *missed.entry(id).or_default() += 1;
+        }
+    }
+    let tries = |id: &UpstreamId| {
+        let demands = reports.values().map(|(_, demand)| demand);
+        let trying = demands.filter(|demand| {
+            demand.unreachable.contains(id) || demand.runs.iter().any(|line| line.0 == *id)
+        });
+        trying.count()
+    };
+    let mostly = missed.into_iter().filter(|(id, count)| count * 2 >= tries(id));
+    mostly.map(|(id, _)| id.clone()).collect()
 }
 
 impl DemandBook {
@@ -106,61 +165,30 @@
             *rate = RateEstimate { per_s, at: now };
         }
         self.reports.insert(entry, (now, demand));
-        self.forget_old(now);
-        self.runs.clear();
-        for (_, demand) in self.reports.values() {
-            for RunLine(id, model, count) in &demand.runs {
-                *self.runs.entry((id.clone(), model.clone())).or_default() += count;
-            }
-        }
+        self.drop_old(now);
+        self.sums = DemandSums::of(&self.reports);
     }
 
     /// What is waited for, over all entries.
     #[must_use]
-    pub fn wants(&self) -> BTreeMap<ModelNeed, WantSum> {
-        let mut sums: BTreeMap<ModelNeed, WantSum> = BTreeMap::new();
-        for (at, demand) in self.reports.values() {
-            for line in &demand.wants {
-                let since = *at - line.waited_ms;
-                let sum = sums.entry(line.need.clone()).or_insert_with(|| WantSum {
-                    service: line.service.clone(),
-                    count: 0,
-                    rank: line.rank,
-                    since,
-                });
-                sum.count += line.count;
-                sum.rank = sum.rank.min(line.rank);
-                sum.since = sum.since.min(since);
-            }
-        }
-        sums
+    pub const fn wants(&self) -> &BTreeMap<ModelNeed, WantSum> {
+        &self.sums.wants
     }
 
     /// Requests of a model that run at an engine, as far as entries have told.
     #[must_use]
     pub fn running(&self, id: &UpstreamId, model: &ModelName) -> u32 {
-        let key = (id.clone(), model.clone());
-        self.runs.get(&key).copied().unwrap_or(0)
+        let models = self.sums.runs.get(id);
+        models
+            .and_then(|models| models.get(model))
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Whether most entries that report could not reach an upstream.
     #[must_use]
     pub fn is_unreachable(&self, id: &UpstreamId) -> bool {
-        let without = self
-            .reports
-            .values()
-            .filter(|(_, demand)| demand.unreachable.contains(id));
-        let count = without.count();
-        count > 0 && count * 2 >= self.trying(id)
-    }
-
-    /// Entries that run requests at an upstream or could not reach it.
-    fn trying(&self, id: &UpstreamId) -> usize {
-        let demands = self.reports.values().map(|(_, demand)| demand);
-        let tries = |demand: &&EntryDemand| {
-            demand.unreachable.contains(id) || demand.runs.iter().any(|line| line.0 == *id)
-        };
-        demands.filter(tries).count()
+        self.sums.unreachable.contains(id)
     }
 
     /// Requests a second for a model.
@@ -171,7 +199,16 @@
 
     /// Drops the reports of entries that fell silent.
     pub fn forget_old(&mut self, now: MonoTime) {
+        if self.drop_old(now) {
+            self.sums = DemandSums::of(&self.reports);
+        }
+    }
+
+    /// Returns whether a report was dropped.
+    fn drop_old(&mut self, now: MonoTime) -> bool {
+        let before = self.reports.len();
         self.reports
             .retain(|_, (at, _)| now.millis_since(*at) < REPORT_LIFE_MS);
+        self.reports.len() != before
     }
 }
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -162,21 +162,21 @@
 
     /// Whether a model's copies are crowded, and if so, whether far beyond their limit.
     fn crowding(&self, view: PlanView<'_>, plan: &EnginePlan, model: &ModelName) -> Option<bool> {
-        let mut copies = 0;
-        let mut running = 0;
-        for ledger in self
+        let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
+        if copies == 0 {
+            return None;
+        }
+        let holders = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.can_serve(model))
-        {
-            copies += 1;
-            running += self.demand.running(&ledger.target.id, model);
-        }
+            .filter(|ledger| ledger.can_serve(model));
+        let running: u32 = holders
+            .map(|ledger| self.demand.running(&ledger.target.id, model))
+            .sum();
         let rate = self.demand.rate(view.now, model);
         let limit = f64::from(copies) * self.policy.copy_rate_per_s;
         let is_busy = running * 100 > copies * plan.slots * self.policy.crowded_percent;
-        let is_crowded = copies > 0 && (is_busy || rate > limit);
-        is_crowded.then_some(rate > limit * URGENT_CROWDING)
+        (is_busy || rate > limit).then_some(rate > limit * URGENT_CROWDING)
     }
 
     /// Whether an engine with a copy on its own disk is free before a load from the weight
@@ -246,15 +246,9 @@
         purpose: BringPurpose,
     ) -> Option<SwapOption> {
         let ledger = self.ledgers.get(key)?;
-        let copies = |name: &ModelName| {
-            self.ledgers
-                .values()
-                .filter(|ledger| ledger.can_serve(name))
-                .count()
-        };
-        let is_wanted = |name: &ModelName| {
-            purpose != BringPurpose::Goal && view.wants.keys().any(|need| need.model == *name)
-        };
+        let copies = |name: &ModelName| self.copies(name);
+        let is_wanted =
+            |name: &ModelName| purpose != BringPurpose::Goal && view.wanted.contains(name);
         let gain_purpose = if purpose == BringPurpose::Goal {
             ledger.goal_purpose
         } else {
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -1,6 +1,6 @@
 //! Decides which engine loads and unloads what.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::SecondaryMap;
@@ -23,6 +23,8 @@
     pub now: MonoTime,
     pub catalog: &'a FleetCatalog,
     pub wants: &'a BTreeMap<ModelNeed, WantSum>,
+    /// Models that any of the wants needs.
+    pub wanted: &'a HashSet<&'a ModelName>,
 }
 
 /// An order before it is sent.
@@ -61,6 +63,9 @@
     pub(super) demand: DemandBook,
     /// Starts of loads from the weight store, newest last.
     pub(super) store_starts: VecDeque<MonoTime>,
+    /// Usable copies of each model over all engines; counted at the start of a step and after
+    /// each order.
+    copies: HashMap<ModelName, usize>,
     /// Calls decided in this step.
     actions: Vec<PlannerAction>,
     /// No order goes out before this time: an earlier holder's last order must be long past.
@@ -211,11 +216,14 @@
         let Some(catalog) = catalog else {
             return std::mem::take(&mut self.actions);
         };
-        let wants = self.demand.wants();
+        self.count_copies();
+        let wants = self.demand.wants().clone();
+        let wanted: HashSet<&ModelName> = wants.keys().map(|need| &need.model).collect();
         let view = PlanView {
             now,
             catalog: &catalog,
             wants: &wants,
+            wanted: &wanted,
         };
         let is_urgent = |rank: u8| rank == MOST_URGENT_RANK;
         self.continue_goals(view);
@@ -246,13 +254,13 @@
         reason: &'static str,
     ) {
         let model = &order.need.model;
-        let ledgers = || self.ledgers.values();
+        let ledgers = self.ledgers.values();
         let basis = OrderBasis {
             reason,
             source: order.source,
             rate_per_s: self.demand.rate(now, model),
-            copies: ledgers().filter(|ledger| ledger.can_serve(model)).count(),
-            store_loads: ledgers().filter(|ledger| ledger.is_store_loading()).count(),
+            copies: self.copies(model),
+            store_loads: ledgers.filter(|ledger| ledger.is_store_loading()).count(),
         };
         let ledger = &mut self.ledgers[key];
         ledger.order_sent(order.verb, order.need.clone(), order.source);
@@ -266,6 +274,21 @@
         });
         if order.verb == OrderVerb::Unload {
             self.mark_changed(key);
+            self.count_copies();
+        }
+    }
+
+    /// Usable copies of a model.
+    pub(super) fn copies(&self, model: &ModelName) -> usize {
+        self.copies.get(model).copied().unwrap_or(0)
+    }
+
+    fn count_copies(&mut self) {
+        self.copies.clear();
+        for ledger in self.ledgers.values() {
+            for model in ledger.models.keys().filter(|model| ledger.can_serve(model)) {
+                *self.copies.entry(model.clone()).or_default() += 1;
+            }
         }
     }
 
