--- a/src/fleet/fleet_catalog.rs
+++ b/src/fleet/fleet_catalog.rs
@@ -12,8 +12,6 @@
 pub struct CallerLimits {
     /// Largest request body in bytes.
     pub body_bytes: usize,
-    /// Milliseconds after which an idle connection is closed.
-    pub idle_ms: u64,
 }
 
 /// Routes and services of one version.
--- a/src/fleet/service_plan.rs
+++ b/src/fleet/service_plan.rs
@@ -9,8 +9,6 @@
 pub struct ServicePlan {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one upstream accepts from all callers.
-    pub max_connections: u32,
     /// Set where the upstreams are model engines.
     pub engine: Option<EnginePlan>,
 }
@@ -43,6 +41,4 @@
     pub store_load_ms: u64,
     /// Milliseconds of a load from the upstream's disk.
     pub disk_load_ms: u64,
-    /// Milliseconds of a load from the upstream's memory.
-    pub warm_load_ms: u64,
 }
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -22,7 +22,7 @@
 /// Counts a request at an upstream until it has ended, however it ends.
 pub struct CallGuard {
     context: Rc<GatewayContext>,
-    plan: CallPlan,
+    plan: Rc<CallPlan>,
     fingerprint: RequestFingerprint,
     key: UpstreamKey,
     upstream: UpstreamId,
@@ -51,7 +51,7 @@
         context.track_run(key, plan.need.as_ref(), 1);
         Self {
             context: Rc::clone(context),
-            plan: plan.clone(),
+            plan: Rc::clone(plan),
             fingerprint: call.fingerprint,
             key,
             upstream,
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -50,7 +50,7 @@
     /// The whole body.
     pub body: Bytes,
     /// What was decided about it.
-    pub plan: CallPlan,
+    pub plan: Rc<CallPlan>,
     /// The same for each copy of the request.
     pub fingerprint: RequestFingerprint,
 }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -18,7 +18,7 @@
 
 /// Milliseconds between two reads of the list; many changes come in one answer. A leaving
 /// upstream must be known within 3 s.
-const ROSTER_PAUSE_MS: u64 = 1_100;
+const ROSTER_PAUSE_MS: u64 = 1_500;
 
 /// Milliseconds between two reads of the configuration.
 const CATALOG_PAUSE_MS: u64 = 300;
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -62,7 +62,7 @@
         let call = HeldCall {
             parts,
             body,
-            plan,
+            plan: Rc::new(plan),
             fingerprint,
         };
         serve_call(&self.context, call).await
--- a/src/gateway/load_book.rs
+++ b/src/gateway/load_book.rs
@@ -159,12 +159,6 @@
             .is_some_and(|load| decayed(load, now) > FAILING_SHARE)
     }
 
-    /// Own requests at the upstream.
-    #[must_use]
-    pub fn in_flight(&self, key: UpstreamKey) -> u32 {
-        self.loads.get(key).map_or(0, |load| load.in_flight)
-    }
-
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, exists: impl Fn(UpstreamKey) -> bool) {
         self.loads.retain(|key, _| exists(key));
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -80,8 +80,8 @@
     pub fn open(policy: PlannerPolicy, epoch: u64, orders_from: MonoTime) -> Self {
         Self {
             policy,
-            epoch,
             orders_from,
+            epoch,
             ..Self::default()
         }
     }
--- a/tests/planner_cases/engine_fleet.rs
+++ b/tests/planner_cases/engine_fleet.rs
@@ -98,13 +98,9 @@
             1,
             MonoTime::from_millis(shape.orders_from_ms),
         );
-        let limits = CallerLimits {
-            body_bytes: 1,
-            idle_ms: 1,
-        };
+        let limits = CallerLimits { body_bytes: 1 };
         let services = vec![ServicePlan {
             name: service.clone(),
-            max_connections: 100,
             engine: Some(plan.clone()),
         }];
         planner.take_catalog(Rc::new(FleetCatalog::open(1, limits, Vec::new(), services)));
@@ -398,7 +394,6 @@
             adapter_mb: ADAPTER_MB,
             store_load_ms: STORE_LOAD_MS,
             disk_load_ms: DISK_LOAD_MS,
-            warm_load_ms: DISK_LOAD_MS,
         };
         (ModelName::from(format!("m{number:02}").as_str()), plan)
     });
