--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -17,7 +17,7 @@
 
 /// Milliseconds that a less urgent request waits for an engine with an idle model before a busy
 /// one may make room; an idle one turns up within a second or two.
-const PRESSING_MS: u64 = 2_500;
+const PRESSING_MS: u64 = 4_000;
 
 /// Least gain of a model that requests wait for, in requests a second.
 const WANTED_GAIN_PER_S: f64 = 0.6;
