Log when a request waits for its model and when its prompt is held

Each such request now writes one line when it begins to wait, with the forecast and the limit, and one when its prompt is held, with the tokens before it; a send tells the age of the load that it went by.

--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -74,6 +74,7 @@
         sends: 0,
         unknowns: 0,
         held_since: None,
+        has_waited: false,
     };
     flow.run().await
 }
@@ -89,6 +90,8 @@
     unknowns: u32,
     /// When its prompt was first held back from a busy engine.
     held_since: Option<MonoTime>,
+    /// Whether it has waited for its model; told once.
+    has_waited: bool,
 }
 
 impl CallFlow<'_> {
@@ -171,6 +174,16 @@
             let retry_ms = self.context.waits.forecast_ms(&need).unwrap_or(RETRY_MS);
             return Some(self.give_up(RefusalReason::NoReplica, Some(retry_ms)));
         }
+        if !self.has_waited {
+            self.has_waited = true;
+            log::info!(
+                request:% = plan.request,
+                need:% = need,
+                forecast_ms = self.context.waits.forecast_ms(&need),
+                limit_ms = wait_until.millis_since(now);
+                "waiting"
+            );
+        }
         let place =
             self.context
                 .waits
@@ -208,7 +221,16 @@
         let Some(hold_ms) = offer.hold_ms() else {
             return false;
         };
-        self.held_since.get_or_insert(now);
+        if self.held_since.is_none() {
+            self.held_since = Some(now);
+            log::info!(
+                request:% = plan.request,
+                unread_tokens = offer.unread_tokens,
+                prompt_tokens = offer.prompt_tokens,
+                hold_ms;
+                "prompt held"
+            );
+        }
         let reading = self.context.prompt_read.after(generation);
         let limit = Duration::from_millis(hold_ms.min(HOLD_STEP_MS));
         let _ = compio::time::timeout(limit, reading).await;
@@ -242,6 +264,7 @@
             upstream:% = entry.id,
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             load,
+            load_age_ms = context.loads.borrow().report_age_ms(now, key),
             candidates,
             waited_ms = now.millis_since(plan.arrived_at),
             left_ms;
--- a/src/gateway/load_book.rs
+++ b/src/gateway/load_book.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Milliseconds since the upstream last told its load, if it did.
+    #[must_use]
+    pub fn report_age_ms(&self, now: MonoTime, key: UpstreamKey) -> Option<u64> {
+        let (at, _, _) = self.loads.get(key)?.reported?;
+        Some(now.millis_since(at))
+    }
+
     /// Whether the upstream could not be reached a moment ago.
     #[must_use]
     pub fn is_unreachable(&self, now: MonoTime, key: UpstreamKey) -> bool {
