Count the time since a release from the newest one; hold a prompt before a resend is counted

Found by reading the change again. A process that was cut off could see the release of one holder, miss the next holder, and see its release too: the pause then counted from the first. The test fails without the change (19,100 ms for 100 ms). And a request that was sent before and held back took from the budget of resends each time it looked again; it is held before the budget is asked.

--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -111,12 +111,12 @@
                     load,
                     candidates,
                 } => {
-                    if self.sends > 0 && !self.may_resend(now) {
-                        return self.give_up(RefusalReason::Overloaded, Some(RETRY_MS));
-                    }
                     if self.hold_prompt(now, key).await {
                         continue;
                     }
+                    if self.sends > 0 && !self.may_resend(now) {
+                        return self.give_up(RefusalReason::Overloaded, Some(RETRY_MS));
+                    }
                     match self.attempt(key, load, candidates).await {
                         AttemptEnd::Answer(response) => return response,
                         AttemptEnd::NotRun => {}
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -84,7 +84,12 @@
     /// Takes the row as the table has it.
     pub fn observe(&mut self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
         let is_released = row.as_ref().is_some_and(|row| row.is_released);
-        let since = self.released_at.unwrap_or(now);
+        let is_known = self
+            .seen
+            .as_ref()
+            .is_some_and(|(known, _)| *known == revision);
+        // Another holder may have given up again in between.
+        let since = self.released_at.filter(|_| is_known).unwrap_or(now);
         self.released_at = is_released.then_some(since);
         self.watch.observe(revision, now);
         let ours = row.as_ref().is_some_and(|row| self.is_ours(row));
--- a/tests/lease_turns.rs
+++ b/tests/lease_turns.rs
@@ -109,3 +109,19 @@
     restarted.observe(at(4_500), RowRevision(1), Some(row));
     assert!(restarted.intent(at(4_500), true).is_none());
 }
+
+/// A process that is cut off sees one release, then the release of a holder in between. The pause
+/// before its own orders counts from the second.
+#[test]
+fn the_time_since_a_release_counts_for_the_newest_one() {
+    let (mut first, _) = taken();
+    let release = first.release().expect("a held lease");
+    let mut second = holder("b", 2);
+    second.observe(at(1_000), RowRevision(2), Some(release.row.clone()));
+    second.observe(at(1_400), RowRevision(2), Some(release.row.clone()));
+    assert_eq!(second.released_for_ms(at(1_500)), Some(500));
+    second.observe(at(20_000), RowRevision(9), Some(release.row.clone()));
+    assert_eq!(second.released_for_ms(at(20_100)), Some(100));
+    second.observe(at(21_000), RowRevision(10), None);
+    assert_eq!(second.released_for_ms(at(21_100)), None);
+}
