Do not index loads by the key of a replaced upstream

Trace: the gateway's log has 'panicked at load_book.rs: invalid SecondaryMap key used': the request ended at an upstream that had lapsed and been listed again; the arena had given its place to another key, an insert under the old key does nothing, and the index that follows panics. The runtime contains the panic, so only that request was lost. Ruled out: a stop or kill of the process (none), the caller (its connection was closed by the server). Change: a key whose upstream is gone counts nowhere. Before: the new test panics.

--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -14,12 +14,14 @@
 #[case::queued_callers(114, 8)]
 // The same; the accept that the stop interrupted had taken a connection already.
 #[case::interrupted_accept(148, 8)]
+// A request ended at an upstream whose place another start had taken; its task panicked.
+#[case::replaced_upstream(90014, 21)]
 fn promises_hold_through_random_faults(#[case] seed: u64, #[case] seconds: u64) {
     let options = SoakOptions {
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_quetzalpind")),
         seed,
         duration: Duration::from_secs(seconds),
-        callers: 8,
+        callers: 12,
         shape: SoakShape::default(),
         logs: None,
     };
--- a/src/gateway/load_book.rs
+++ b/src/gateway/load_book.rs
@@ -62,7 +62,9 @@
 
     /// Counts a request sent.
     pub fn begin(&mut self, key: UpstreamKey) {
-        self.load(key).in_flight += 1;
+        if let Some(load) = self.load(key) {
+            load.in_flight += 1;
+        }
     }
 
     /// Counts a request ended.
@@ -74,7 +76,9 @@
 
     /// Counts a prompt that the upstream must read.
     pub fn begin_prompt(&mut self, key: UpstreamKey, tokens: u32) {
-        self.load(key).unread_tokens += tokens;
+        if let Some(load) = self.load(key) {
+            load.unread_tokens += tokens;
+        }
     }
 
     /// Counts a prompt that was read, or whose request has ended.
@@ -92,13 +96,16 @@
 
     /// Takes the load that an answer told.
     pub fn reported(&mut self, now: MonoTime, key: UpstreamKey, count: u32) {
-        let load = self.load(key);
-        load.reported = Some((now, count, load.in_flight));
+        if let Some(load) = self.load(key) {
+            load.reported = Some((now, count, load.in_flight));
+        }
     }
 
     /// Takes the end of an attempt.
     pub fn ended(&mut self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
-        let load = self.load(key);
+        let Some(load) = self.load(key) else {
+            return;
+        };
         let failed = if result == AttemptResult::Answered {
             0.0
         } else {
@@ -171,11 +178,12 @@
         self.loads.retain(|key, _| exists(key));
     }
 
-    fn load(&mut self, key: UpstreamKey) -> &mut UpstreamLoad {
+    /// The load of an upstream; `None` for one that is gone and whose place another one has taken.
+    fn load(&mut self, key: UpstreamKey) -> Option<&mut UpstreamLoad> {
         if !self.loads.contains_key(key) {
             self.loads.insert(key, UpstreamLoad::default());
         }
-        &mut self.loads[key]
+        self.loads.get_mut(key)
     }
 }
 
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -231,3 +231,28 @@
     desk.now = desk.now + 500;
     assert_eq!(desk.chosen(&plan("r2", &[])), key);
 }
+
+/// Load pattern: a request ends at an upstream that has crashed and started again meanwhile, so
+/// that another start has taken its place.
+#[test]
+fn a_late_end_at_a_replaced_upstream_counts_nowhere() {
+    let mut desk = Desk::open(&[HOME_ZONE]);
+    let gone = desk.key(0);
+    let mut again = entry(0, HOME_ZONE);
+    again.started_at_ms += 1;
+    let news = UpstreamNews {
+        version: FeedVersion(2),
+        is_whole: false,
+        changes: vec![UpstreamChange::Listed(again)],
+    };
+    desk.roster.take(desk.now, news);
+    let present = desk.key(0);
+    assert_ne!(gone, present);
+    desk.loads.begin(present);
+    desk.loads.begin_prompt(gone, 100);
+    desk.loads.reported(desk.now, gone, 7);
+    desk.loads.ended(desk.now, gone, AttemptResult::Failed);
+    desk.loads.end(gone);
+    assert_eq!(desk.loads.estimate(desk.now, present), 1);
+    assert!(!desk.loads.is_suspect(desk.now, present));
+}
