--- a/src/daemon/logging.rs
+++ b/src/daemon/logging.rs
@@ -1,5 +1,7 @@
 //! JSON lines on standard output.
 
+use std::panic::PanicHookInfo;
+
 use log::LevelFilter;
 use log4rs::config::{Appender, Config, Root};
 
@@ -21,5 +23,13 @@
         .build(Root::builder().appender("stdout").build(level))
         .expect("the only appender is defined above");
     log4rs::init_config(config)?;
+    std::panic::set_hook(Box::new(log_panic));
     Ok(())
 }
+
+/// Writes a panic as a line of the log. The runtime contains it: only the task that panicked ends.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let place = info.location().map(ToString::to_string).unwrap_or_default();
+    let reason = info.payload_as_str().unwrap_or("no text");
+    log::error!(place, reason; "task panicked");
+}
