--- /dev/null
+++ b/src/gateway/call_attempt.rs
@@ -0,0 +1,256 @@
+//! One attempt of a request at one upstream, and how its answer is judged.
+
+use std::rc::Rc;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use super::answer_body::AnswerBody;
+use super::buffered_call::BufferedCall;
+use super::call_guard::CallGuard;
+use super::upstream_call::{CallFailure, UpstreamConnection, call_upstream};
+use super::{AnswerHead, AttemptHead, AttemptResult, GatewayContext};
+use crate::fleet::{UpstreamEntry, UpstreamKey};
+use crate::net::{HttpBody, full_body, read_body};
+use crate::prelude::*;
+
+/// Connect timeout to an upstream in milliseconds; remote regions answer within 60 ms.
+const CONNECT_TIMEOUT_MS: u64 = 350;
+
+/// Largest response of a non-streaming service in bytes; it is buffered before it is forwarded.
+const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
+
+/// How one attempt ended.
+pub enum AttemptEnd {
+    /// The response for the client.
+    Answer(Response<HttpBody>),
+    /// The upstream did not run the request; another one may.
+    NotRun,
+    /// The request may have run.
+    Unknown(RefusalReason),
+}
+
+/// Result of one attempt.
+pub struct AttemptOutcome {
+    /// How the attempt ended.
+    pub end: AttemptEnd,
+    /// Whether the request reached the upstream.
+    pub is_sent: bool,
+    /// Whether the request should try other upstreams first from now on.
+    pub is_excluded: bool,
+}
+
+impl AttemptOutcome {
+    const fn unsent(is_excluded: bool) -> Self {
+        Self {
+            end: AttemptEnd::NotRun,
+            is_sent: false,
+            is_excluded,
+        }
+    }
+
+    const fn sent(end: AttemptEnd, is_excluded: bool) -> Self {
+        Self {
+            end,
+            is_sent: true,
+            is_excluded,
+        }
+    }
+}
+
+/// One attempt of a request at an upstream.
+pub struct CallAttempt<'a> {
+    /// Gateway state.
+    pub context: &'a Rc<GatewayContext>,
+    /// The request.
+    pub call: &'a BufferedCall,
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// Estimated number of requests there.
+    pub load: u32,
+    /// Number of upstreams that could serve the request.
+    pub candidates: usize,
+}
+
+impl CallAttempt<'_> {
+    /// Sends the request and waits for the answer; a stream is returned with its head.
+    pub async fn run(self) -> AttemptOutcome {
+        let context = self.context;
+        let entry = context.roster.borrow().get(self.key).cloned();
+        let Some(entry) = entry else {
+            return AttemptOutcome::unsent(false);
+        };
+        let left_ms = self.call.plan.ends_at.millis_since(context.now());
+        self.log_start(&entry, left_ms);
+        let mut guard = CallGuard::begin(context, self.call, self.key, entry.id.clone());
+        let request = self.build_request(&AttemptHead {
+            deadline_ms: left_ms,
+            upstream: entry.id.clone(),
+            priority: self
+                .call
+                .plan
+                .need
+                .as_ref()
+                .map(|_| engine_priority(self.call.plan.rank)),
+        });
+        let connect_ms = CONNECT_TIMEOUT_MS.min(left_ms);
+        match call_upstream(entry.address, request, connect_ms, left_ms).await {
+            Ok((response, connection)) => self.judge(response, connection, guard).await,
+            Err(failure) => self.fail(&failure, &mut guard),
+        }
+    }
+
+    fn log_start(&self, entry: &UpstreamEntry, left_ms: u64) {
+        let plan = &self.call.plan;
+        let now = self.context.now();
+        log::info!(
+            request:% = plan.request,
+            route:% = plan.route,
+            config = plan.catalog_version,
+            upstream:% = entry.id,
+            need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+            load = self.load,
+            load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
+            candidates = self.candidates,
+            waited_ms = now.millis_since(plan.arrived_at),
+            left_ms;
+            "attempt"
+        );
+    }
+
+    fn build_request(&self, head: &AttemptHead) -> Request<HttpBody> {
+        let mut parts = self.call.parts.clone();
+        self.context
+            .ports
+            .header_codec
+            .write_attempt(&mut parts.headers, head);
+        Request::from_parts(parts, full_body(self.call.body.clone()))
+    }
+
+    fn record(&self, result: AttemptResult) {
+        let now = self.context.now();
+        self.context
+            .loads
+            .borrow_mut()
+            .record_result(now, self.key, result);
+    }
+
+    /// Ends an attempt without a response.
+    fn fail(&self, failure: &CallFailure, guard: &mut CallGuard) -> AttemptOutcome {
+        let request = &self.call.plan.request;
+        match failure {
+            CallFailure::Unsent(error) => {
+                guard.set_outcome("unsent");
+                self.record(AttemptResult::Unreachable);
+                log::warn!(request:% = request, error:% = error; "connection to upstream failed");
+                AttemptOutcome::unsent(true)
+            }
+            CallFailure::Lost(error) => {
+                guard.set_outcome("lost");
+                self.record(AttemptResult::Failed);
+                self.context.record_crash(self.call.fingerprint, self.key);
+                log::warn!(request:% = request, error:% = error; "upstream lost");
+                let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
+                AttemptOutcome::sent(end, true)
+            }
+            CallFailure::TimedOut => {
+                guard.set_outcome("no_answer");
+                self.record(AttemptResult::Failed);
+                let end = AttemptEnd::Unknown(RefusalReason::DeadlinePassed);
+                AttemptOutcome::sent(end, false)
+            }
+        }
+    }
+
+    /// Decides from the response head whether the request ran, and reads the answer.
+    async fn judge(
+        &self,
+        response: Response<Incoming>,
+        connection: UpstreamConnection,
+        mut guard: CallGuard,
+    ) -> AttemptOutcome {
+        let context = self.context;
+        let now = context.now();
+        let codec = &context.ports.header_codec;
+        let (mut parts, incoming) = response.into_parts();
+        let head = codec.read_answer(parts.status, &parts.headers);
+        if let Some(count) = head.load {
+            context.loads.borrow_mut().record_load(now, self.key, count);
+        }
+        if head.is_not_run {
+            guard.set_outcome("not_run");
+            let is_excluded = self.record_refusal(&head, parts.status);
+            return AttemptOutcome::sent(AttemptEnd::NotRun, is_excluded);
+        }
+        if self.is_wrong_answer(&head, parts.status) {
+            guard.set_outcome("wrong_answer");
+            self.record(AttemptResult::Failed);
+            let end = AttemptEnd::Unknown(RefusalReason::UpstreamFailed);
+            return AttemptOutcome::sent(end, true);
+        }
+        codec.strip_answer(&mut parts.headers);
+        self.record(if parts.status.is_server_error() {
+            AttemptResult::Failed
+        } else {
+            AttemptResult::Answered
+        });
+        context.record_answered(&self.call.plan, now);
+        if self.call.plan.is_stream() {
+            let body = AnswerBody::open(incoming, guard, connection);
+            let end = AttemptEnd::Answer(Response::from_parts(parts, body.boxed_unsync()));
+            return AttemptOutcome::sent(end, false);
+        }
+        let left_ms = self.call.plan.ends_at.millis_since(now);
+        match read_body(incoming, MAX_BUFFERED_ANSWER_BYTES, left_ms).await {
+            Ok(body) => {
+                guard.set_outcome("complete");
+                let end = AttemptEnd::Answer(Response::from_parts(parts, full_body(body)));
+                AttemptOutcome::sent(end, false)
+            }
+            Err(error) => {
+                guard.set_outcome("cut_by_upstream");
+                self.record(AttemptResult::Failed);
+                log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
+                let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
+                AttemptOutcome::sent(end, true)
+            }
+        }
+    }
+
+    /// Whether the response cannot be the upstream's answer to this request.
+    fn is_wrong_answer(&self, head: &AnswerHead, status: StatusCode) -> bool {
+        let is_other_request = head
+            .request
+            .as_ref()
+            .is_some_and(|id| *id != self.call.plan.request);
+        // These statuses promise that the request did not run, which the upstream did not say.
+        let is_reserved_status = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+        is_reserved_status || is_other_request || (status.is_success() && !head.is_sealed)
+    }
+
+    /// Records why the upstream did not run the request. Returns whether the request should try
+    /// other upstreams first.
+    fn record_refusal(&self, head: &AnswerHead, status: StatusCode) -> bool {
+        let plan = &self.call.plan;
+        log::info!(request:% = plan.request, status = status.as_u16(); "refused by upstream");
+        if head.is_other_upstream {
+            self.record(AttemptResult::Unreachable);
+            return true;
+        }
+        match &plan.need {
+            Some(need) if status == StatusCode::MISDIRECTED_REQUEST => {
+                let now = self.context.now();
+                self.context.record_missing(now, self.key, need);
+                false
+            }
+            _ => true,
+        }
+    }
+}
+
+/// Maps a rank to an engine priority; ranks beyond the last priority share it.
+fn engine_priority(rank: u8) -> u8 {
+    const LAST_PRIORITY: u8 = 9;
+    rank.saturating_mul(2).min(LAST_PRIORITY)
+}
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -3,27 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::Response;
 
-use super::answer_body::{AnswerBody, CallGuard};
+use super::buffered_call::BufferedCall;
+use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
-use super::upstream_call::{CallFailure, UpstreamConnection, call_upstream};
-use super::{
-    AnswerHead, AttemptHead, AttemptResult, CallPlan, ChoiceInput, GatewayContext, PromptAdmission,
-    UpstreamChoice, choose_upstream,
-};
+use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
 use crate::fleet::UpstreamKey;
 use crate::metrics::RefusalLabels;
-use crate::net::{HttpBody, full_body, read_body};
+use crate::net::HttpBody;
 use crate::prelude::*;
-use crate::quarantine::RequestFingerprint;
-
-/// Connect timeout to an upstream in milliseconds; remote regions answer within 60 ms.
-const CONNECT_TIMEOUT_MS: u64 = 350;
 
 /// Milliseconds after which a waiting request checks again without being woken.
 const WAIT_POLL_MS: u64 = 250;
@@ -40,31 +29,6 @@
 /// Maximum number of times that one request is sent to an upstream, refusals included.
 const MAX_SENDS: usize = 4;
 
-/// Largest response of a non-streaming service in bytes; it is buffered before it is forwarded.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
-
-/// A client request with its body buffered, so that it can be sent more than once.
-pub struct BufferedCall {
-    /// Request head as received, without hop-by-hop headers.
-    pub parts: Parts,
-    /// The whole body.
-    pub body: Bytes,
-    /// Route, service and deadlines of the request.
-    pub plan: Rc<CallPlan>,
-    /// Identical for each copy of the request.
-    pub fingerprint: RequestFingerprint,
-}
-
-/// How one attempt ended.
-enum AttemptEnd {
-    /// The response for the client.
-    Answer(Response<HttpBody>),
-    /// The upstream did not run the request; another one may.
-    NotRun,
-    /// The request may have run.
-    Unknown(RefusalReason),
-}
-
 /// Serves a request until it is answered or refused.
 pub async fn serve_call(context: &Rc<GatewayContext>, call: BufferedCall) -> Response<HttpBody> {
     let mut flow = CallFlow {
@@ -254,169 +218,19 @@
     }
 
     async fn attempt(&mut self, key: UpstreamKey, load: u32, candidates: usize) -> AttemptEnd {
-        let context = self.context;
-        let entry = context.roster.borrow().get(key).cloned();
-        let Some(entry) = entry else {
-            return AttemptEnd::NotRun;
-        };
-        let now = context.now();
-        let plan = &self.call.plan;
-        let left_ms = plan.ends_at.millis_since(now);
-        log::info!(
-            request:% = plan.request,
-            route:% = plan.route,
-            config = plan.catalog_version,
-            upstream:% = entry.id,
-            need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+        let attempt = CallAttempt {
+            context: self.context,
+            call: &self.call,
+            key,
             load,
-            load_age_ms = context.loads.borrow().report_age_ms(now, key),
             candidates,
-            waited_ms = now.millis_since(plan.arrived_at),
-            left_ms;
-            "attempt"
-        );
-        let mut guard = CallGuard::begin(context, &self.call, key, entry.id.clone());
-        let request = self.build_request(&AttemptHead {
-            deadline_ms: left_ms,
-            upstream: entry.id.clone(),
-            priority: plan.need.as_ref().map(|_| engine_priority(plan.rank)),
-        });
-        let calling = call_upstream(
-            entry.address,
-            request,
-            CONNECT_TIMEOUT_MS.min(left_ms),
-            left_ms,
-        );
-        let result = calling.await;
-        let now = context.now();
-        match result {
-            Ok((response, connection)) => {
-                self.sends += 1;
-                self.handle_answer(key, response, connection, guard).await
-            }
-            Err(CallFailure::Unsent(error)) => {
-                guard.set_outcome("unsent");
-                self.record_attempt(now, key, AttemptResult::Unreachable);
-                self.tried.push(key);
-                log::warn!(request:% = self.call.plan.request, error:% = error; "connection to upstream failed");
-                AttemptEnd::NotRun
-            }
-            Err(CallFailure::Lost(error)) => {
-                guard.set_outcome("lost");
-                self.sends += 1;
-                self.record_attempt(now, key, AttemptResult::Failed);
-                self.tried.push(key);
-                context.record_crash(self.call.fingerprint, key);
-                log::warn!(request:% = self.call.plan.request, error:% = error; "upstream lost");
-                AttemptEnd::Unknown(RefusalReason::UpstreamLost)
-            }
-            Err(CallFailure::TimedOut) => {
-                guard.set_outcome("no_answer");
-                self.sends += 1;
-                self.record_attempt(now, key, AttemptResult::Failed);
-                AttemptEnd::Unknown(RefusalReason::DeadlinePassed)
-            }
-        }
-    }
-
-    fn build_request(&self, head: &AttemptHead) -> Request<HttpBody> {
-        let mut parts = self.call.parts.clone();
-        self.context
-            .ports
-            .header_codec
-            .write_attempt(&mut parts.headers, head);
-        Request::from_parts(parts, full_body(self.call.body.clone()))
-    }
-
-    fn record_attempt(&self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
-        self.context
-            .loads
-            .borrow_mut()
-            .record_result(now, key, result);
-    }
-
-    async fn handle_answer(
-        &mut self,
-        key: UpstreamKey,
-        response: Response<Incoming>,
-        connection: UpstreamConnection,
-        mut guard: CallGuard,
-    ) -> AttemptEnd {
-        let now = self.context.now();
-        let (mut parts, incoming) = response.into_parts();
-        let head = self
-            .context
-            .ports
-            .header_codec
-            .read_answer(parts.status, &parts.headers);
-        if let Some(count) = head.load {
-            self.context.loads.borrow_mut().record_load(now, key, count);
-        }
-        if head.is_not_run {
-            guard.set_outcome("not_run");
-            self.record_refusal(now, key, &head, parts.status);
-            return AttemptEnd::NotRun;
-        }
-        let is_other_request = head
-            .request
-            .as_ref()
-            .is_some_and(|id| *id != self.call.plan.request);
-        let is_reserved_status = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
-        if is_reserved_status || is_other_request || (parts.status.is_success() && !head.is_sealed)
-        {
-            guard.set_outcome("wrong_answer");
-            self.record_attempt(now, key, AttemptResult::Failed);
-            self.tried.push(key);
-            return AttemptEnd::Unknown(RefusalReason::UpstreamFailed);
-        }
-        self.context
-            .ports
-            .header_codec
-            .strip_answer(&mut parts.headers);
-        let result = if parts.status.is_server_error() {
-            AttemptResult::Failed
-        } else {
-            AttemptResult::Answered
         };
-        self.record_attempt(now, key, result);
-        self.context.record_answered(&self.call.plan, now);
-        if self.call.plan.is_stream() {
-            let body = AnswerBody::open(incoming, guard, connection);
-            return AttemptEnd::Answer(Response::from_parts(parts, body.boxed_unsync()));
-        }
-        let left_ms = self.call.plan.ends_at.millis_since(now);
-        match read_body(incoming, MAX_BUFFERED_ANSWER_BYTES, left_ms).await {
-            Ok(body) => {
-                guard.set_outcome("complete");
-                AttemptEnd::Answer(Response::from_parts(parts, full_body(body)))
-            }
-            Err(error) => {
-                guard.set_outcome("cut_by_upstream");
-                self.record_attempt(self.context.now(), key, AttemptResult::Failed);
-                self.tried.push(key);
-                log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
-                AttemptEnd::Unknown(RefusalReason::UpstreamLost)
-            }
-        }
-    }
-
-    fn record_refusal(
-        &mut self,
-        now: MonoTime,
-        key: UpstreamKey,
-        head: &AnswerHead,
-        status: StatusCode,
-    ) {
-        log::info!(request:% = self.call.plan.request, status = status.as_u16(); "refused by upstream");
-        if head.is_other_upstream {
-            self.record_attempt(now, key, AttemptResult::Unreachable);
-        } else if let Some(need) = &self.call.plan.need
-            && status == StatusCode::MISDIRECTED_REQUEST
-        {
-            self.context.record_missing(now, key, need);
-            return;
+        let outcome = attempt.run().await;
+        self.sends += usize::from(outcome.is_sent);
+        if outcome.is_excluded {
+            self.tried.push(key);
         }
-        self.tried.push(key);
+        outcome.end
     }
 
     fn refuse(&self, reason: RefusalReason, retry_ms: Option<u64>) -> Response<HttpBody> {
@@ -451,9 +265,3 @@
         refusal_response(refusal, retry_ms)
     }
 }
-
-/// Maps a rank to an engine priority; ranks beyond the last priority share it.
-fn engine_priority(rank: u8) -> u8 {
-    const LAST_PRIORITY: u8 = 9;
-    rank.saturating_mul(2).min(LAST_PRIORITY)
-}
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -8,7 +8,8 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 
-use super::call_flow::{BufferedCall, serve_call};
+use super::buffered_call::BufferedCall;
+use super::call_flow::serve_call;
 use super::call_refusal::refusal_response;
 use super::{CallPlan, GatewayContext};
 use crate::net::{BodyError, HttpBody, HttpHandler, read_body};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,10 @@
 //! planner lease also plans which models the engines load.
 
 mod answer_body;
+mod buffered_call;
+mod call_attempt;
 mod call_flow;
+mod call_guard;
 mod call_plan;
 mod call_refusal;
 mod control_server;
