--- a/cli/src/commands/quickstart_command.rs
+++ b/cli/src/commands/quickstart_command.rs
@@ -112,6 +112,7 @@
         path: "registry/stamp".to_owned(),
         key: "batch-17".to_owned(),
         body: r#"{"batch":"batch-17"}"#.to_owned(),
+        deadline_ms: None,
         id: String::new(),
     };
     let first = caller.service(&call).await?;
--- a/standins/src/caller_client.rs
+++ b/standins/src/caller_client.rs
@@ -45,6 +45,8 @@
     pub key: String,
     /// JSON body.
     pub body: String,
+    /// Deadline in milliseconds; the kind's own applies if `None`.
+    pub deadline_ms: Option<u64>,
     /// Identifier of the request; the entry chooses one if empty.
     pub id: String,
 }
@@ -131,7 +133,7 @@
     /// # Errors
     /// [`StandinError::Client`] if no response headers arrive.
     pub async fn service(&self, call: &ServiceCall) -> Result<CallOutcome, StandinError> {
-        let request = self
+        let mut request = self
             .client
             .post(format!("{}/svc/{}", self.base_url, call.path))?
             .bearer_auth(&call.credential)?
@@ -139,6 +141,9 @@
             .header("idempotency-key", call.key.as_str())?
             .header("x-request-id", call.id.as_str())?
             .header("content-type", "application/json")?;
+        if let Some(deadline_ms) = call.deadline_ms {
+            request = request.header("x-deadline-ms", deadline_ms.to_string())?;
+        }
         read_outcome(request.body(call.body.clone())).await
     }
 }
--- a/standins/src/campaign/caller_pool.rs
+++ b/standins/src/campaign/caller_pool.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use super::call_history::{CallRecord, CallResult, CallSubject, classify_outcome};
-use crate::caller_client::{CallerClient, ChatCall};
+use crate::caller_client::{CallerClient, ChatCall, ServiceCall};
 use crate::errors::StandinError;
 use crate::prompt_words::POISON_WORD;
 use crate::small_fleet::{SMALL_CREDENTIAL, SMALL_MODEL_COUNT, small_stamp};
 
-/// Deadline that callers send with chats.
+/// Deadline that callers send with each call.
 const CALL_DEADLINE_MS: u64 = 6_000;
 
 /// Time after which a caller abandons a call that has not ended.
@@ -176,7 +176,13 @@
         let id = format!("call-{}", pool.next_number());
         let pending_call = async {
             match &self.subject {
-                CallSubject::Stamp { batch } => client.service(&small_stamp(batch, &id)).await.ok(),
+                CallSubject::Stamp { batch } => {
+                    let call = ServiceCall {
+                        deadline_ms: Some(CALL_DEADLINE_MS),
+                        ..small_stamp(batch, &id)
+                    };
+                    client.service(&call).await.ok()
+                }
                 CallSubject::Chat {
                     prompt,
                     stream,
--- a/standins/src/small_fleet.rs
+++ b/standins/src/small_fleet.rs
@@ -67,6 +67,7 @@
         path: "registry/stamp".to_owned(),
         key: batch.to_owned(),
         body: format!(r#"{{"batch":"{batch}"}}"#),
+        deadline_ms: None,
         id: id.to_owned(),
     }
 }
