--- a/src/agent/agent_context.rs
+++ b/src/agent/agent_context.rs
@@ -13,7 +13,7 @@
 use super::slot_controller::PlacementCache;
 use crate::admission::{ConcurrencyLimiter, RankShare, ServiceEstimate, WaitForecast, WorkQueue};
 use crate::config::{AgentConfig, UpstreamKind};
-use crate::daemon::{DaemonError, NodeContext, WakeSignal};
+use crate::daemon::{NodeContext, WakeSignal};
 use crate::engine::EngineClient;
 use crate::memory::MemoryUnit;
 use crate::placement::{ResidencyManager, ResidencyPolicy};
@@ -92,13 +92,11 @@
 
 impl AgentContext {
     /// Creates the context; the queue has a single rank until the settings are applied.
-    ///
-    /// # Errors
-    /// [`DaemonError`] if a client cannot be set up.
-    pub fn open(node: Rc<NodeContext>, config: AgentConfig) -> Result<Rc<Self>, DaemonError> {
+    #[must_use]
+    pub fn open(node: Rc<NodeContext>, config: AgentConfig) -> Rc<Self> {
         let (engine, memory_mb) = match &config.upstream {
             UpstreamKind::Engine { memory_mb } => (
-                Some(EngineClient::open(config.upstream_address)?),
+                Some(EngineClient::open(config.upstream_address)),
                 *memory_mb,
             ),
             UpstreamKind::Service(_) => (None, 0),
@@ -113,7 +111,7 @@
             INITIAL_CALL_US
         };
         let limiter = ConcurrencyLimiter::open(config.concurrency, config.target_unit_us);
-        Ok(Rc::new(Self {
+        Rc::new(Self {
             engine,
             queue: RefCell::new(WorkQueue::open(
                 default_ranks(),
@@ -143,7 +141,7 @@
             planner_wake: WakeSignal::default(),
             node,
             config,
-        }))
+        })
     }
 
     /// Current monotonic time.
--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -46,7 +46,7 @@
     pub async fn spawn(node: NodeConfig, config: AgentConfig) -> Result<Self, DaemonError> {
         let server = HttpServer::bind(node.listen).await?;
         let node = NodeContext::open(node, server.local_addr()?)?;
-        let context = AgentContext::open(node, config)?;
+        let context = AgentContext::open(node, config);
         let serving = server.spawn(AgentServer::open(Rc::clone(&context)))?;
         let mut loops = spawn_node_loops(&context.node, MEMBER_POLLS_PER_SETTINGS_POLL);
         loops.extend([
--- a/src/agent/engine_run.rs
+++ b/src/agent/engine_run.rs
@@ -19,9 +19,10 @@
 use super::engine_monitor::diagnose_disconnect;
 use super::engine_view::InFlight;
 use super::order_controller::execute_order;
-use super::run_controller::{RunEnd, RunJob};
+use super::run_controller::{MAX_ANSWER_BYTES, RunEnd, RunJob};
 use crate::admission::ServiceSample;
 use crate::memory::{AdapterUnit, MemoryUnit};
+use crate::net::read_body;
 use crate::prelude::*;
 use crate::run_once::RecordedAnswer;
 
@@ -187,12 +188,7 @@
     };
     let priority = context.queue.borrow().rank_key(&job.metadata.rank).0;
     let priority = u32::try_from(priority).unwrap_or(u32::MAX);
-    let sending = engine.generate(
-        job.metadata.attempt,
-        priority,
-        body,
-        job.metadata.run_key.is_none(),
-    );
+    let sending = engine.generate(job.metadata.attempt, priority, body);
     let response = await_until_deadline(run, job, relay, sending).await?;
     let response = response.map_err(|_| RunFailure::Disconnected)?;
     let status = response.status().as_u16();
@@ -310,9 +306,9 @@
     response: Response<Incoming>,
     relay: &AnswerRelay,
 ) -> Result<RunEnd, RunFailure> {
-    let reading = response.into_body().collect();
+    let reading = read_body(response.into_body(), MAX_ANSWER_BYTES, KEYED_TIMEOUT_MS);
     let body = await_until_deadline(run, job, relay, reading).await?;
-    let body = body.map_err(|_| RunFailure::Disconnected)?.to_bytes();
+    let body = body.map_err(|_| RunFailure::Disconnected)?;
     record_sample(run, job, None, u64::from(job.metadata.tokens));
     Ok(RunEnd::Whole(RecordedAnswer {
         status,
--- a/src/agent/run_controller.rs
+++ b/src/agent/run_controller.rs
@@ -17,6 +17,9 @@
 use crate::rpc::{UpstreamCall, WorkMetadata};
 use crate::run_once::{RecordedAnswer, RunKey};
 
+/// Largest answer that is not streamed, in bytes; it is buffered before it is relayed.
+pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// A request that has been granted a ticket.
 pub struct RunJob {
     /// The request.
--- a/src/agent/service_run.rs
+++ b/src/agent/service_run.rs
@@ -7,7 +7,7 @@
 
 use super::agent_context::AgentContext;
 use super::answer_relay::AnswerRelay;
-use super::run_controller::{RunEnd, RunJob};
+use super::run_controller::{MAX_ANSWER_BYTES, RunEnd, RunJob};
 use crate::admission::ServiceSample;
 use crate::net::{BodyError, NetError, PeerClient, full_body, read_body, send_unpooled};
 use crate::prelude::*;
@@ -20,9 +20,6 @@
 /// Time in milliseconds beyond the deadline that other calls wait for an answer.
 const DEADLINE_GRACE_MS: u64 = 200;
 
-/// Maximum size of an answer in bytes.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// Why a call got no answer.
 enum CallFailure {
     /// The call was never sent.
--- a/src/daemon/errors.rs
+++ b/src/daemon/errors.rs
@@ -3,7 +3,6 @@
 use derive_more::{Error, From};
 use displaydoc::Display;
 
-use crate::engine::EngineError;
 use crate::membership::MembershipError;
 use crate::net::NetError;
 use crate::table::TableError;
@@ -17,8 +16,6 @@
     Table(TableError),
     /// list of instances: {0}
     Membership(MembershipError),
-    /// engine: {0}
-    Engine(EngineError),
     /// a gateway needs the adapter of a platform
     NoAdapter,
     /// logging: {0}
--- a/src/engine/engine_client.rs
+++ b/src/engine/engine_client.rs
@@ -11,34 +11,26 @@
 
 use super::{EngineError, EngineState, LoadCommand, UnloadCommand};
 use crate::ids::AttemptId;
-use crate::net::{ConnectionPool, NetError, full_body, send_unpooled};
+use crate::net::{NetError, empty_body, full_body, read_body, send_unpooled};
 
 /// Timeout of a state read in milliseconds.
 const STATE_TIMEOUT_MS: u64 = 1_000;
 
-/// Client of one engine. State reads and repeatable requests use pooled connections: the
-/// engine's state shows a request that was lost on a connection that went silent. Orders and
-/// requests that may not be repeated each use a new connection.
+/// Largest state of an engine in bytes.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Client of one engine. Each call uses a new connection: on a reused one, a late copy of an
+/// earlier response would be taken for the response to the next call.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
-    state_client: cyper::Client,
-    state_url: String,
-    request_pool: ConnectionPool,
     address: SocketAddr,
 }
 
 impl EngineClient {
     /// Creates a client; connections are opened on demand.
-    ///
-    /// # Errors
-    /// [`EngineError::Transport`] if the HTTP client cannot be set up.
-    pub fn open(address: SocketAddr) -> Result<Self, EngineError> {
-        Ok(Self {
-            state_client: cyper::Client::new().map_err(EngineError::Transport)?,
-            state_url: format!("http://{address}/admin/state"),
-            request_pool: ConnectionPool::open(address),
-            address,
-        })
+    #[must_use]
+    pub const fn open(address: SocketAddr) -> Self {
+        Self { address }
     }
 
     /// Reads the engine's state.
@@ -46,14 +38,22 @@
     /// # Errors
     /// [`EngineError`] if the engine does not respond in time.
     pub async fn state(&self) -> Result<EngineState, EngineError> {
+        let request = Request::get("/admin/state")
+            .header(HOST, self.address.to_string())
+            .body(empty_body())
+            .map_err(|error| EngineError::Exchange(NetError::Request(error)))?;
         let reading = async {
-            let response = self.state_client.get(&self.state_url)?.send().await?;
-            response.json().await
+            let response = send_unpooled(self.address, request)
+                .await
+                .map_err(EngineError::Exchange)?;
+            let body = read_body(response.into_body(), MAX_STATE_BYTES, STATE_TIMEOUT_MS)
+                .await
+                .map_err(EngineError::Truncated)?;
+            serde_json::from_slice(&body).map_err(EngineError::Decode)
         };
         compio::time::timeout(Duration::from_millis(STATE_TIMEOUT_MS), reading)
             .await
             .map_err(|_| EngineError::Timeout(STATE_TIMEOUT_MS))?
-            .map_err(EngineError::Transport)
     }
 
     /// Sends a load command and waits until the load has ended.
@@ -81,7 +81,6 @@
         attempt: AttemptId,
         priority: u32,
         body: Bytes,
-        is_repeatable: bool,
     ) -> Result<Response<Incoming>, EngineError> {
         let request = Request::post("/v1/chat/completions")
             .header(HOST, self.address.to_string())
@@ -91,12 +90,9 @@
             .body(full_body(body))
             .map_err(NetError::Request);
         let request = request.map_err(EngineError::Exchange)?;
-        let sent = if is_repeatable {
-            self.request_pool.send(request).await
-        } else {
-            send_unpooled(self.address, request).await
-        };
-        sent.map_err(EngineError::Exchange)
+        send_unpooled(self.address, request)
+            .await
+            .map_err(EngineError::Exchange)
     }
 
     async fn send_command<C: Serialize>(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP server and clients over compio.
 
-mod connection_pool;
 mod errors;
+mod head_limit;
 mod http_body;
 mod http_server;
 mod peer_client;
@@ -9,7 +9,6 @@
 mod tcp_dial;
 mod unpooled_call;
 
-pub use connection_pool::ConnectionPool;
 pub use errors::NetError;
 pub use http_body::{
     BodyError, HttpBody, empty_body, full_body, json_response, read_body, stream_body,
@@ -17,4 +16,4 @@
 pub use http_server::{AbortConnection, HttpHandler, HttpServer, ServerHandle, ServerLimits};
 pub use peer_client::PeerClient;
 pub use tcp_dial::dial;
-pub use unpooled_call::send_unpooled;
+pub use unpooled_call::{OpenExchange, send_unpooled};
--- a/src/net/unpooled_call.rs
+++ b/src/net/unpooled_call.rs
@@ -2,30 +2,67 @@
 
 use std::net::SocketAddr;
 
+use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 
+use super::head_limit::{HeadGate, HeadLimit};
 use super::tcp_dial::dial;
 use super::{HttpBody, NetError};
 
-/// Connects and performs the HTTP/1 handshake.
-pub(super) async fn connect(address: SocketAddr) -> Result<SendRequest<HttpBody>, NetError> {
-    let stream = dial(address).await?;
-    let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
-        .await
-        .map_err(NetError::Http)?;
-    compio::runtime::spawn(async move {
-        let _ = connection.await;
-    })
-    .detach();
-    Ok(sender)
+/// Largest response head in bytes, and size of the buffer for unread parts of a body.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// An HTTP/1 connection before its only request.
+pub struct OpenExchange {
+    sender: SendRequest<HttpBody>,
+    gate: HeadGate,
+}
+
+impl OpenExchange {
+    /// Performs the handshake. The returned connection must be polled for the exchange to go on.
+    ///
+    /// # Errors
+    /// [`NetError::Http`] if the handshake fails; nothing was sent then.
+    pub async fn open(
+        stream: TcpStream,
+    ) -> Result<
+        (
+            Self,
+            Connection<HeadLimit<HyperStream<TcpStream>>, HttpBody>,
+        ),
+        NetError,
+    > {
+        let (limited, gate) = HeadLimit::open(HyperStream::new_plain(stream));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(limited)
+            .await
+            .map_err(NetError::Http)?;
+        Ok((Self { sender, gate }, connection))
+    }
+
+    /// Sends the request and returns when the response head has arrived.
+    ///
+    /// # Errors
+    /// [`NetError::Http`] if the connection breaks or the peer sends no valid response head.
+    pub async fn send(
+        mut self,
+        request: Request<HttpBody>,
+    ) -> Result<Response<Incoming>, NetError> {
+        let response = self.sender.send_request(request).await;
+        let response = response.map_err(NetError::Http)?;
+        self.gate.open();
+        Ok(response)
+    }
 }
 
 /// Sends a request on a new connection and returns when the response head has arrived. A
-/// pooled connection may have gone silent since its last exchange; a new one has not.
+/// reused connection may have gone silent since its last exchange, or still deliver a late copy
+/// of an earlier response; a new one does neither.
 ///
 /// # Errors
 /// [`NetError::Socket`] or [`NetError::ConnectTimeout`] if nothing was sent, else
@@ -34,8 +71,13 @@
     address: SocketAddr,
     mut request: Request<HttpBody>,
 ) -> Result<Response<Incoming>, NetError> {
-    let mut sender = connect(address).await?;
+    let (exchange, connection) = OpenExchange::open(dial(address).await?).await?;
+    compio::runtime::spawn(async move {
+        // An error also shows in the response or its body.
+        let _ = connection.await;
+    })
+    .detach();
     let close = HeaderValue::from_static("close");
     request.headers_mut().insert(CONNECTION, close);
-    sender.send_request(request).await.map_err(NetError::Http)
+    exchange.send(request).await
 }
