--- a/daemon/tests/gateway_cases.rs
+++ b/daemon/tests/gateway_cases.rs
@@ -23,6 +23,15 @@
 /// A model that a worker has loaded at the start.
 const LOADED_MODEL: &str = "m0";
 
+/// How long a gateway is paused; longer than its calls to other processes may take.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Number of pauses of each gateway.
+const PAUSE_ROUNDS: usize = 4;
+
+/// Number of requests that are sent to a paused gateway.
+const QUEUED_CALLS: usize = 24;
+
 const SIZE: FleetSize = FleetSize {
     gateways: 2,
     engines: 2,
@@ -251,3 +260,34 @@
         wait_answered(&fleet, 1, &CallKind::Stamp, "").await;
     });
 }
+
+#[test]
+fn requests_that_queue_at_a_paused_gateway_are_answered() {
+    with_fleet(async |fleet: SoakFleet| {
+        for _round in 0..PAUSE_ROUNDS {
+            for gateway in 0..SIZE.gateways {
+                fleet.gateways[gateway].process.pause();
+                let address = fleet.gateways[gateway].process.address;
+                let queued: Vec<_> = (0..QUEUED_CALLS)
+                    .map(|_| {
+                        let lookup = call(CallKind::Lookup, "", 0);
+                        compio::runtime::spawn(async move {
+                            (call_gateway(address, &lookup).await, lookup)
+                        })
+                    })
+                    .collect();
+                compio::time::sleep(PAUSE).await;
+                fleet.gateways[gateway].process.resume();
+                for caller in queued {
+                    let (outcome, lookup) = caller.await.expect("an ended call");
+                    assert_eq!(
+                        outcome,
+                        CallOutcome::Answer(expected_body(&lookup).into()),
+                        "gateway {gateway}: {}",
+                        fleet.gateways[gateway].process.log()
+                    );
+                }
+            }
+        }
+    });
+}
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::answer_body::AnswerBody;
 use super::buffered_call::BufferedCall;
 use super::call_guard::CallGuard;
+use super::stream_relay::StartedStream;
 use super::upstream_call::{CallFailure, UpstreamConnection, call_upstream};
+use super::upstream_stream::UpstreamStream;
 use super::{AnswerHead, AttemptHead, AttemptResult, GatewayContext};
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::net::{HttpBody, full_body, read_body};
@@ -25,6 +25,8 @@
 pub enum AttemptEnd {
     /// The response for the client.
     Answer(Response<HttpBody>),
+    /// A response with a stream of which the first events have arrived.
+    Stream(Box<StartedStream>),
     /// The upstream did not run the request; another one may.
     NotRun,
     /// The request may have run.
@@ -74,7 +76,7 @@
 }
 
 impl CallAttempt<'_> {
-    /// Sends the request and waits for the answer; a stream is returned with its head.
+    /// Sends the request and waits for the answer, or for the first events of a stream.
     pub async fn run(self) -> AttemptOutcome {
         let context = self.context;
         let entry = context.roster.borrow().get(self.key).cloned();
@@ -197,9 +199,11 @@
         });
         context.record_answered(&self.call.plan, now);
         if self.call.plan.is_stream() {
-            let body = AnswerBody::open(incoming, guard, connection);
-            let end = AttemptEnd::Answer(Response::from_parts(parts, body.boxed_unsync()));
-            return AttemptOutcome::sent(end, false);
+            let stream = UpstreamStream::open(incoming, guard, connection);
+            return match StartedStream::open(parts, stream).await {
+                Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
+                Err(failure) => AttemptOutcome::sent(AttemptEnd::Unknown(failure.reason()), true),
+            };
         }
         let left_ms = self.call.plan.ends_at.millis_since(now);
         match read_body(incoming, MAX_BUFFERED_ANSWER_BYTES, left_ms).await {
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -84,6 +84,7 @@
                     }
                     match self.attempt(key, load, candidates).await {
                         AttemptEnd::Answer(response) => return response,
+                        AttemptEnd::Stream(stream) => return stream.into_response(),
                         AttemptEnd::NotRun => {}
                         AttemptEnd::Unknown(reason) => {
                             self.unknown_outcomes += 1;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,6 @@
 //! The gateway: an entry that forwards requests directly to upstreams. The gateway that holds the
 //! planner lease also plans which models the engines load.
 
-mod answer_body;
 mod buffered_call;
 mod call_attempt;
 mod call_flow;
@@ -9,6 +8,7 @@
 mod call_plan;
 mod call_refusal;
 mod control_server;
+mod event_buffer;
 mod feed_watch;
 mod fleet_follower;
 mod front_server;
@@ -23,12 +23,15 @@
 mod planner_orders;
 mod planner_server;
 mod prompt_admission;
+mod stream_relay;
 mod takeover_delay;
 mod upstream_call;
 mod upstream_choice;
+mod upstream_stream;
 mod wait_registry;
 
 pub use call_plan::CallPlan;
+pub use event_buffer::{EventBuffer, OversizedEvent};
 pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -4,12 +4,10 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::{Request, Response};
 
-use crate::net::{HttpBody, NetError, dial};
+use crate::net::{HttpBody, NetError, OpenExchange, dial};
 
 /// Keeps the connection to an upstream open; dropping it closes the connection, which tells the
 /// upstream to stop the work.
@@ -41,9 +39,9 @@
         .await
         .map_err(|_| CallFailure::Unsent(NetError::ConnectTimeout(connect_ms)))?
         .map_err(CallFailure::Unsent)?;
-    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+    let (exchange, connection) = OpenExchange::open(stream)
         .await
-        .map_err(|error| CallFailure::Unsent(NetError::Http(error)))?;
+        .map_err(CallFailure::Unsent)?;
     let driver = compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(error:% = error; "upstream connection ended with an error");
@@ -51,10 +49,9 @@
     });
     let upstream_connection = UpstreamConnection { _driver: driver };
     let limit = Duration::from_millis(answer_ms);
-    let answering = compio::time::timeout(limit, sender.send_request(request));
-    match answering.await {
+    match compio::time::timeout(limit, exchange.send(request)).await {
         Ok(Ok(response)) => Ok((response, upstream_connection)),
-        Ok(Err(error)) => Err(CallFailure::Lost(NetError::Http(error))),
+        Ok(Err(error)) => Err(CallFailure::Lost(error)),
         Err(_) => Err(CallFailure::TimedOut),
     }
 }
--- /dev/null
+++ b/src/gateway/upstream_stream.rs
@@ -0,0 +1,154 @@
+//! An upstream's event stream while it arrives.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Error;
+use displaydoc::Display;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use hyper::body::{Body, Incoming};
+
+use super::AttemptResult;
+use super::call_guard::CallGuard;
+use super::event_buffer::EventBuffer;
+use super::upstream_call::UpstreamConnection;
+use crate::prelude::*;
+
+/// Milliseconds past the deadline for which events that have already arrived are still delivered.
+const LATE_DELIVERY_MS: u64 = 300;
+
+/// Why a stream ended before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum StreamFailure {
+    /// the upstream broke the stream off
+    Lost,
+    /// the upstream sends bytes that are no events
+    NoEvents,
+    /// the deadline passed
+    TimedOut,
+}
+
+impl StreamFailure {
+    /// The refusal of a request whose stream failed before its first event.
+    #[must_use]
+    pub const fn reason(self) -> RefusalReason {
+        match self {
+            Self::Lost => RefusalReason::UpstreamLost,
+            Self::NoEvents => RefusalReason::UpstreamFailed,
+            Self::TimedOut => RefusalReason::DeadlinePassed,
+        }
+    }
+
+    const fn outcome(self) -> &'static str {
+        match self {
+            Self::Lost => "cut_by_upstream",
+            Self::NoEvents => "wrong_answer",
+            Self::TimedOut => "time_over",
+        }
+    }
+}
+
+/// Events of one attempt. Dropping it closes the connection to the upstream.
+pub struct UpstreamStream {
+    incoming: Incoming,
+    events: EventBuffer,
+    deadline: LocalBoxFuture<'static, ()>,
+    guard: CallGuard,
+    is_ended: bool,
+    /// Dropped with the stream, so that the upstream notices that nobody reads on.
+    _connection: UpstreamConnection,
+}
+
+impl UpstreamStream {
+    /// Reads a response body until its end or the request's deadline.
+    pub fn open(incoming: Incoming, guard: CallGuard, connection: UpstreamConnection) -> Self {
+        let left_ms = guard.plan.ends_at.millis_since(guard.context.now());
+        Self {
+            incoming,
+            events: EventBuffer::open(),
+            deadline: compio::time::sleep(Duration::from_millis(left_ms)).boxed_local(),
+            guard,
+            is_ended: false,
+            _connection: connection,
+        }
+    }
+
+    /// The next whole events; `None` at the end of the stream.
+    ///
+    /// # Errors
+    /// [`StreamFailure`]; the events before it have been returned.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, StreamFailure> {
+        let next = self.next_events().await;
+        if let Err(failure) = next {
+            self.record_failure(failure);
+        }
+        next
+    }
+
+    async fn next_events(&mut self) -> Result<Option<Bytes>, StreamFailure> {
+        while !self.is_ended {
+            let Some(chunk) = poll_fn(|context| self.poll_chunk(context)).await? else {
+                self.is_ended = true;
+                self.guard.set_outcome("complete");
+                return Ok(self.events.take_rest());
+            };
+            self.guard.record_frame(chunk.len());
+            let events = self.events.push(chunk);
+            if let Some(events) = events.map_err(|_| StreamFailure::NoEvents)? {
+                return Ok(Some(events));
+            }
+        }
+        Ok(None)
+    }
+
+    fn poll_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, StreamFailure>> {
+        match Pin::new(&mut self.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(_))) if self.is_overdue() => {
+                Poll::Ready(Err(StreamFailure::TimedOut))
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                Poll::Ready(Ok(Some(frame.into_data().unwrap_or_default())))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                log::warn!(
+                    request:% = self.guard.plan.request,
+                    upstream:% = self.guard.upstream,
+                    error:% = error;
+                    "upstream response cut off"
+                );
+                Poll::Ready(Err(StreamFailure::Lost))
+            }
+            Poll::Ready(None) => Poll::Ready(Ok(None)),
+            Poll::Pending => self
+                .deadline
+                .poll_unpin(context)
+                .map(|()| Err(StreamFailure::TimedOut)),
+        }
+    }
+
+    /// Whether the deadline passed so long ago that an upstream that sends without a pause is no
+    /// longer read.
+    fn is_overdue(&self) -> bool {
+        let ends_at = self.guard.plan.ends_at + LATE_DELIVERY_MS;
+        self.guard.context.now() >= ends_at
+    }
+
+    fn record_failure(&mut self, failure: StreamFailure) {
+        self.guard.set_outcome(failure.outcome());
+        let context = &self.guard.context;
+        let now = context.now();
+        let mut loads = context.loads.borrow_mut();
+        loads.record_result(now, self.guard.key, AttemptResult::Failed);
+        drop(loads);
+        if failure == StreamFailure::Lost {
+            context.record_crash(self.guard.fingerprint, self.guard.key);
+        }
+    }
+}
