--- a/src/config/daemon_config.rs
+++ b/src/config/daemon_config.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, FromStr};
 use ini::{Ini, Properties};
 
-use super::ConfigError;
+use super::{ConfigError, DecimalValue};
 use crate::admission::QueuePolicy;
 use crate::placement::HoldingPolicy;
 use crate::prelude::*;
@@ -17,6 +17,7 @@
 const EXPECTED_NAME: &str = "a name";
 const EXPECTED_MILLIS: &str = "a whole number of milliseconds";
 const EXPECTED_COUNT: &str = "a whole number";
+const EXPECTED_DECIMAL: &str = "a number such as 0.25";
 
 /// Role of the daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr, Display)]
@@ -119,6 +120,10 @@
     pub lease_term_ms: u64,
     /// Milliseconds between the last order of one planner and the first of the next.
     pub order_turn_ms: u64,
+    /// Share of a processor core that the process may use.
+    pub processor_share: DecimalValue,
+    /// Speed of that core, as a multiple of a usual one.
+    pub processor_speed: DecimalValue,
     /// Concurrent loads from the weight store.
     pub store_loads: usize,
     /// Retry budget: requests of one service that the whole fleet may retry in ten seconds, in
@@ -128,6 +133,15 @@
     pub regions: BTreeMap<ZoneName, RegionName>,
 }
 
+impl GatewayConfig {
+    /// Processor capacity in thousandths of a usual core.
+    #[must_use]
+    pub fn processor_capacity(&self) -> u64 {
+        let share = u64::from(self.processor_share.thousandths());
+        share * u64::from(self.processor_speed.thousandths()) / 1_000
+    }
+}
+
 /// The role with its settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RoleConfig {
@@ -286,6 +300,16 @@
             idle_ms: reader.or_default("idle_ms", EXPECTED_MILLIS, 15_000),
             lease_term_ms: reader.or_default("lease_term_ms", EXPECTED_MILLIS, 5_000),
             order_turn_ms: reader.or_default("order_turn_ms", EXPECTED_MILLIS, 3_000),
+            processor_share: reader.or_default(
+                "processor_share",
+                EXPECTED_DECIMAL,
+                DecimalValue::ONE,
+            ),
+            processor_speed: reader.or_default(
+                "processor_speed",
+                EXPECTED_DECIMAL,
+                DecimalValue::ONE,
+            ),
             store_loads: reader.or_default("store_loads", EXPECTED_COUNT, 4),
             resend_reserve: reader.or_default("resend_reserve", EXPECTED_COUNT, 50),
             regions,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,6 @@
 pub use load_tracker::{AttemptResult, LoadTracker};
 pub use placement_view::PlacementView;
 pub use prompt_admission::PromptAdmission;
-pub use takeover_delay::takeover_delay_ms;
+pub use takeover_delay::{age_delay_ms, capacity_delay_ms};
 pub use upstream_choice::{ChoiceInput, UpstreamChoice, choose_upstream};
 pub use wait_registry::WaitRegistry;
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::takeover_delay_ms;
+use super::{age_delay_ms, capacity_delay_ms};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::lease::{LeaseHolder, LeaseIntent, LeaseRow};
@@ -39,6 +39,8 @@
     address: SocketAddr,
     /// When this process started.
     opened_at: MonoTime,
+    /// Milliseconds for which this process leaves a free lease to others with more capacity.
+    capacity_delay_ms: u64,
     /// Number of orders that were sent and not answered yet.
     pub orders_in_flight: Cell<u32>,
     /// Time of the last answer from a planner in another process.
@@ -59,7 +61,8 @@
             start_id,
             config.lease_term_ms,
         )
-        .as_sole_process();
+        .as_sole_process()
+        .with_takeover_delay(capacity_delay_ms(config.processor_capacity()));
         Self {
             lease: RefCell::new(lease),
             active: RefCell::default(),
@@ -70,6 +73,7 @@
             handover_pause_ms: config.order_turn_ms,
             address: config.peers,
             opened_at: now,
+            capacity_delay_ms: capacity_delay_ms(config.processor_capacity()),
             orders_in_flight: Cell::new(0),
             last_answer_at: Cell::default(),
             order_wake: WakeSignal::default(),
@@ -125,13 +129,15 @@
         self.lease.borrow().intent(now, may_take)
     }
 
-    /// Milliseconds before this process may acquire a released lease; younger processes go first.
+    /// Milliseconds before this process may acquire a released lease; younger processes and those
+    /// with more capacity go first.
     #[must_use]
     pub fn takeover_in_ms(&self, now: MonoTime) -> u64 {
         let released_for_ms = self.lease.borrow().released_for_ms(now);
         let age_ms = now.millis_since(self.opened_at);
         released_for_ms.map_or(0, |known_ms| {
-            takeover_delay_ms(age_ms).saturating_sub(known_ms)
+            let delay_ms = age_delay_ms(age_ms) + self.capacity_delay_ms;
+            delay_ms.saturating_sub(known_ms)
         })
     }
 
--- a/src/gateway/takeover_delay.rs
+++ b/src/gateway/takeover_delay.rs
@@ -1,14 +1,31 @@
-//! Delay before a process acquires a released lease.
+//! Delay before a process acquires a free planner lease: the processes best fit to plan go first.
 
 /// Fraction of its age that a process waits, as a divisor.
 const AGE_DIVISOR: u64 = 40;
 
-/// Longest delay in milliseconds.
-const MAX_DELAY_MS: u64 = 500;
+/// Longest delay for a process's age in milliseconds.
+const MAX_AGE_DELAY_MS: u64 = 500;
 
-/// Milliseconds that a process waits before it acquires a released lease. In a rolling restart the
-/// youngest processes have been restarted already and will not be stopped next, so they go first.
+/// Processor capacity in thousandths of a core from which a process waits no longer for its
+/// capacity. The planner of several hundred instances needs a quarter of a core.
+const FULL_CAPACITY: u64 = 400;
+
+/// Delay in milliseconds of a process without any processor capacity; a process checks the lease
+/// several times within it.
+const NO_CAPACITY_DELAY_MS: u64 = 1_400;
+
+/// Milliseconds that a process waits for its age before it acquires a released lease. In a rolling
+/// restart the youngest processes have been restarted already and will not be stopped next, so they
+/// go first.
+#[must_use]
+pub fn age_delay_ms(age_ms: u64) -> u64 {
+    (age_ms / AGE_DIVISOR).min(MAX_AGE_DELAY_MS)
+}
+
+/// Milliseconds that a process with this processor capacity, in thousandths of a core, waits before
+/// it acquires a free lease, so that processes with more capacity go first.
 #[must_use]
-pub fn takeover_delay_ms(age_ms: u64) -> u64 {
-    (age_ms / AGE_DIVISOR).min(MAX_DELAY_MS)
+pub fn capacity_delay_ms(capacity: u64) -> u64 {
+    let missing = FULL_CAPACITY.saturating_sub(capacity);
+    NO_CAPACITY_DELAY_MS * missing / FULL_CAPACITY
 }
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -43,6 +43,8 @@
     term_ms: u64,
     watch: LeaseWatch,
     seen: Option<(RowRevision, Option<LeaseRow>)>,
+    /// Milliseconds for which an expired lease is left to other processes.
+    takeover_delay_ms: u64,
     /// Whether a lease of an earlier process of this instance may be acquired at once.
     is_sole_process: bool,
     /// When the row was first seen as released; `None` while it is not.
@@ -61,12 +63,20 @@
             term_ms,
             watch: LeaseWatch::default(),
             seen: None,
+            takeover_delay_ms: 0,
             is_sole_process: false,
             released_at: None,
             held: None,
         }
     }
 
+    /// Leaves an expired lease to other processes for some milliseconds.
+    #[must_use]
+    pub const fn with_takeover_delay(mut self, delay_ms: u64) -> Self {
+        self.takeover_delay_ms = delay_ms;
+        self
+    }
+
     /// Declares that no earlier process of this instance can still be alive, because this one
     /// has bound the address that the lease names.
     #[must_use]
@@ -113,7 +123,10 @@
         let (revision, row) = self.seen.as_ref()?;
         let is_own = row.as_ref().is_some_and(|row| self.is_ours(row));
         let is_released = row.as_ref().is_some_and(|row| row.is_released);
-        let is_free = may_acquire && (is_released || self.watch.has_expired(now, self.term_ms));
+        let has_expired = self
+            .watch
+            .has_expired(now, self.term_ms, self.takeover_delay_ms);
+        let is_free = may_acquire && (is_released || has_expired);
         let is_predecessor = row.as_ref().is_some_and(|row| self.is_predecessor(row));
         if !is_own && !is_predecessor && !is_free {
             return None;
--- a/src/lease/lease_watch.rs
+++ b/src/lease/lease_watch.rs
@@ -18,11 +18,17 @@
         }
     }
 
-    /// Whether the lease has expired. An absent row counts as expired, an unread one does not.
+    /// Whether the lease has been expired for `delay_ms`. An absent row counts as expired since it
+    /// was first read, an unread one does not.
     #[must_use]
-    pub fn has_expired(&self, now: MonoTime, term_ms: u64) -> bool {
+    pub fn has_expired(&self, now: MonoTime, term_ms: u64, delay_ms: u64) -> bool {
         self.seen.is_some_and(|(revision, since)| {
-            revision == RowRevision::ABSENT || now.millis_since(since) > term_ms
+            let seen_ms = now.millis_since(since);
+            if revision == RowRevision::ABSENT {
+                seen_ms >= delay_ms
+            } else {
+                seen_ms > term_ms + delay_ms
+            }
         })
     }
 }
