--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -7,6 +7,7 @@
 mod flood_bench;
 mod flood_report;
 mod latency_histogram;
+mod planner_bench;
 mod process_slopes;
 mod slope_fit;
 mod warm_bench;
@@ -26,5 +27,6 @@
         BenchCmd::Capacity(_) => capacity_bench::run().await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
+        BenchCmd::Planner(planner) => planner_bench::run(&planner),
     }
 }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -87,6 +87,13 @@
             }
             /// Measure how control-plane cost grows with fleet size; runs real daemons.
             cmd capacity {}
+            /// Measure the processor time of the order planner by fleet size.
+            cmd planner {
+                /// Number of engines.
+                optional --engines count: usize
+                /// Number of entries.
+                optional --entries count: usize
+            }
             /// Measure service by rank before, during and after a flood.
             cmd flood {
                 /// background, urgent or both
--- a/src/orders/demand_aggregator.rs
+++ b/src/orders/demand_aggregator.rs
@@ -94,49 +94,99 @@
 pub struct DemandAggregator {
     reports: HashMap<InstanceName, (MonoTime, EntryDemand)>,
     rates: HashMap<ModelName, RateEstimate>,
-    /// Sums over `reports`; rebuilt whenever a report is added or dropped.
+    /// Sums over `reports`; changed by what a report adds to and takes from them.
     sums: DemandSums,
 }
 
+/// Waiting requests of each entry for one model or adapter; never empty.
+type WaitingByEntry = HashMap<InstanceName, WaitingTotal>;
+
 #[derive(Debug, Default)]
 struct DemandSums {
+    waiting: HashMap<ModelNeed, WaitingByEntry>,
+    /// Totals of `waiting`.
     wants: BTreeMap<ModelNeed, WaitingTotal>,
-    /// Requests in flight by engine and model.
+    /// Requests in flight by engine and model; every count is above zero.
     runs: HashMap<UpstreamId, HashMap<ModelName, u32>>,
     /// Upstreams that at least half of the entries that use them could not reach.
     unreachable: HashSet<UpstreamId>,
 }
 
 impl DemandSums {
-    fn of(reports: &HashMap<InstanceName, (MonoTime, EntryDemand)>) -> Self {
-        let mut sums = Self::default();
-        for (at, demand) in reports.values() {
-            for requests in &demand.wants {
-                sums.add_waiting(*at, requests);
+    /// Adds an entry's report.
+    fn add(&mut self, at: MonoTime, entry: &InstanceName, demand: &EntryDemand) {
+        for requests in &demand.wants {
+            let since = at - requests.waited_ms;
+            let total = WaitingTotal {
+                service: requests.service.clone(),
+                count: requests.count,
+                rank: requests.rank,
+                since,
+            };
+            let waiting = self.waiting.entry(requests.need.clone()).or_default();
+            match waiting.get_mut(entry) {
+                Some(known) => known.merge(&total),
+                None => {
+                    waiting.insert(entry.clone(), total);
+                }
             }
-            for RunningRequests(id, model, count) in &demand.runs {
-                let models = sums.runs.entry(id.clone()).or_default();
-                *models.entry(model.clone()).or_default() += count;
+            self.sum_waiting(&requests.need);
+        }
+        for RunningRequests(id, model, count) in &demand.runs {
+            let models = self.runs.entry(id.clone()).or_default();
+            *models.entry(model.clone()).or_default() += count;
+        }
+    }
+
+    /// Removes an entry's report.
+    fn remove(&mut self, entry: &InstanceName, demand: &EntryDemand) {
+        for requests in &demand.wants {
+            if let Some(waiting) = self.waiting.get_mut(&requests.need) {
+                waiting.remove(entry);
+                if waiting.is_empty() {
+                    self.waiting.remove(&requests.need);
+                }
             }
+            self.sum_waiting(&requests.need);
+        }
+        for RunningRequests(id, model, count) in &demand.runs {
+            self.remove_running(id, model, *count);
         }
-        sums.unreachable = unreachable(reports);
-        sums
     }
 
-    fn add_waiting(&mut self, at: MonoTime, requests: &WaitingRequests) {
-        let since = at - requests.waited_ms;
-        let total = self
-            .wants
-            .entry(requests.need.clone())
-            .or_insert_with(|| WaitingTotal {
-                service: requests.service.clone(),
-                count: 0,
-                rank: requests.rank,
-                since,
-            });
-        total.count += requests.count;
-        total.rank = total.rank.min(requests.rank);
-        total.since = total.since.min(since);
+    fn remove_running(&mut self, id: &UpstreamId, model: &ModelName, count: u32) {
+        let Some(models) = self.runs.get_mut(id) else {
+            return;
+        };
+        if let Some(running) = models.get_mut(model) {
+            *running = running.saturating_sub(count);
+            if *running == 0 {
+                models.remove(model);
+            }
+        }
+        if models.is_empty() {
+            self.runs.remove(id);
+        }
+    }
+
+    /// Sums the waiting requests of all entries for one model or adapter.
+    fn sum_waiting(&mut self, need: &ModelNeed) {
+        let mut entries = self.waiting.get(need).into_iter().flat_map(HashMap::values);
+        let Some(first) = entries.next() else {
+            self.wants.remove(need);
+            return;
+        };
+        let mut total = first.clone();
+        entries.for_each(|waiting| total.merge(waiting));
+        self.wants.insert(need.clone(), total);
+    }
+}
+
+impl WaitingTotal {
+    fn merge(&mut self, other: &Self) {
+        self.count += other.count;
+        self.rank = self.rank.min(other.rank);
+        self.since = self.since.min(other.since);
     }
 }
 
@@ -170,9 +220,13 @@
             let per_s = rate.at(now) + f64::from(*count) * 1_000.0 / RATE_WINDOW_MS;
             *rate = RateEstimate { per_s, at: now };
         }
+        if let Some((_, known)) = self.reports.remove(&entry) {
+            self.sums.remove(&entry, &known);
+        }
+        self.sums.add(now, &entry, &demand);
         self.reports.insert(entry, (now, demand));
         self.drop_expired(now);
-        self.sums = DemandSums::of(&self.reports);
+        self.sums.unreachable = unreachable(&self.reports);
     }
 
     /// Waiting requests of all entries by model or adapter.
@@ -206,15 +260,24 @@
     /// Drops the reports of entries that stopped reporting.
     pub fn drop_silent_entries(&mut self, now: MonoTime) {
         if self.drop_expired(now) {
-            self.sums = DemandSums::of(&self.reports);
+            self.sums.unreachable = unreachable(&self.reports);
         }
     }
 
     /// Returns whether a report was dropped.
     fn drop_expired(&mut self, now: MonoTime) -> bool {
-        let before = self.reports.len();
-        self.reports
-            .retain(|_, (at, _)| now.millis_since(*at) < REPORT_TTL_MS);
-        self.reports.len() != before
+        let is_expired = |at: MonoTime| now.millis_since(at) >= REPORT_TTL_MS;
+        let silent: Vec<InstanceName> = self
+            .reports
+            .iter()
+            .filter(|(_, (at, _))| is_expired(*at))
+            .map(|(entry, _)| entry.clone())
+            .collect();
+        for entry in &silent {
+            if let Some((_, demand)) = self.reports.remove(entry) {
+                self.sums.remove(entry, &demand);
+            }
+        }
+        !silent.is_empty()
     }
 }
--- a/src/orders/load_option.rs
+++ b/src/orders/load_option.rs
@@ -1,8 +1,9 @@
 //! Computes the cost of loading a model at an engine and which models to evict for it.
 
-use super::upstream_state::{UpstreamState, model_mb};
-use super::{DemandAggregator, LoadSource, PlannerPolicy};
-use crate::fleet::EngineConfig;
+use super::engine_facts::{EngineFacts, HeldFacts};
+use super::upstream_state::UpstreamState;
+use super::{LoadSource, PlannerPolicy};
+use crate::fleet::{EngineConfig, ModelConfig};
 use crate::prelude::*;
 
 /// Milliseconds that the unload of an idle model takes, including the engine's answer.
@@ -22,12 +23,11 @@
 pub(super) struct CostView<'a> {
     pub now: MonoTime,
     pub config: &'a EngineConfig,
-    pub demand: &'a DemandAggregator,
+    /// Configuration of the model to load.
+    pub model_config: &'a ModelConfig,
     pub policy: PlannerPolicy,
-    /// Number of usable copies of a model over all engines.
-    pub copies: &'a dyn Fn(&ModelName) -> usize,
-    /// Whether requests wait for a model.
-    pub is_wanted: &'a dyn Fn(&ModelName) -> bool,
+    /// Whether models that requests wait for may be evicted.
+    pub may_evict_wanted: bool,
     /// Requests per second that the new copy would serve; a model that serves as many or more at
     /// this engine is not evicted for it.
     pub gain_per_s: f64,
@@ -48,30 +48,29 @@
     pub cost_ms: f64,
 }
 
-/// The cheapest way to load a model at an engine. `None` if the engine's configuration does not list
-/// the model, or if the models that may be evicted do not free enough memory.
+/// The cheapest way to load a model at an engine. `None` if the models that may be evicted do not
+/// free enough memory.
 pub(super) fn cheapest_load(
     view: &CostView<'_>,
     state: &UpstreamState,
+    facts: &EngineFacts,
     model: &ModelName,
 ) -> Option<LoadOption> {
-    let model_config = view.config.models.get(model)?;
     let source = load_source(state, model);
     let load_ms = match source {
-        LoadSource::Local => model_config.disk_load_ms,
-        LoadSource::Store => model_config.store_load_ms,
+        LoadSource::Local => view.model_config.disk_load_ms,
+        LoadSource::Store => view.model_config.store_load_ms,
     };
-    let mut missing_mb =
-        state.used_mb(view.config) + model_config.memory_mb - view.config.memory_mb;
+    let mut missing_mb = facts.used_mb + view.model_config.memory_mb - view.config.memory_mb;
     let mut victims = Vec::new();
     #[allow(clippy::cast_precision_loss)]
     let mut cost_ms = load_ms as f64;
-    cost_ms += engine_rate(view, state) * busy_cost_ms(source);
+    cost_ms += facts.rate_per_s() * busy_cost_ms(source);
     if missing_mb > 0.0 {
-        for (name, loss_ms) in eviction_candidates(view, state, missing_mb) {
-            missing_mb -= model_mb(view.config, &name);
+        for (held, loss_ms) in eviction_candidates(view, facts, missing_mb) {
+            missing_mb -= held.memory_mb;
             cost_ms += loss_ms;
-            victims.push(name);
+            victims.push(held.model.clone());
             if missing_mb <= 0.0 {
                 break;
             }
@@ -96,24 +95,24 @@
 /// Models that may be evicted, with their cost in milliseconds, cheapest first. If the cheapest
 /// model that frees enough by itself costs no more than the two cheapest together, it is the only
 /// candidate.
-fn eviction_candidates(
+fn eviction_candidates<'a>(
     view: &CostView<'_>,
-    state: &UpstreamState,
+    facts: &'a EngineFacts,
     missing_mb: f64,
-) -> Vec<(ModelName, f64)> {
-    let mut candidates: Vec<(ModelName, f64)> = state
-        .models
+) -> Vec<(&'a HeldFacts, f64)> {
+    let mut candidates: Vec<(&HeldFacts, f64)> = facts
+        .held
         .iter()
-        .filter(|(_, held)| view.now.millis_since(held.since) >= view.policy.min_hold_ms)
-        .filter(|(name, _)| !(view.is_wanted)(name) || (view.copies)(name) > 1)
-        .filter(|(name, _)| may_evict(view, name))
-        .filter(|(name, _)| view.may_evict_busy || !is_busy(view, state, name))
-        .map(|(name, _)| (name.clone(), eviction_cost_ms(view, state, name)))
+        .filter(|held| view.now.millis_since(held.since) >= view.policy.min_hold_ms)
+        .filter(|held| view.may_evict_wanted || !held.is_wanted || held.copies > 1)
+        .filter(|held| may_evict(view, held))
+        .filter(|held| view.may_evict_busy || held.running == 0)
+        .map(|held| (held, eviction_cost_ms(held)))
         .collect();
     candidates.sort_by(|left, right| left.1.total_cmp(&right.1));
     let single = candidates
         .iter()
-        .position(|(name, _)| model_mb(view.config, name) >= missing_mb);
+        .position(|(held, _)| held.memory_mb >= missing_mb);
     if let Some(single) = single {
         let pair_ms: f64 = candidates.iter().take(2).map(|(_, loss_ms)| loss_ms).sum();
         if candidates[single].1 <= pair_ms {
@@ -123,15 +122,6 @@
     candidates
 }
 
-/// Requests per second that an engine serves.
-fn engine_rate(view: &CostView<'_>, state: &UpstreamState) -> f64 {
-    state
-        .models
-        .keys()
-        .map(|model| rate_per_copy(view, model))
-        .sum()
-}
-
 /// Cost in milliseconds of delay of keeping an engine busy with a load, for each request per second
 /// that it serves: meanwhile it accepts no other order, such as one for an adapter.
 const fn busy_cost_ms(source: LoadSource) -> f64 {
@@ -141,39 +131,24 @@
     }
 }
 
-/// Requests per second that one copy of a model serves.
-#[allow(clippy::cast_precision_loss)]
-fn rate_per_copy(view: &CostView<'_>, model: &ModelName) -> f64 {
-    let copies = (view.copies)(model).max(1);
-    view.demand.rate(view.now, model) / copies as f64
-}
-
-fn is_busy(view: &CostView<'_>, state: &UpstreamState, model: &ModelName) -> bool {
-    view.demand.running(&state.target.id, model) > 0
-}
-
 /// Whether the gain of the load exceeds the value of a copy of this model. The remaining copies
 /// must not become crowded.
 #[allow(clippy::cast_precision_loss)]
-fn may_evict(view: &CostView<'_>, model: &ModelName) -> bool {
-    let others = (view.copies)(model).saturating_sub(1);
-    let rate = view.demand.rate(view.now, model);
+fn may_evict(view: &CostView<'_>, held: &HeldFacts) -> bool {
+    let others = held.copies.saturating_sub(1);
     if others == 0 {
-        return rate < view.last_copy_gain_per_s;
+        return held.rate_per_s < view.last_copy_gain_per_s;
     }
-    let is_crowded_without = rate > others as f64 * view.policy.copy_rate_per_s;
-    rate_per_copy(view, model) < view.gain_per_s && !is_crowded_without
+    let is_crowded_without = held.rate_per_s > others as f64 * view.policy.copy_rate_per_s;
+    held.rate_per_copy() < view.gain_per_s && !is_crowded_without
 }
 
-fn eviction_cost_ms(view: &CostView<'_>, state: &UpstreamState, model: &ModelName) -> f64 {
-    let running = view.demand.running(&state.target.id, model);
-    let copies = (view.copies)(model);
-    let rate = rate_per_copy(view, model);
-    let discount = if copies > 1 { COPY_DISCOUNT } else { 1.0 };
-    let wait_ms = if running > 0 {
-        BUSY_UNLOAD_MS + f64::from(running) * 1_000.0
+fn eviction_cost_ms(held: &HeldFacts) -> f64 {
+    let discount = if held.copies > 1 { COPY_DISCOUNT } else { 1.0 };
+    let wait_ms = if held.running > 0 {
+        BUSY_UNLOAD_MS + f64::from(held.running) * 1_000.0
     } else {
         UNLOAD_MS
     };
-    wait_ms + rate * discount * RATE_COST_MS
+    wait_ms + held.rate_per_copy() * discount * RATE_COST_MS
 }
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -3,6 +3,7 @@
 mod adapter_orders;
 mod demand_aggregator;
 mod engine_control;
+mod engine_facts;
 mod load_forecast;
 mod load_option;
 mod load_purpose;
@@ -12,6 +13,7 @@
 mod placement_update;
 mod planner_action;
 mod planner_policy;
+mod tick_index;
 mod upstream_state;
 
 pub use demand_aggregator::{
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -2,7 +2,8 @@
 //! prefetches.
 
 use super::demand_aggregator::WaitingTotal;
-use super::load_option::{CostView, LoadOption, cheapest_load, load_source};
+use super::engine_facts::EngineFacts;
+use super::load_option::{CostView, LoadOption, cheapest_load};
 use super::load_purpose::{LoadPurpose, MOST_URGENT_RANK};
 use super::order_planner::{NextOrder, TickView, engine_config};
 use super::upstream_state::UpstreamState;
@@ -53,7 +54,7 @@
         for (key, model) in planned {
             let is_expired =
                 view.now.millis_since(self.upstreams[key].planned_at) > PLANNED_LOAD_TIMEOUT_MS;
-            let option = self.load_option_at(view, key, &model, LoadPurpose::Planned);
+            let option = self.planned_option(view, key, &model);
             match option.filter(|_| !is_expired) {
                 Some(option) => self.advance_load(view, key, &model, &option, LoadPurpose::Planned),
                 None => self.upstreams[key].planned_model = None,
@@ -74,7 +75,8 @@
             .collect();
         missing.sort_by_key(|(_, total)| (total.rank, total.since));
         for (need, total) in missing {
-            let is_held = self.reachable().any(|state| state.can_serve(&need.model));
+            let is_held = self.copies(&need.model) > 0
+                && self.reachable().any(|state| state.can_serve(&need.model));
             if !is_held {
                 let waited_ms = view.now.millis_since(total.since);
                 let purpose = LoadPurpose::Wanted {
@@ -148,10 +150,10 @@
                 continue;
             };
             for (model, model_config) in &config.models {
-                let has_copy = |state: &UpstreamState| {
-                    state.local_copies.contains(model) || state.has_pending_load(model)
-                };
-                if !self.upstreams.values().any(has_copy) {
+                let is_pending = |state: &UpstreamState| state.has_pending_load(model);
+                if self.index.local_holders(model).is_empty()
+                    && !self.upstreams.values().any(is_pending)
+                {
                     let hint = if model_config.adapter_count > 0 {
                         ADAPTER_HINT_PER_S
                     } else {
@@ -178,20 +180,14 @@
         config: &EngineConfig,
         model: &ModelName,
     ) -> Option<bool> {
-        let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
+        let total = self.index.total(model);
+        let copies = u32::try_from(total.copies).unwrap_or(u32::MAX);
         if copies == 0 {
             return None;
         }
-        let holders = self
-            .upstreams
-            .values()
-            .filter(|state| state.can_serve(model));
-        let running: u32 = holders
-            .map(|state| self.demand.running(&state.target.id, model))
-            .sum();
         let rate = self.demand.rate(view.now, model);
         let limit = f64::from(copies) * self.policy.copy_rate_per_s;
-        let is_busy = running * 100 > copies * config.slots * self.policy.crowded_percent;
+        let is_busy = total.running * 100 > copies * config.slots * self.policy.crowded_percent;
         (is_busy || rate > limit).then_some(rate > limit * URGENT_CROWDING_FACTOR)
     }
 
@@ -200,20 +196,21 @@
     fn is_local_copy_sooner(
         &self,
         view: TickView<'_>,
+        cost_view: &CostView<'_>,
         service: &ServiceName,
         model: &ModelName,
         store: &LoadOption,
-        purpose: LoadPurpose,
     ) -> bool {
-        let busy = self.upstreams.iter().filter(|(_, state)| {
+        let holders = self.index.local_holders(model).iter();
+        let holders = holders.filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
+        let busy = holders.filter(|(_, state)| {
             state.service == *service
                 && state.is_ready
                 && !self.demand.is_unreachable(&state.target.id)
                 && !state.models.contains_key(model)
-                && load_source(state, model) == LoadSource::Local
         });
         busy.filter_map(|(key, state)| {
-            let option = self.load_option_at(view, key, model, purpose)?;
+            let option = self.load_option_at(view, cost_view, key, model)?;
             let wait_ms = state.running.as_ref().map_or(ANSWER_MS, |order| {
                 order.due_at.millis_since(view.now) + ANSWER_MS
             });
@@ -230,63 +227,105 @@
         model: &ModelName,
         purpose: LoadPurpose,
     ) {
+        let config = view
+            .catalog
+            .service(service)
+            .and_then(|service| service.engine.as_ref());
+        let cost_view = config.and_then(|config| self.cost_view(view, config, model, purpose));
+        let Some(cost_view) = cost_view else { return };
         let may_use_store = self.may_load_from_store(view, purpose);
-        let free: Vec<UpstreamKey> = self
-            .upstreams
-            .iter()
-            .filter(|(_, state)| state.service == *service)
-            .filter(|(_, state)| !self.demand.is_unreachable(&state.target.id))
-            .filter(|(_, state)| state.is_free() && state.running.is_none())
-            .filter(|(_, state)| state.planned_model.is_none() && !state.models.contains_key(model))
-            .filter(|(_, state)| may_use_store || load_source(state, model) == LoadSource::Local)
-            .map(|(key, _)| key)
-            .collect();
-        let options = free.into_iter().filter_map(|key| {
-            let option = self.load_option_at(view, key, model, purpose)?;
+        let candidates: Vec<UpstreamKey> = if may_use_store {
+            self.upstreams.keys().collect()
+        } else {
+            self.index.local_holders(model).to_vec()
+        };
+        let is_candidate = |state: &UpstreamState| {
+            state.is_free()
+                && state.running.is_none()
+                && state.planned_model.is_none()
+                && state.service == *service
+                && !state.models.contains_key(model)
+                && !self.demand.is_unreachable(&state.target.id)
+        };
+        let free = candidates
+            .into_iter()
+            .filter(|key| self.upstreams.get(*key).is_some_and(is_candidate));
+        let options = free.filter_map(|key| {
+            let option = self.load_option_at(view, &cost_view, key, model)?;
             Some((key, option))
         });
         let best = options.min_by(|left, right| left.1.cost_ms.total_cmp(&right.1.cost_ms));
         let Some((key, option)) = best else { return };
         let is_better_later = option.source == LoadSource::Store
-            && self.is_local_copy_sooner(view, service, model, &option, purpose);
+            && self.is_local_copy_sooner(view, &cost_view, service, model, &option);
         if !is_better_later {
             self.advance_load(view, key, model, &option, purpose);
         }
     }
 
-    fn load_option_at(
+    /// What the cost of a load depends on besides the engine. `None` if the configuration does not
+    /// list the model.
+    fn cost_view<'a>(
         &self,
         view: TickView<'_>,
-        key: UpstreamKey,
+        config: &'a EngineConfig,
         model: &ModelName,
         purpose: LoadPurpose,
-    ) -> Option<LoadOption> {
-        let state = self.upstreams.get(key)?;
-        let copies = |name: &ModelName| self.copies(name);
-        let is_wanted =
-            |name: &ModelName| purpose != LoadPurpose::Planned && view.wanted.contains(name);
-        let effective_purpose = if purpose == LoadPurpose::Planned {
-            state.planned_purpose
-        } else {
-            purpose
-        };
-        let gain_per_s = self.gain_per_s(view, model, copies(model), effective_purpose);
-        let cost_view = CostView {
+    ) -> Option<CostView<'a>> {
+        let gain_per_s = self.gain_per_s(view, model, self.copies(model), purpose);
+        Some(CostView {
             now: view.now,
-            config: engine_config(view.catalog, state)?,
-            demand: &self.demand,
+            config,
+            model_config: config.models.get(model)?,
             policy: self.policy,
-            copies: &copies,
-            is_wanted: &is_wanted,
+            may_evict_wanted: false,
             gain_per_s,
-            may_evict_busy: effective_purpose.may_evict_busy(),
-            last_copy_gain_per_s: if effective_purpose.is_copy() {
+            may_evict_busy: purpose.may_evict_busy(),
+            last_copy_gain_per_s: if purpose.is_copy() {
                 gain_per_s * LAST_COPY_SHARE
             } else {
                 gain_per_s
             },
+        })
+    }
+
+    /// The cheapest way to load a model at an engine.
+    fn load_option_at(
+        &self,
+        view: TickView<'_>,
+        cost_view: &CostView<'_>,
+        key: UpstreamKey,
+        model: &ModelName,
+    ) -> Option<LoadOption> {
+        let state = self.upstreams.get(key)?;
+        let facts = self.index.facts(key, || {
+            let (demand, index) = (&self.demand, &self.index);
+            EngineFacts::of(
+                view.now,
+                state,
+                cost_view.config,
+                demand,
+                index,
+                view.wanted,
+            )
+        });
+        cheapest_load(cost_view, state, &facts, model)
+    }
+
+    /// How a planned load can go on at an engine; it may evict models that requests wait for.
+    fn planned_option(
+        &self,
+        view: TickView<'_>,
+        key: UpstreamKey,
+        model: &ModelName,
+    ) -> Option<LoadOption> {
+        let state = self.upstreams.get(key)?;
+        let config = engine_config(view.catalog, state)?;
+        let cost_view = CostView {
+            may_evict_wanted: true,
+            ..self.cost_view(view, config, model, state.planned_purpose)?
         };
-        cheapest_load(&cost_view, state, model)
+        self.load_option_at(view, &cost_view, key, model)
     }
 
     /// Requests per second that a copy loaded for a purpose would serve.
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -1,12 +1,13 @@
 //! Decides which engine loads and unloads which models and adapters.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::SecondaryMap;
 
 use super::demand_aggregator::WaitingTotal;
 use super::load_purpose::MOST_URGENT_RANK;
+use super::tick_index::TickIndex;
 use super::upstream_state::{REPORT_LAG_MS, UpstreamState};
 use super::{
     DemandAggregator, EngineReport, EntryDemand, LoadSource, OrderAnswer, OrderBasis, OrderState,
@@ -63,9 +64,9 @@
     pub(super) demand: DemandAggregator,
     /// Start times of recent loads from the weight store, newest last.
     pub(super) store_load_starts: VecDeque<MonoTime>,
-    /// Number of usable copies of each model over all engines; counted at the start of a tick and
+    /// Copies of each model over all engines; counted at the start of a tick, usable ones again
     /// after each unload order.
-    copies: HashMap<ModelName, usize>,
+    pub(super) index: TickIndex,
     /// Calls decided in this tick.
     actions: Vec<PlannerAction>,
     /// No order is sent before this time, so that the last order of an earlier lease holder is long
@@ -220,6 +221,8 @@
             return std::mem::take(&mut self.actions);
         };
         self.count_copies();
+        self.index.collect_local(self.upstreams.iter());
+        self.index.drop_facts();
         let wants = self.demand.wants().clone();
         let wanted: HashSet<&ModelName> = wants.keys().map(|need| &need.model).collect();
         let view = TickView {
@@ -278,6 +281,7 @@
             precondition: state.order_count,
             basis,
         });
+        self.index.drop_facts();
         if order.verb == OrderVerb::Unload {
             self.mark_changed(key);
             self.count_copies();
@@ -286,16 +290,12 @@
 
     /// Number of usable copies of a model.
     pub(super) fn copies(&self, model: &ModelName) -> usize {
-        self.copies.get(model).copied().unwrap_or(0)
+        self.index.total(model).copies
     }
 
     fn count_copies(&mut self) {
-        self.copies.clear();
-        for state in self.upstreams.values() {
-            for model in state.models.keys().filter(|model| state.can_serve(model)) {
-                *self.copies.entry(model.clone()).or_default() += 1;
-            }
-        }
+        self.index
+            .count_copies(self.upstreams.values(), &self.demand);
     }
 
     fn mark_changed(&mut self, key: UpstreamKey) {
