--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -27,6 +27,6 @@
         BenchCmd::Capacity(_) => capacity_bench::run().await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
-        BenchCmd::Planner(planner) => planner_bench::run(&planner),
+        BenchCmd::Planner(planner) => Ok(planner_bench::run(&planner)),
     }
 }
--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use quetzalpin::fleet::{
     CallerLimits, EngineConfig, FeedVersion, FleetCatalog, HeldModel, ModelConfig, ModelNeed,
@@ -15,7 +15,6 @@
 };
 use quetzalpin::prelude::*;
 
-use crate::errors::ToolError;
 use crate::flags::Planner;
 
 /// Number of engines without `--engines`.
@@ -27,8 +26,10 @@
 /// Models for each engine of the fleet.
 const MODELS_PER_ENGINE: usize = 3;
 
-/// Models that an engine has loaded, and models that it has copies of on its disk.
+/// Models that an engine has loaded.
 const LOADED_MODELS: usize = 3;
+
+/// Models that an engine has copies of on its disk.
 const LOCAL_MODELS: usize = 8;
 
 /// Models that requests wait for, per engine of the fleet, as a divisor.
@@ -37,9 +38,11 @@
 /// Engines to which an entry sends requests at a time.
 const RUNS_PER_ENTRY: usize = 12;
 
-/// Time between two ticks, and between two reports of an entry, in milliseconds.
+/// Time between two ticks in milliseconds.
 const TICK_MS: u64 = 20;
-const REPORT_MS: u64 = 250;
+
+/// Ticks between two reports of an entry.
+const TICKS_PER_REPORT: u64 = 12;
 
 /// Simulated milliseconds.
 const DURATION_MS: u64 = 10_000;
@@ -52,52 +55,61 @@
     random: fastrand::Rng,
 }
 
+/// Time and number of the steps of one kind.
+#[derive(Debug, Default)]
+struct StepTime {
+    total: Duration,
+    count: u32,
+}
+
+impl StepTime {
+    fn measure<T>(&mut self, step: impl FnOnce() -> T) -> T {
+        let started_at = Instant::now();
+        let result = step();
+        self.total += started_at.elapsed();
+        self.count += 1;
+        result
+    }
+
+    fn mean_us(&self) -> f64 {
+        self.total.as_secs_f64() * 1e6 / f64::from(self.count.max(1))
+    }
+}
+
 /// Measures reports and ticks of a planner, without any input or output.
-///
-/// # Errors
-/// None at present.
-pub fn run(flags: &Planner) -> Result<ExitCode, ToolError> {
+pub fn run(flags: &Planner) -> ExitCode {
     let engines = flags.engines.unwrap_or(DEFAULT_ENGINES).max(1);
     let entries = flags.entries.unwrap_or(DEFAULT_ENTRIES).max(1);
     let mut load = PlannerLoad::open(engines);
-    let (mut report_s, mut tick_s) = (0.0, 0.0);
-    let (mut reports, mut ticks, mut orders) = (0_u32, 0_u32, 0_u32);
-    for now_ms in (TICK_MS..=DURATION_MS).step_by(usize::try_from(TICK_MS).unwrap_or(1)) {
-        let now = MonoTime::from_millis(now_ms);
-        for entry in 0..entries {
-            let offset_ms = entry as u64 * REPORT_MS / entries as u64 / TICK_MS * TICK_MS;
-            if now_ms % REPORT_MS / TICK_MS * TICK_MS != offset_ms {
-                continue;
-            }
+    let mut reporting = StepTime::default();
+    let mut ticking = StepTime::default();
+    let mut orders = 0;
+    for tick in 1..=DURATION_MS / TICK_MS {
+        let now = MonoTime::from_millis(tick * TICK_MS);
+        let is_due = |entry: &usize| (*entry as u64 + tick).is_multiple_of(TICKS_PER_REPORT);
+        for entry in (0..entries).filter(is_due) {
             let demand = load.demand();
             let name = InstanceName::from(format!("entry-{entry}").as_str());
-            let started_at = Instant::now();
-            load.planner.apply_demand(now, name, demand);
-            report_s += started_at.elapsed().as_secs_f64();
-            reports += 1;
+            reporting.measure(|| load.planner.apply_demand(now, name, demand));
         }
-        let started_at = Instant::now();
-        let actions = load.planner.tick(now);
-        tick_s += started_at.elapsed().as_secs_f64();
-        ticks += 1;
+        let actions = ticking.measure(|| load.planner.tick(now));
         orders += load.perform(now, actions);
     }
-    #[allow(clippy::cast_precision_loss)]
-    let duration_s = DURATION_MS as f64 / 1_000.0;
-    println!("{engines} engines, {entries} entries, {orders} orders in {duration_s} s");
-    println!(
-        "report  {:8.1} us each, {reports}",
-        report_s * 1e6 / f64::from(reports.max(1))
-    );
+    let duration = Duration::from_millis(DURATION_MS);
+    let share = (reporting.total + ticking.total).as_secs_f64() / duration.as_secs_f64();
+    println!("{engines} engines, {entries} entries, {orders} orders in {duration:?}");
     println!(
-        "tick    {:8.1} us each, {ticks}",
-        tick_s * 1e6 / f64::from(ticks.max(1))
+        "report  {:8.1} us each, {}",
+        reporting.mean_us(),
+        reporting.count
     );
     println!(
-        "share   {:8.1} % of a core",
-        (report_s + tick_s) / duration_s * 100.0
+        "tick    {:8.1} us each, {}",
+        ticking.mean_us(),
+        ticking.count
     );
-    Ok(ExitCode::SUCCESS)
+    println!("share   {:8.1} % of a core", share * 100.0);
+    ExitCode::SUCCESS
 }
 
 impl PlannerLoad {
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
@@ -97,9 +99,20 @@
                 .map(|_| engine_priority(self.call.plan.rank)),
         });
         let connect_ms = CONNECT_TIMEOUT_MS.min(left_ms);
-        match call_upstream(entry.address, request, connect_ms, left_ms).await {
-            Ok((response, connection)) => self.judge(response, connection, guard).await,
-            Err(failure) => self.fail(&failure, &mut guard),
+        let exchange = async {
+            match call_upstream(entry.address, request, connect_ms, left_ms).await {
+                Ok((response, connection)) => self.judge(response, connection, guard).await,
+                Err(failure) => self.fail(&failure, &mut guard),
+            }
+        };
+        pin_mut!(exchange);
+        match select(exchange, context.exit_near()).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(((), _)) => {
+                log::info!(request:% = self.call.plan.request, upstream:% = entry.id; "attempt given up at the end of the shutdown");
+                let end = AttemptEnd::Unknown(RefusalReason::ResultUnknown);
+                AttemptOutcome::sent(end, true)
+            }
         }
     }
 
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -70,6 +70,9 @@
             if now >= self.call.plan.ends_at {
                 return self.refuse(RefusalReason::DeadlinePassed, None);
             }
+            if self.context.exit_near().peek().is_some() {
+                return self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS));
+            }
             match self.choose(now) {
                 UpstreamChoice::Send {
                     key,
@@ -239,7 +242,9 @@
         let now = self.context.now();
         let refusal = if self.unknown_outcomes > 0 {
             let unknown = match reason {
-                RefusalReason::UpstreamFailed | RefusalReason::DeadlinePassed => reason,
+                RefusalReason::UpstreamFailed
+                | RefusalReason::DeadlinePassed
+                | RefusalReason::ResultUnknown => reason,
                 _ => RefusalReason::UpstreamLost,
             };
             RequestRefusal::unknown(unknown)
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -3,6 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
+
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
 
 use super::feed_watch::FeedWatch;
 use super::planner_host::PlannerHost;
@@ -33,6 +38,10 @@
 /// Fraction of the drain time for which requests may still wait, as a divisor.
 const DRAIN_WAIT_DIVISOR: u64 = 3;
 
+/// Milliseconds before the end of the drain time at which requests without an answer are refused,
+/// so that the refusal still reaches the client.
+const EXIT_REFUSAL_MS: u64 = 900;
+
 /// Milliseconds that a request stays quarantined after its last crash.
 const CRASH_QUARANTINE_MS: u64 = 60_000;
 
@@ -90,6 +99,9 @@
     pub lease_wake: WakeSignal,
     /// Start of the shutdown; never cleared.
     stopped_at: Cell<Option<MonoTime>>,
+    /// Completes [`EXIT_REFUSAL_MS`] before the end of the drain time.
+    exit_near: Shared<LocalBoxFuture<'static, ()>>,
+    exit_sender: RefCell<Option<oneshot::Sender<()>>>,
     /// Crashes seen by this process since the last demand report.
     new_crashes: RefCell<Vec<CrashRecord>>,
     /// Upstreams that reported a missing model since the last demand report.
@@ -107,6 +119,7 @@
         let start_id = (unix_ms() << 16) | fastrand::u64(..1 << 16);
         let clock = MonoClock::open();
         let host = PlannerHost::open(clock.now(), &node, &config, start_id);
+        let (exit_sender, exit_receiver) = oneshot::channel();
         Rc::new(Self {
             resends: RefCell::new(ResendWindow::open(config.resend_reserve / ASSUMED_ENTRIES)),
             config,
@@ -128,6 +141,8 @@
             feeds: FeedWatch::default(),
             lease_wake: WakeSignal::default(),
             stopped_at: Cell::new(None),
+            exit_near: exit_receiver.map(|_| ()).boxed_local().shared(),
+            exit_sender: RefCell::new(Some(exit_sender)),
             new_crashes: RefCell::default(),
             missing_model: RefCell::default(),
             arrivals: RefCell::default(),
@@ -152,6 +167,21 @@
     pub fn begin_stop(&self) {
         self.stopped_at.set(Some(self.now()));
         self.waits.wake_all();
+        let Some(sender) = self.exit_sender.borrow_mut().take() else {
+            return;
+        };
+        let left_ms = self.node.drain_ms.saturating_sub(EXIT_REFUSAL_MS);
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(left_ms)).await;
+            // The receiver lives as long as the context.
+            let _ = sender.send(());
+        })
+        .detach();
+    }
+
+    /// Completes shortly before the process exits.
+    pub fn exit_near(&self) -> Shared<LocalBoxFuture<'static, ()>> {
+        self.exit_near.clone()
     }
 
     /// Whether the shutdown has begun.
