--- a/daemon/tests/gateway_cases.rs
+++ b/daemon/tests/gateway_cases.rs
@@ -261,6 +261,49 @@
     });
 }
 
+#[test]
+fn a_resumable_stream_goes_on_at_another_worker() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let models = vec![LOADED_MODEL.to_owned()];
+        let spawning = fleet.spawn_worker(WorkerKind::Engine, models);
+        let worker = spawning.await.expect("a worker");
+        fleet.workers.push(worker);
+        fleet.send_heartbeats();
+        let log = || fleet.gateways[0].process.log();
+        let joined = format!("\"upstream\":\"i-{}\"", SIZE.engines + SIZE.plain_workers);
+        wait_until("the roster's update", || log().contains(&joined)).await;
+        let stream = call(CallKind::Notes, LOADED_MODEL, 100);
+        let address = fleet.gateways[0].process.address;
+        let sent = stream.clone();
+        let streaming = compio::runtime::spawn(async move { call_gateway(address, &sent).await });
+        let mut workers = fleet.workers.iter().map(|worker| &worker.worker.state);
+        wait_until("the stream's run", || fleet.audit.runs(&stream.id) > 0).await;
+        let running = workers.find(|worker| worker.running() > 0);
+        running.expect("the worker that runs the stream").crash();
+        let outcome = streaming.await.expect("an ended call");
+        assert_eq!(outcome, CallOutcome::Answer(expected_body(&stream).into()));
+        assert_eq!(fleet.audit.runs(&stream.id), 2);
+    });
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_cut_when_its_worker_crashes() {
+    with_fleet(async |fleet: SoakFleet| {
+        let stream = call(CallKind::Chat, LOADED_MODEL, 100);
+        let address = fleet.gateways[0].process.address;
+        let sent = stream.clone();
+        let streaming = compio::runtime::spawn(async move { call_gateway(address, &sent).await });
+        wait_until("the stream's run", || fleet.audit.runs(&stream.id) > 0).await;
+        fleet.workers[0].worker.state.crash();
+        let outcome = streaming.await.expect("an ended call");
+        assert!(
+            matches!(outcome, CallOutcome::Cut | CallOutcome::Status(502)),
+            "{outcome:?}"
+        );
+        assert_eq!(fleet.audit.runs(&stream.id), 1);
+    });
+}
+
 #[test]
 fn requests_that_queue_at_a_paused_gateway_are_answered() {
     with_fleet(async |fleet: SoakFleet| {
--- a/src/fleet/route_rule.rs
+++ b/src/fleet/route_rule.rs
@@ -24,7 +24,11 @@
     /// Whether a request may be retried after an attempt whose outcome is unknown.
     #[must_use]
     pub const fn may_retry(self) -> bool {
-        matches!(self, Self::Idempotent)
+        match self {
+            Self::Idempotent => true,
+            Self::NonIdempotent => false,
+            Self::Stream { is_resumable, .. } => is_resumable,
+        }
     }
 }
 
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -75,6 +75,8 @@
     pub load: u32,
     /// Number of upstreams that could serve the request.
     pub candidates: usize,
+    /// Id of the last event that the client has received; `None` before the first one.
+    pub resume_after: Option<u64>,
 }
 
 impl CallAttempt<'_> {
@@ -97,6 +99,7 @@
                 .need
                 .as_ref()
                 .map(|_| engine_priority(self.call.plan.rank)),
+            resume_after: self.resume_after,
         });
         let connect_ms = CONNECT_TIMEOUT_MS.min(left_ms);
         let exchange = async {
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -8,6 +8,7 @@
 use super::buffered_call::BufferedCall;
 use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
+use super::stream_relay::StartedStream;
 use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
 use crate::fleet::UpstreamKey;
 use crate::metrics::RefusalLabels;
@@ -32,19 +33,32 @@
 /// Serves a request until it is answered or refused.
 pub async fn serve_call(context: &Rc<GatewayContext>, call: BufferedCall) -> Response<HttpBody> {
     let mut flow = CallFlow {
-        context,
+        context: Rc::clone(context),
         call,
         tried: Vec::new(),
         sends: 0,
         unknown_outcomes: 0,
         held_since: None,
         has_waited: false,
+        resume_after: None,
     };
-    flow.run().await
+    match flow.run().await {
+        FlowEnd::Response(response) => response,
+        FlowEnd::Stream(stream) => stream.into_response(flow),
+    }
+}
+
+/// How the search for an answer ended.
+enum FlowEnd {
+    /// A whole answer or a refusal.
+    Response(Response<HttpBody>),
+    /// A stream of which the first events have arrived.
+    Stream(Box<StartedStream>),
 }
 
-struct CallFlow<'a> {
-    context: &'a Rc<GatewayContext>,
+/// A request and what has been tried for it.
+pub struct CallFlow {
+    context: Rc<GatewayContext>,
     call: BufferedCall,
     /// Upstreams that are skipped because they did not run or answer the request; cleared after
     /// each wait for the model.
@@ -57,21 +71,36 @@
     held_since: Option<MonoTime>,
     /// Whether the request has waited for its model; logged once.
     has_waited: bool,
+    /// Id of the last event that the client has received; `None` before the first one.
+    resume_after: Option<u64>,
 }
 
-impl CallFlow<'_> {
-    async fn run(&mut self) -> Response<HttpBody> {
+impl CallFlow {
+    /// Whether the request may run once more after an attempt whose outcome is unknown.
+    pub fn may_repeat(&self) -> bool {
+        let plan = &self.call.plan;
+        plan.kind.may_retry() && self.unknown_outcomes + 1 < plan.max_attempts
+    }
+
+    /// Finds another upstream for a stream that failed after an event. `None` if there is none in
+    /// time; the client then sees that the stream is incomplete.
+    pub async fn resume(&mut self, failed: UpstreamKey, after: u64) -> Option<StartedStream> {
+        self.unknown_outcomes += 1;
+        self.tried.push(failed);
+        self.resume_after = Some(after);
+        log::info!(request:% = self.call.plan.request, after; "stream resumes at another upstream");
+        match self.run().await {
+            FlowEnd::Stream(stream) => Some(*stream),
+            FlowEnd::Response(_) => None,
+        }
+    }
+
+    async fn run(&mut self) -> FlowEnd {
         loop {
             let generation = self.context.waits.generation();
             let now = self.context.now();
-            if self.context.is_quarantined(self.call.fingerprint) {
-                return self.refuse(RefusalReason::CrashSuspect, None);
-            }
-            if now >= self.call.plan.ends_at {
-                return self.refuse(RefusalReason::DeadlinePassed, None);
-            }
-            if self.context.exit_near().peek().is_some() {
-                return self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS));
+            if let Some(response) = self.refuse_at_once(now) {
+                return FlowEnd::Response(response);
             }
             match self.choose(now) {
                 UpstreamChoice::Send {
@@ -83,33 +112,45 @@
                         continue;
                     }
                     if self.sends > 0 && !self.try_spend_resend(now) {
-                        return self.refuse(RefusalReason::Overloaded, Some(DEFAULT_RETRY_MS));
+                        let reason = RefusalReason::Overloaded;
+                        return FlowEnd::Response(self.refuse(reason, Some(DEFAULT_RETRY_MS)));
                     }
                     match self.attempt(key, load, candidates).await {
-                        AttemptEnd::Answer(response) => return response,
-                        AttemptEnd::Stream(stream) => return stream.into_response(),
+                        AttemptEnd::Answer(response) => return FlowEnd::Response(response),
+                        AttemptEnd::Stream(stream) => return FlowEnd::Stream(stream),
                         AttemptEnd::NotRun => {}
                         AttemptEnd::Unknown(reason) => {
-                            self.unknown_outcomes += 1;
-                            let may_repeat = self.call.plan.kind.may_retry()
-                                && self.unknown_outcomes < self.call.plan.max_attempts;
-                            if !may_repeat {
-                                return self.refuse(reason, None);
+                            if !self.may_repeat() {
+                                self.unknown_outcomes += 1;
+                                return FlowEnd::Response(self.refuse(reason, None));
                             }
+                            self.unknown_outcomes += 1;
                         }
                     }
                 }
                 choice => {
                     if let Some(response) = self.wait(now, generation, choice).await {
-                        return response;
+                        return FlowEnd::Response(response);
                     }
                 }
             }
         }
     }
 
+    /// Refuses a request that cannot be served whatever the upstreams do.
+    fn refuse_at_once(&self, now: MonoTime) -> Option<Response<HttpBody>> {
+        if self.context.is_quarantined(self.call.fingerprint) {
+            return Some(self.refuse(RefusalReason::CrashSuspect, None));
+        }
+        if now >= self.call.plan.ends_at {
+            return Some(self.refuse(RefusalReason::DeadlinePassed, None));
+        }
+        let is_exit_near = self.context.exit_near().peek().is_some();
+        is_exit_near.then(|| self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS)))
+    }
+
     fn choose(&self, now: MonoTime) -> UpstreamChoice {
-        let context = self.context;
+        let context = &self.context;
         choose_upstream(&ChoiceInput {
             now,
             plan: &self.call.plan,
@@ -223,11 +264,12 @@
 
     async fn attempt(&mut self, key: UpstreamKey, load: u32, candidates: usize) -> AttemptEnd {
         let attempt = CallAttempt {
-            context: self.context,
+            context: &self.context,
             call: &self.call,
             key,
             load,
             candidates,
+            resume_after: self.resume_after,
         };
         let outcome = attempt.run().await;
         self.sends += usize::from(outcome.is_sent);
--- a/src/gateway/event_buffer.rs
+++ b/src/gateway/event_buffer.rs
@@ -23,6 +23,7 @@
 pub struct EventBuffer {
     /// Bytes after the last complete event; contains no event end.
     partial: BytesMut,
+    first_id: Option<u64>,
     last_id: Option<u64>,
 }
 
@@ -56,7 +57,8 @@
         if events.is_empty() {
             return Ok(None);
         }
-        self.last_id = last_id(&events).or(self.last_id);
+        self.first_id = self.first_id.or_else(|| event_ids(&events).next());
+        self.last_id = event_ids(&events).next_back().or(self.last_id);
         Ok(Some(events))
     }
 
@@ -66,9 +68,10 @@
         (!rest.is_empty()).then_some(rest)
     }
 
-    /// Drops the start of an event that will not be completed.
-    pub fn drop_partial(&mut self) {
-        self.partial.clear();
+    /// Id of the first complete event that had one.
+    #[must_use]
+    pub const fn first_id(&self) -> Option<u64> {
+        self.first_id
     }
 
     /// Id of the last complete event that had one.
@@ -89,10 +92,11 @@
     ends.into_iter().find(|end| ends_event(&bytes[..*end]))
 }
 
-/// The last id among events; an id that is no number does not count.
-fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let mut values = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let text = std::str::from_utf8(values.next()?).ok()?;
-    text.trim().parse().ok()
+/// The ids of events; an id that is no number does not count.
+fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
+    let lines = events.split(|byte| *byte == b'\n');
+    lines.filter_map(|line| {
+        let text = std::str::from_utf8(line.strip_prefix(ID_FIELD)?).ok()?;
+        text.trim().parse().ok()
+    })
 }
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -39,6 +39,9 @@
     pub upstream: UpstreamId,
     /// Priority at an engine, 0 first; `None` for other services.
     pub priority: Option<u8>,
+    /// Id of the last event that the client has received; the stream goes on after it. `None` if
+    /// this gateway has forwarded no event yet.
+    pub resume_after: Option<u64>,
 }
 
 /// Header contents of an upstream's response.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -1,4 +1,4 @@
-//! Relays an upstream's event stream to the client.
+//! Relays an upstream's event stream to the client, and goes on at another upstream if it fails.
 
 use std::future::poll_fn;
 use std::task::Poll;
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 
+use super::call_flow::CallFlow;
 use super::upstream_stream::{StreamFailure, UpstreamStream};
 use crate::net::{BodyError, HttpBody, stream_body};
 
@@ -31,11 +32,16 @@
         Ok(Self { parts, first, rest })
     }
 
-    /// The response with the stream as its body.
-    #[must_use]
-    pub fn into_response(self) -> Response<HttpBody> {
+    /// The response with the stream as its body. The request's flow finds another upstream if the
+    /// stream fails and may be resumed.
+    pub fn into_response(self, flow: CallFlow) -> Response<HttpBody> {
         let Self { parts, first, rest } = self;
-        let relay = StreamRelay { first, rest };
+        let relay = StreamRelay {
+            first,
+            source: Some(rest),
+            last_id: None,
+            flow,
+        };
         let events = stream::unfold(Some(relay), |relay| async move {
             let mut relay = relay?;
             if let Ok(events) = relay.next().await {
@@ -49,17 +55,52 @@
 }
 
 struct StreamRelay {
-    /// Events that arrived before the head was sent; taken with the first poll.
+    /// Events that arrived before the head was sent, or before a resumption was decided.
     first: Option<Bytes>,
-    rest: UpstreamStream,
+    /// The upstream's stream; `None` once it has failed for good.
+    source: Option<UpstreamStream>,
+    /// Id of the last event of the upstreams before the present one.
+    last_id: Option<u64>,
+    flow: CallFlow,
 }
 
 impl StreamRelay {
     async fn next(&mut self) -> Result<Option<Bytes>, StreamFailure> {
-        match self.first.take() {
-            Some(events) => Ok(Some(events)),
-            None => self.rest.next().await,
+        loop {
+            if let Some(events) = self.first.take() {
+                return Ok(Some(events));
+            }
+            let source = self.source.as_mut().ok_or(StreamFailure::Lost)?;
+            match source.next().await {
+                Ok(events) => return Ok(events),
+                Err(failure) => self.resume(failure).await?,
+            }
+        }
+    }
+
+    /// Goes on at another upstream after the last event that was forwarded.
+    async fn resume(&mut self, failure: StreamFailure) -> Result<(), StreamFailure> {
+        // Dropping the stream tells its upstream to stop the work before another one begins.
+        let failed = self.source.take().ok_or(failure)?;
+        let (key, event_ids) = (failed.key(), failed.event_ids());
+        drop(failed);
+        let last_id = event_ids.map(|(_, last)| last).or(self.last_id);
+        let after = last_id.ok_or(failure)?;
+        if failure == StreamFailure::TimedOut || !self.flow.may_repeat() {
+            return Err(failure);
+        }
+        let resumed = self.flow.resume(key, after).await.ok_or(failure)?;
+        let is_sequel = resumed
+            .rest
+            .event_ids()
+            .is_none_or(|(first_id, _)| first_id > after);
+        if !is_sequel {
+            return Err(StreamFailure::NoEvents);
         }
+        self.last_id = Some(after);
+        self.first = resumed.first;
+        self.source = Some(resumed.rest);
+        Ok(())
     }
 }
 
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -16,6 +16,7 @@
 use super::call_guard::CallGuard;
 use super::event_buffer::EventBuffer;
 use super::upstream_call::UpstreamConnection;
+use crate::fleet::UpstreamKey;
 use crate::prelude::*;
 
 /// Milliseconds past the deadline for which events that have already arrived are still delivered.
@@ -77,6 +78,16 @@
         }
     }
 
+    /// Ids of the first and the last event returned; `None` if no event had one.
+    pub fn event_ids(&self) -> Option<(u64, u64)> {
+        self.events.first_id().zip(self.events.last_id())
+    }
+
+    /// The upstream that sends the stream.
+    pub const fn key(&self) -> UpstreamKey {
+        self.guard.key
+    }
+
     /// The next whole events; `None` at the end of the stream.
     ///
     /// # Errors
