--- a/src/entry/agent_registry.rs
+++ b/src/entry/agent_registry.rs
@@ -13,6 +13,10 @@
 /// Milliseconds without a report or heartbeat after which an agent is removed.
 const REMOVE_AFTER_MS: u64 = 60_000;
 
+/// Milliseconds for which a replica that this entry has woken counts as loading although its agent
+/// does not report so yet.
+const WAKE_MEMORY_MS: u64 = 2_000;
+
 #[derive(Debug, Clone)]
 struct KnownAgent {
     report: AgentReport,
@@ -21,6 +25,23 @@
     sent_requests: u32,
     /// Sum of the estimated service times of these requests, in milliseconds.
     sent_service_ms: u64,
+    /// Replicas that requests from this entry wake, and when the first of these was sent; counts
+    /// for [`WAKE_MEMORY_MS`].
+    woken: HashMap<ReplicaName, MonoTime>,
+}
+
+impl KnownAgent {
+    /// State of a replica: one that this entry has woken counts as loading before the agent
+    /// reports it.
+    fn replica_state(&self, now: MonoTime, held: &ReplicaReport) -> ReplicaState {
+        let woken_at = self.woken.get(&held.replica);
+        let is_woken = woken_at.is_some_and(|at| now.millis_since(*at) < WAKE_MEMORY_MS);
+        if is_woken && held.state == ReplicaState::Granted {
+            ReplicaState::Loading
+        } else {
+            held.state
+        }
+    }
 }
 
 /// The properties of a request that its expected wait and service time depend on.
@@ -83,11 +104,14 @@
             }
         }
         let instance = report.instance.clone();
+        let earlier = self.agents.remove(&instance);
+        let same_start = earlier.filter(|known| known.report.start_id == report.start_id);
         let known = KnownAgent {
             report,
             last_seen_at: now,
             sent_requests: 0,
             sent_service_ms: 0,
+            woken: same_start.map(|known| known.woken).unwrap_or_default(),
         };
         self.agents.insert(instance, known);
         true
@@ -149,7 +173,10 @@
             (held.state != ReplicaState::Draining).then_some((known, held))
         });
         with_replica
-            .map(|(known, held)| self.target(known, Some(held), needs))
+            .map(|(known, held)| RouteTarget {
+                state: known.replica_state(now, held),
+                ..self.target(known, Some(held), needs)
+            })
             .collect()
     }
 
@@ -202,6 +229,15 @@
         }
     }
 
+    /// Records that a request was sent to an agent to load a replica.
+    pub fn note_woken(&mut self, now: MonoTime, instance: &InstanceName, replica: &ReplicaName) {
+        if let Some(known) = self.agents.get_mut(instance) {
+            let woken = &mut known.woken;
+            woken.retain(|_, at| now.millis_since(*at) < WAKE_MEMORY_MS);
+            woken.entry(replica.clone()).or_insert(now);
+        }
+    }
+
     /// Marks an agent as leaving before its next report says so.
     pub fn note_leaving(&mut self, instance: &InstanceName) {
         if let Some(known) = self.agents.get_mut(instance) {
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -20,7 +20,7 @@
 use crate::net::HttpBody;
 use crate::prelude::*;
 use crate::quarantine::QuarantineVerdict;
-use crate::routing::{Locality, RouteChooser, RouteContext, RouteTarget};
+use crate::routing::{Locality, RouteChooser, RouteContext, RouteReason, RouteTarget};
 use crate::rpc::UpstreamCall;
 use crate::run_once::RecordedAnswer;
 
@@ -343,6 +343,13 @@
         let agent = {
             let mut agents = self.context.agents.borrow_mut();
             agents.note_sent(&instance, target.needed_ms);
+            if let Some(replica) = self
+                .call
+                .replica()
+                .filter(|_| choice.reason == RouteReason::Wake)
+            {
+                agents.note_woken(now, &instance, replica);
+            }
             agents.address(&instance)
         };
         let agent = agent.ok_or(RequestRefusal::not_run(RefusalReason::NoReplica))?;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,7 +17,7 @@
 mod status_page;
 mod stream_relay;
 
-pub use agent_registry::AgentRegistry;
+pub use agent_registry::{AgentRegistry, EntryLocation, RequestNeeds};
 pub use entry_handle::EntryHandle;
 pub use settings_editor::{ApplyOutcome, SettingsConflict};
 pub use status_page::{AgentStatus, EntryStatus, LeaseStatus};
