--- a/src/agent/engine_run.rs
+++ b/src/agent/engine_run.rs
@@ -22,7 +22,7 @@
 use super::run_controller::{MAX_ANSWER_BYTES, RunEnd, RunJob};
 use crate::admission::ServiceSample;
 use crate::memory::{AdapterUnit, MemoryUnit};
-use crate::net::read_body;
+use crate::net::{EventBuffer, read_body};
 use crate::prelude::*;
 use crate::run_once::RecordedAnswer;
 
@@ -41,8 +41,8 @@
 /// that it caused may be detected later.
 const CRASH_WATCH_MS: u64 = 1_500;
 
-/// Maximum time between two chunks of a stream, in milliseconds.
-const CHUNK_TIMEOUT_MS: u64 = 30_000;
+/// Maximum time between two events of a stream, in milliseconds.
+const EVENT_TIMEOUT_MS: u64 = 30_000;
 
 /// A request in flight at the engine; dropping it removes the in-flight entry.
 struct EngineRun<'a> {
@@ -268,18 +268,33 @@
     relay: &mut AnswerRelay,
 ) -> Result<RunEnd, RunFailure> {
     let mut chunks = response.into_body().into_data_stream();
+    let mut buffer = EventBuffer::open();
     let mut first_at = None;
+    let mut event_at = run.context.now();
     let mut tokens = 0;
-    loop {
-        let next = match first_at {
-            None => await_until_deadline(run, job, relay, chunks.next()).await?,
-            Some(_) => await_limited(run, relay, false, CHUNK_TIMEOUT_MS, chunks.next()).await?,
+    let mut is_ended = false;
+    while !is_ended {
+        let next = if first_at.is_none() {
+            await_until_deadline(run, job, relay, chunks.next()).await?
+        } else {
+            // Bytes that complete no event are no progress.
+            let idle_ms = run.context.now().millis_since(event_at);
+            let left_ms = EVENT_TIMEOUT_MS.saturating_sub(idle_ms);
+            await_limited(run, relay, false, left_ms, chunks.next()).await?
+        };
+        let events = if let Some(chunk) = next {
+            let chunk = chunk.map_err(|_| RunFailure::Disconnected)?;
+            let events = buffer.push(chunk);
+            events.map_err(|_| RunFailure::Disconnected)?
+        } else {
+            is_ended = true;
+            buffer.take_rest()
         };
-        let Some(chunk) = next else {
-            break;
+        let Some(chunk) = events else {
+            continue;
         };
-        let chunk = chunk.map_err(|_| RunFailure::Disconnected)?;
         let now = run.context.now();
+        event_at = now;
         if first_at.is_none() {
             first_at = Some(now);
             relay.begin_stream(status, content_type.clone());
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays streamed responses, resuming them at another upstream when theirs is lost.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyDataStream, BodyExt};
 use hyper::Response;
@@ -9,15 +9,12 @@
 
 use super::caller_response::{relay_head, relayed_response};
 use super::dispatcher::{ChosenRoute, Dispatcher};
-use crate::net::{BodyError, HttpBody, stream_body};
+use crate::net::{BodyError, EventBuffer, HttpBody, stream_body};
 use crate::routing::Locality;
 
 /// Content type of server-sent events.
 const EVENT_TYPE: &str = "text/event-stream";
 
-/// Separator that ends a server-sent event.
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Prefix of an event that carries one token.
 const TOKEN_EVENT_PREFIX: &[u8] = b"data: {";
 
@@ -30,8 +27,7 @@
     dispatcher: Dispatcher,
     route: ChosenRoute,
     body: BodyDataStream<Incoming>,
-    /// Bytes received after the last complete event.
-    partial: BytesMut,
+    events: EventBuffer,
     /// Number of tokens relayed to the caller.
     tokens: u32,
     is_done: bool,
@@ -60,7 +56,7 @@
         dispatcher,
         route,
         body: response.into_body().into_data_stream(),
-        partial: BytesMut::new(),
+        events: EventBuffer::open(),
         tokens: 0,
         is_done: false,
     };
@@ -76,45 +72,39 @@
 impl StreamRelay {
     /// The next complete events; `None` at the end of the stream.
     async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
-        loop {
-            if let Some(events) = self.take_events() {
-                return Some(Ok(events));
-            }
-            if self.is_done {
-                return None;
-            }
-            match self.body.next().await {
-                Some(Ok(chunk)) => self.buffer_chunk(&chunk),
-                Some(Err(_)) => {
-                    if !self.resume().await {
+        while !self.is_done {
+            let events = match self.body.next().await {
+                Some(Ok(chunk)) => {
+                    self.count_remote_bytes(&chunk);
+                    let Ok(events) = self.events.push(chunk) else {
                         return Some(Err(BodyError::Truncated));
-                    }
+                    };
+                    events
+                }
+                Some(Err(_)) if self.resume().await => None,
+                Some(Err(_)) => return Some(Err(BodyError::Truncated)),
+                None => {
+                    self.is_done = true;
+                    self.events.take_rest()
                 }
-                None => self.is_done = true,
+            };
+            if let Some(events) = events {
+                self.count_tokens(&events);
+                return Some(Ok(events));
             }
         }
+        None
     }
 
-    fn buffer_chunk(&mut self, chunk: &Bytes) {
+    fn count_remote_bytes(&self, chunk: &Bytes) {
         if self.route.locality == Locality::Remote {
             let bytes = chunk.len() as u64;
             self.dispatcher.metrics().remote_bytes.inc_by(bytes);
         }
-        self.partial.extend_from_slice(chunk);
     }
 
-    /// Removes all complete events from the buffer, or the rest of it at the end of the stream.
-    fn take_events(&mut self) -> Option<Bytes> {
-        let last_end = self
-            .partial
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END);
-        let length = match last_end {
-            Some(start) => start + EVENT_END.len(),
-            None if self.is_done && !self.partial.is_empty() => self.partial.len(),
-            None => return None,
-        };
-        let events = self.partial.split_to(length).freeze();
+    /// Counts the tokens of events, and notices the last event of the stream.
+    fn count_tokens(&mut self, events: &Bytes) {
         for line in events.split(|byte| *byte == b'\n') {
             if line.starts_with(TOKEN_EVENT_PREFIX) {
                 self.tokens += 1;
@@ -122,12 +112,12 @@
                 self.is_done = true;
             }
         }
-        Some(events)
     }
 
     /// Resumes the stream after the tokens relayed so far; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        self.partial.clear();
+        // The start of an event that the lost upstream did not complete is sent anew.
+        self.events = EventBuffer::open();
         match self.dispatcher.resume(&self.route, self.tokens).await {
             Ok((route, response)) => {
                 self.route = route;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod call_plan;
 mod call_refusal;
 mod control_server;
-mod event_buffer;
 mod feed_watch;
 mod fleet_follower;
 mod front_server;
@@ -31,7 +30,6 @@
 mod wait_registry;
 
 pub use call_plan::CallPlan;
-pub use event_buffer::{EventBuffer, OversizedEvent};
 pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -14,9 +14,9 @@
 
 use super::AttemptResult;
 use super::call_guard::CallGuard;
-use super::event_buffer::EventBuffer;
 use super::upstream_call::UpstreamConnection;
 use crate::fleet::UpstreamKey;
+use crate::net::EventBuffer;
 use crate::prelude::*;
 
 /// Milliseconds past the deadline for which events that have already arrived are still delivered.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server and clients over compio.
 
 mod errors;
+mod event_buffer;
 mod head_limit;
 mod http_body;
 mod http_server;
@@ -10,6 +11,7 @@
 mod unpooled_call;
 
 pub use errors::NetError;
+pub use event_buffer::{EventBuffer, OversizedEvent};
 pub use http_body::{
     BodyError, HttpBody, empty_body, full_body, json_response, read_body, stream_body,
 };
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use quetzalpin::gateway::{EventBuffer, OversizedEvent};
+use quetzalpin::net::{EventBuffer, OversizedEvent};
 
 fn push(buffer: &mut EventBuffer, text: &str) -> Option<String> {
     let events = buffer.push(Bytes::copy_from_slice(text.as_bytes()));
