--- a/src/orders/load_option.rs
+++ b/src/orders/load_option.rs
@@ -136,10 +136,11 @@
 #[allow(clippy::cast_precision_loss)]
 fn may_evict(view: &CostView<'_>, held: &HeldFacts) -> bool {
     let others = held.copies.saturating_sub(1);
+    let copy_rate_per_s = view.policy.copy_rate_per_s(view.config.slots);
     if others == 0 {
         return held.rate_per_s < view.last_copy_gain_per_s;
     }
-    let is_crowded_without = held.rate_per_s > others as f64 * view.policy.copy_rate_per_s;
+    let is_crowded_without = held.rate_per_s > others as f64 * copy_rate_per_s;
     held.rate_per_copy() < view.gain_per_s && !is_crowded_without
 }
 
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -186,7 +186,7 @@
             return None;
         }
         let rate = self.demand.rate(view.now, model);
-        let limit = f64::from(copies) * self.policy.copy_rate_per_s;
+        let limit = f64::from(copies) * self.policy.copy_rate_per_s(config.slots);
         let is_busy = total.running * 100 > copies * config.slots * self.policy.crowded_percent;
         (is_busy || rate > limit).then_some(rate > limit * URGENT_CROWDING_FACTOR)
     }
--- a/src/orders/planner_policy.rs
+++ b/src/orders/planner_policy.rs
@@ -14,8 +14,18 @@
     /// Percent of the slots of the engines with a copy that may be in use before the model gets an
     /// extra copy.
     pub crowded_percent: u32,
-    /// Requests per second and copy above which a model gets an extra copy.
-    pub copy_rate_per_s: f64,
+    /// Requests per second and slot of a copy's engine above which a model gets an extra copy. The
+    /// slots are shared by all models of the engine.
+    pub copy_rate_per_slot: f64,
+}
+
+impl PlannerPolicy {
+    /// Requests per second that one copy serves, at an engine with this many slots, before its model
+    /// gets an extra copy.
+    #[must_use]
+    pub fn copy_rate_per_s(&self, slots: u32) -> f64 {
+        f64::from(slots) * self.copy_rate_per_slot
+    }
 }
 
 impl Default for PlannerPolicy {
@@ -26,7 +36,7 @@
             urgent_loads: 2,
             min_hold_ms: 1_200,
             crowded_percent: 35,
-            copy_rate_per_s: 4.0,
+            copy_rate_per_slot: 0.125,
         }
     }
 }
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -412,3 +412,29 @@
         );
     }
 }
+
+/// Rare models beside a crowd: one rate for all engines filled those with many slots with copies of
+/// the busy model, and requests for rare models waited for memory. What a copy serves before the
+/// model gets another one grows with the slots of its engine.
+#[rstest]
+#[case::some_slots(32, 2)]
+#[case::many_slots(64, 1)]
+fn a_crowd_takes_few_copies_where_engines_have_many_slots(
+    #[case] slots: u32,
+    #[case] copies: usize,
+) {
+    let mut fleet = EngineFleet::open(FleetSetup {
+        engines: 4,
+        models: 8,
+        slots,
+        held: 2,
+        ..FleetSetup::default()
+    });
+    let busy = fleet.held_at(0)[0].clone();
+    fleet.put_on_disk(1, &busy);
+    for _ in 0..500 {
+        fleet.add_arrival_every(&busy, 160);
+        fleet.step(STEP_MS);
+    }
+    assert_eq!(fleet.copies(&busy), copies);
+}
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -28,6 +28,8 @@
 pub struct FleetSetup {
     pub engines: usize,
     pub models: usize,
+    /// Requests that each engine runs at a time.
+    pub slots: u32,
     /// Number of models that each engine holds at the start, as far as they fit.
     pub held: usize,
     pub seed: u64,
@@ -42,6 +44,7 @@
         Self {
             engines: 1,
             models: 1,
+            slots: 32,
             held: 0,
             seed: 1,
             loss_percent: 0,
@@ -68,7 +71,7 @@
     /// Creates a fleet and registers its engines with the planner.
     pub fn open(setup: FleetSetup) -> Self {
         let service = ServiceName::from("engines");
-        let config = engine_config(setup.models);
+        let config = engine_config(setup.models, setup.slots);
         let names: Vec<ModelName> = config.models.keys().cloned().collect();
         let mut roster = UpstreamRoster::open();
         let mut engines = Vec::new();
@@ -390,7 +393,7 @@
         .collect()
 }
 
-fn engine_config(models: usize) -> EngineConfig {
+fn engine_config(models: usize, slots: u32) -> EngineConfig {
     let configs = (0..models).map(|number| {
         let config = ModelConfig {
             memory_mb: SIZES_MB[number % SIZES_MB.len()],
@@ -402,7 +405,7 @@
         (ModelName::from(format!("m{number:02}").as_str()), config)
     });
     EngineConfig {
-        slots: 32,
+        slots,
         memory_mb: ENGINE_MB,
         adapter_slots: ADAPTER_SLOTS,
         loads_per_s: 10.0,
