--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -191,7 +191,7 @@
     assert_sound_requests_are_served(fleet).await;
     for caller in callers {
         let outcome = caller.await.expect("an ended call");
-        // The request ran as far as anybody can tell, so its outcome is unknown.
+        // A request that was sent has an unknown outcome; 503 is for those that were not.
         let is_true = matches!(outcome, CallOutcome::Cut | CallOutcome::Status(502..=504));
         assert!(is_true, "{outcome:?}");
     }
