--- a/src/gateway/takeover_delay.rs
+++ b/src/gateway/takeover_delay.rs
@@ -6,13 +6,13 @@
 /// Longest delay for a process's age in milliseconds.
 const MAX_AGE_DELAY_MS: u64 = 500;
 
-/// Processor capacity in thousandths of a core from which a process waits no longer for its
-/// capacity. The planner of several hundred instances needs a quarter of a core.
-const FULL_CAPACITY: u64 = 400;
+/// Processor capacity in thousandths of a core from which a process does not wait for others. The
+/// planner of a hundred instances needs a tenth of a core at times, besides what requests take.
+const FULL_CAPACITY: u64 = 150;
 
 /// Delay in milliseconds of a process without any processor capacity; a process checks the lease
 /// several times within it.
-const NO_CAPACITY_DELAY_MS: u64 = 1_400;
+const NO_CAPACITY_DELAY_MS: u64 = 1_500;
 
 /// Milliseconds that a process waits for its age before it acquires a released lease. In a rolling
 /// restart the youngest processes have been restarted already and will not be stopped next, so they
