--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -72,15 +72,6 @@
     }
 }
 
-/// Largest resident memory of the gateway so far, in kilobytes.
-fn peak_memory_kb(fleet: &SoakFleet) -> u64 {
-    let id = fleet.gateways[0].process.id().expect("a running gateway");
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the status");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let words = line.expect("the peak memory").split_whitespace();
-    words.filter_map(|word| word.parse::<u64>().ok()).sum()
-}
-
 #[rstest]
 #[case::head(Endless::Head)]
 #[case::body(Endless::Body)]
@@ -114,7 +105,8 @@
             let ended = compio::time::timeout(left, caller).await;
             assert!(ended.is_ok(), "the gateway still reads");
         }
-        let memory_kb = peak_memory_kb(&fleet);
+        let memory_kb = fleet.gateways[0].process.peak_memory_kb();
+        let memory_kb = memory_kb.expect("a running gateway");
         assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
         assert_eq!(fleet.audit.runs("r1"), 0);
     });
--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -98,15 +98,6 @@
     call_gateway(fleet.gateways[0].process.address, call).await
 }
 
-/// Largest resident memory of the gateway so far, in kilobytes.
-fn peak_memory_kb(fleet: &SoakFleet) -> u64 {
-    let id = fleet.gateways[0].process.id().expect("a running gateway");
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the status");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let words = line.expect("the peak memory").split_whitespace();
-    words.filter_map(|word| word.parse::<u64>().ok()).sum()
-}
-
 async fn assert_sound_requests_are_served(fleet: &SoakFleet) {
     let chat = call(CallKind::Chat, SOUND_MODEL);
     let outcome = send(fleet, &chat).await;
@@ -196,7 +187,8 @@
         assert!(is_true, "{outcome:?}");
     }
     wait_until("the end of the connections", || worker.open_count() == 0).await;
-    let memory_kb = peak_memory_kb(fleet);
+    let memory_kb = fleet.gateways[0].process.peak_memory_kb();
+    let memory_kb = memory_kb.expect("a running gateway");
     assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
     assert_sound_requests_are_served(fleet).await;
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller_client;
 mod campaign;
 mod chat_answer;
+mod daemon_process;
 mod engine_audit;
 mod engine_options;
 mod engine_standin;
@@ -24,6 +25,7 @@
 
 pub use caller_client::{CallOutcome, CallerClient, ChatCall, ServiceCall};
 pub use campaign::{CampaignOptions, CampaignReport, GuaranteeCheck, run_campaign};
+pub use daemon_process::DaemonProcess;
 pub use engine_audit::{EngineAudit, HoldingChange};
 pub use engine_options::EngineOptions;
 pub use engine_standin::EngineStandin;
@@ -33,7 +35,7 @@
 pub use member_list::MemberList;
 pub use platform_standin::{PlatformStandin, StandinHandle};
 pub use prefix_cache::{CacheEvent, PrefixCache};
-pub use process_fleet::{DaemonProcess, ProcessFleet, fleet_ip};
+pub use process_fleet::{ProcessFleet, fleet_ip};
 pub use prompt_words::{POISON_WORD, answer_word};
 pub use service_standin::{ServiceAudit, ServiceOptions, ServiceStandin};
 pub use small_fleet::{
