--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -10,9 +10,6 @@
 };
 use rstest::rstest;
 
-/// Time limit in milliseconds for a fleet to start.
-const READY_TIMEOUT_MS: u64 = 30_000;
-
 /// Longest time for which a gateway may read a request without end.
 const READ_LIMIT: Duration = Duration::from_secs(30);
 
@@ -81,11 +78,8 @@
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
-        let fleet = SoakFleet::spawn(daemon, SIZE).await.expect("a fleet");
-        fleet
-            .wait_ready(READY_TIMEOUT_MS)
-            .await
-            .expect("a ready fleet");
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
         let address = fleet.gateways[0].process.address;
         let callers: Vec<_> = (0..CALLERS)
             .map(|_| compio::runtime::spawn(send_endlessly(address, part)))
--- a/daemon/tests/gateway_cases.rs
+++ b/daemon/tests/gateway_cases.rs
@@ -8,8 +8,8 @@
     expected_body,
 };
 
-/// Time limit in milliseconds for a fleet to start, and for a gateway to shut down.
-const READY_TIMEOUT_MS: u64 = 30_000;
+/// Time limit in milliseconds for a gateway to shut down.
+const SHUTDOWN_TIMEOUT_MS: u64 = 30_000;
 
 /// Longest time that a test waits for an event.
 const EVENT_LIMIT: Duration = Duration::from_secs(30);
@@ -42,11 +42,8 @@
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
-        let fleet = SoakFleet::spawn(daemon, SIZE).await.expect("a fleet");
-        fleet
-            .wait_ready(READY_TIMEOUT_MS)
-            .await
-            .expect("a ready fleet");
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
         case(fleet).await;
     });
 }
@@ -193,7 +190,7 @@
         fleet.gateways[0].stop();
         let outcome = streaming.await.expect("an ended call");
         assert_eq!(outcome, CallOutcome::Answer(expected_body(&stream).into()));
-        let status = fleet.gateways[0].process.wait(READY_TIMEOUT_MS).await;
+        let status = fleet.gateways[0].process.wait(SHUTDOWN_TIMEOUT_MS).await;
         assert!(status.is_some_and(|status| status.success()), "{status:?}");
     });
 }
--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -9,9 +9,6 @@
 };
 use rstest::rstest;
 
-/// Time limit in milliseconds for a fleet to start.
-const READY_TIMEOUT_MS: u64 = 30_000;
-
 /// Longest time that a test waits for an event.
 const EVENT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -46,11 +43,8 @@
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
-        let fleet = SoakFleet::spawn(daemon, SIZE).await.expect("a fleet");
-        fleet
-            .wait_ready(READY_TIMEOUT_MS)
-            .await
-            .expect("a ready fleet");
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
         let worker = RawWorker::spawn("i-raw", kind, answer)
             .await
             .expect("a worker");
