Log what a process has read of each feed, and what others have

The log could not tell hypotheses A and B apart: it said neither how long a call for changes had been running, nor when a feed was last read, nor that a call was given up. Change: reports and their answers carry the newest change read of both feeds (so far of the configuration only); a line when another process is ahead, when a call is given up, and with each configuration in force: time of the call and age of the last read. 404 and attempt lines carry the age too. What triggers a repeated call is as before.

--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -123,6 +123,7 @@
         let mut roster = UpstreamRoster::open();
         let update = UpstreamUpdate {
             version: FeedVersion(1),
+            newest_change: FeedVersion(1),
             is_snapshot: true,
             changes: upstreams
                 .iter()
--- a/src/fleet/fleet_source.rs
+++ b/src/fleet/fleet_source.rs
@@ -60,6 +60,8 @@
 pub struct UpstreamUpdate {
     /// Position from which to continue.
     pub version: FeedVersion,
+    /// Version of the newest change in `changes`; the same in every process that has read it.
+    pub newest_change: FeedVersion,
     /// Whether `changes` is a snapshot of all upstreams.
     pub is_snapshot: bool,
     /// Changes in the order in which they happened.
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -131,6 +131,7 @@
             load = self.load,
             load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
             candidates = self.candidates,
+            list_age_ms = self.context.feeds.roster.age_ms(now),
             waited_ms = now.millis_since(plan.arrived_at),
             left_ms;
             "attempt"
--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -1,55 +1,64 @@
-//! Detects a hanging configuration watch by the versions that other processes report.
+//! Detects feeds that hang by the changes that other processes report.
 
 use std::cell::Cell;
 
-use crate::daemon::WakeSignal;
+use super::watched_feed::WatchedFeed;
+use crate::planner_rpc::FeedVersions;
 use crate::prelude::*;
 
 /// Milliseconds before the same version triggers another refetch; a slow platform answers within
 /// this time.
 const REPEAT_DELAY_MS: u64 = 3_000;
 
-/// Compares the configuration version in force with those of other processes.
-#[derive(Debug, Default)]
+/// The feeds that a gateway reads, compared with those of other processes.
+#[derive(Debug)]
 pub struct FeedWatch {
-    /// Version of the configuration in force.
-    version: Cell<u64>,
+    /// The configuration; its positions are configuration versions.
+    pub catalog: WatchedFeed,
+    /// The list of upstreams; its positions are versions of the platform's table.
+    pub roster: WatchedFeed,
     /// Version that triggered the latest refetch, and its time.
     last_refetch: Cell<(u64, MonoTime)>,
-    /// Notified to refetch the configuration.
-    pub catalog: WakeSignal,
-    /// Notified to refetch the upstream list.
-    pub roster: WakeSignal,
 }
 
-impl FeedWatch {
-    /// Version of the configuration in force.
-    #[must_use]
-    pub const fn version(&self) -> u64 {
-        self.version.get()
+impl Default for FeedWatch {
+    fn default() -> Self {
+        Self {
+            catalog: WatchedFeed::open("configuration"),
+            roster: WatchedFeed::open("list of upstreams"),
+            last_refetch: Cell::default(),
+        }
     }
+}
 
-    /// Records the version of the configuration in force.
-    pub fn record_catalog(&self, version: u64) {
-        self.version.set(version);
+impl FeedWatch {
+    /// The newest changes that this process has read.
+    #[must_use]
+    pub const fn versions(&self) -> FeedVersions {
+        FeedVersions {
+            catalog: self.catalog.newest_change(),
+            roster: self.roster.newest_change(),
+        }
     }
 
-    /// Records the version in force at another process. Triggers a refetch if it is newer, and
-    /// returns whether it did.
-    pub fn record_remote_version(&self, now: MonoTime, version: u64) -> bool {
+    /// Records the newest changes that another process has read. Returns whether the configuration
+    /// is read again.
+    pub fn record_remote(&self, now: MonoTime, versions: FeedVersions) -> bool {
+        self.roster.record_remote_change(now, versions.roster);
+        let is_newer = self.catalog.record_remote_change(now, versions.catalog);
         let (requested, at) = self.last_refetch.get();
-        let is_repeat = version <= requested && now.millis_since(at) < REPEAT_DELAY_MS;
-        if version <= self.version.get() || is_repeat {
+        let is_repeat = versions.catalog <= requested && now.millis_since(at) < REPEAT_DELAY_MS;
+        if !is_newer || is_repeat {
             return false;
         }
-        self.last_refetch.set((version, now));
-        self.catalog.notify();
+        self.last_refetch.set((versions.catalog, now));
+        self.catalog.repeat.notify();
         true
     }
 
     /// Triggers a refetch of both feeds, because the platform is reachable again.
     pub fn refetch(&self) {
-        self.catalog.notify();
-        self.roster.notify();
+        self.catalog.repeat.notify();
+        self.roster.repeat.notify();
     }
 }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -6,8 +6,7 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 
-use super::GatewayContext;
-use crate::daemon::WakeSignal;
+use super::{GatewayContext, WatchedFeed};
 use crate::fleet::{FeedVersion, SourceError};
 
 /// Long-poll timeout of a call for changes in milliseconds.
@@ -41,8 +40,9 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("configuration");
     loop {
+        context.feeds.catalog.begin_call(context.now());
         let reading = context.ports.fleet.catalog(after, retry.wait_ms());
-        let Some(read) = unless_woken(reading, &context.feeds.catalog).await else {
+        let Some(read) = unless_repeated(&context, reading, &context.feeds.catalog).await else {
             continue;
         };
         match read {
@@ -59,6 +59,7 @@
                     Some(Err(reason)) => log::error!(reason:% = reason; "configuration rejected"),
                     None => {}
                 }
+                context.feeds.catalog.record_read(context.now());
                 sleep_ms(CATALOG_PAUSE_MS).await;
             }
             Err(error) => {
@@ -76,8 +77,9 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("list of upstreams");
     loop {
+        context.feeds.roster.begin_call(context.now());
         let reading = context.ports.fleet.upstreams(after, retry.wait_ms());
-        let Some(read) = unless_woken(reading, &context.feeds.roster).await else {
+        let Some(read) = unless_repeated(&context, reading, &context.feeds.roster).await else {
             continue;
         };
         match read {
@@ -89,6 +91,7 @@
                 }
                 after = Some(update.version);
                 context.apply_upstreams(update);
+                context.feeds.roster.record_read(context.now());
                 sleep_ms(ROSTER_PAUSE_MS).await;
             }
             Err(error) => {
@@ -119,12 +122,19 @@
 }
 
 /// Waits for a call; cancels it and returns `None` when a signal asks for a new one.
-async fn unless_woken<T>(reading: impl Future<Output = T>, wake: &WakeSignal) -> Option<T> {
-    let woken = wake.wait(MAX_CALL_MS);
-    pin_mut!(reading, woken);
-    match select(reading, woken).await {
+async fn unless_repeated<T>(
+    context: &GatewayContext,
+    reading: impl Future<Output = T>,
+    feed: &WatchedFeed,
+) -> Option<T> {
+    let repeated = feed.repeat.wait(MAX_CALL_MS);
+    pin_mut!(reading, repeated);
+    match select(reading, repeated).await {
         Either::Left((read, _)) => Some(read),
-        Either::Right(((), _)) => None,
+        Either::Right(((), _)) => {
+            log::info!(feed = feed.name(), call_ms = feed.call_ms(context.now()); "call given up and repeated");
+            None
+        }
     }
 }
 
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -45,7 +45,7 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
         let Some(rule) = catalog.route(host, parts.uri.path()) else {
-            log::info!(path = parts.uri.path(), config = catalog.version, reason = "no route"; "refused");
+            log::info!(path = parts.uri.path(), config = catalog.version, age_ms = self.context.feeds.catalog.age_ms(arrived_at), reason = "no route"; "refused");
             return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
         };
         let header_codec = &self.context.ports.header_codec;
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -219,10 +219,16 @@
 
     /// Applies a new configuration.
     pub fn apply_catalog(&self, catalog: FleetCatalog) {
-        self.feeds.record_catalog(catalog.version);
-        log::info!(version = catalog.version; "configuration in force");
-        let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
-        self.metrics.settings_revision.set(version);
+        let (now, version) = (self.now(), catalog.version);
+        log::info!(
+            version,
+            call_ms = self.feeds.catalog.call_ms(now),
+            age_ms = self.feeds.catalog.age_ms(now);
+            "configuration in force"
+        );
+        self.feeds.catalog.record_change(now, version, version);
+        let revision = i64::try_from(version).unwrap_or(i64::MAX);
+        self.metrics.settings_revision.set(revision);
         let catalog = Rc::new(catalog);
         *self.catalog.borrow_mut() = Some(Rc::clone(&catalog));
         self.host
@@ -233,6 +239,8 @@
     /// Applies changes of the upstream list.
     pub fn apply_upstreams(&self, update: UpstreamUpdate) {
         let now = self.now();
+        let (change, position) = (update.newest_change.0, update.version.0);
+        self.feeds.roster.record_change(now, change, position);
         let changes = self.roster.borrow_mut().apply(now, update);
         self.knows_roster.set(true);
         for change in changes {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod upstream_choice;
 mod upstream_stream;
 mod wait_registry;
+mod watched_feed;
 
 pub use call_plan::CallPlan;
 pub use feed_watch::FeedWatch;
@@ -40,3 +41,4 @@
 pub use takeover_delay::{age_delay_ms, capacity_delay_ms};
 pub use upstream_choice::{ChoiceInput, UpstreamChoice, choose_upstream};
 pub use wait_registry::WaitRegistry;
+pub use watched_feed::WatchedFeed;
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -9,7 +9,9 @@
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::lease::{LeaseHolder, LeaseIntent, LeaseRow};
 use crate::orders::{OrderPlanner, PlacementUpdate, PlannerPolicy};
-use crate::planner_rpc::{CrashRecord, DemandReport, DemandResponse, FollowMark, LoadForecast};
+use crate::planner_rpc::{
+    CrashRecord, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
+};
 use crate::prelude::*;
 use crate::table::RowRevision;
 
@@ -225,7 +227,7 @@
         &self,
         now: MonoTime,
         report: DemandReport,
-        catalog_version: u64,
+        feeds: FeedVersions,
     ) -> Option<DemandResponse> {
         let revision = self.lease.borrow().held_revision(now);
         let mut active = self.active.borrow_mut();
@@ -253,7 +255,7 @@
         let response = DemandResponse {
             lease_revision: revision.map_or(0, |revision| revision.0),
             entry_count: u32::try_from(active.entries.len()).unwrap_or(u32::MAX),
-            catalog_version,
+            feeds,
             forecasts: forecasts.collect(),
             crashes: active.crashes.iter().map(|(_, crash)| *crash).collect(),
         };
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -94,13 +94,13 @@
             entry: context.node.instance.clone(),
             address: context.config.peers,
             demand: context.take_demand(),
-            catalog_version: context.feeds.version(),
+            feeds: context.feeds.versions(),
             crashes: context.drain_crashes(),
         };
         let response = match context.host.remote_address() {
             None => {
-                let version = context.feeds.version();
-                context.host.record_report(context.now(), report, version)
+                let feeds = context.feeds.versions();
+                context.host.record_report(context.now(), report, feeds)
             }
             Some(address) => match context.rpc(address).demand(report).await {
                 Ok(response) => {
@@ -116,9 +116,7 @@
             },
         };
         if let Some(response) = response {
-            context
-                .feeds
-                .record_remote_version(context.now(), response.catalog_version);
+            context.feeds.record_remote(context.now(), response.feeds);
             context.set_resend_share(response.entry_count);
             context.record_crashes(&response.crashes);
             context.waits.set_forecasts(response.forecasts);
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -41,12 +41,10 @@
     fn demand(&self, report: DemandReport) -> RpcResult<DemandResponse> {
         let now = self.context.now();
         self.context.record_crashes(&report.crashes);
-        self.context
-            .feeds
-            .record_remote_version(now, report.catalog_version);
+        self.context.feeds.record_remote(now, report.feeds);
         self.context
             .host
-            .record_report(now, report, self.context.feeds.version())
+            .record_report(now, report, self.context.feeds.versions())
             .ok_or_else(not_planner)
     }
 
--- /dev/null
+++ b/src/gateway/watched_feed.rs
@@ -0,0 +1,130 @@
+//! One feed of the platform as this process and others have read it.
+
+use std::cell::Cell;
+
+use crate::daemon::WakeSignal;
+use crate::prelude::*;
+
+/// A version that another process has read and this one has not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct MissedVersion {
+    version: u64,
+    /// When this process first heard of a version that it had not read.
+    heard_at: MonoTime,
+}
+
+/// A feed that is read by calls that wait for changes.
+#[derive(Debug)]
+pub struct WatchedFeed {
+    name: &'static str,
+    /// Version up to which this process has read.
+    position: Cell<u64>,
+    /// Version of the newest change that this process has read; at most `position`.
+    newest_change: Cell<u64>,
+    /// When the call in progress, or the latest one, began.
+    call_started_at: Cell<MonoTime>,
+    /// When the latest call completed.
+    read_at: Cell<MonoTime>,
+    /// Set while another process is ahead of `position`.
+    missed: Cell<Option<MissedVersion>>,
+    /// Notified to give up the call in progress and make another one.
+    pub repeat: WakeSignal,
+}
+
+impl WatchedFeed {
+    /// Creates a feed that has not been read.
+    #[must_use]
+    pub fn open(name: &'static str) -> Self {
+        Self {
+            name,
+            position: Cell::new(0),
+            newest_change: Cell::new(0),
+            call_started_at: Cell::default(),
+            read_at: Cell::default(),
+            missed: Cell::new(None),
+            repeat: WakeSignal::default(),
+        }
+    }
+
+    /// Name of the feed in log lines.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        self.name
+    }
+
+    /// Version of the newest change that this process has read.
+    #[must_use]
+    pub const fn newest_change(&self) -> u64 {
+        self.newest_change.get()
+    }
+
+    /// Milliseconds since a call last completed.
+    #[must_use]
+    pub const fn age_ms(&self, now: MonoTime) -> u64 {
+        now.millis_since(self.read_at.get())
+    }
+
+    /// Milliseconds for which the call in progress has been running.
+    #[must_use]
+    pub const fn call_ms(&self, now: MonoTime) -> u64 {
+        now.millis_since(self.call_started_at.get())
+    }
+
+    /// Records the start of a call.
+    pub fn begin_call(&self, now: MonoTime) {
+        self.call_started_at.set(now);
+    }
+
+    /// Records that a call completed.
+    pub fn record_read(&self, now: MonoTime) {
+        self.read_at.set(now);
+    }
+
+    /// Records a change that was read, and the position up to which the feed has been read.
+    pub fn record_change(&self, now: MonoTime, change: u64, position: u64) {
+        self.newest_change.set(self.newest_change.get().max(change));
+        self.position
+            .set(self.position.get().max(position).max(change));
+        let still_missed = self
+            .missed
+            .get()
+            .filter(|missed| missed.version > self.position.get());
+        // A call that brought a change does not hang: the wait for the rest starts anew.
+        self.missed.set(still_missed.map(|missed| MissedVersion {
+            heard_at: now,
+            ..missed
+        }));
+    }
+
+    /// Records the newest change that another process has read. Returns whether this process has
+    /// not read it.
+    pub fn record_remote_change(&self, now: MonoTime, version: u64) -> bool {
+        if version <= self.position.get() {
+            return false;
+        }
+        let known = self.missed.get();
+        if known.is_none() {
+            self.log_missed(now, version);
+        }
+        let first = MissedVersion {
+            version,
+            heard_at: now,
+        };
+        let missed = known.map_or(first, |missed| MissedVersion {
+            version: missed.version.max(version),
+            ..missed
+        });
+        self.missed.set(Some(missed));
+        true
+    }
+    fn log_missed(&self, now: MonoTime, version: u64) {
+        log::info!(
+            feed = self.name,
+            position = self.position.get(),
+            version,
+            call_ms = self.call_ms(now),
+            age_ms = self.age_ms(now);
+            "another process has read a newer change"
+        );
+    }
+}
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -13,6 +13,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashRecord(pub RequestFingerprint, pub u64);
 
+/// The newest changes that a process has read from the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct FeedVersions {
+    /// Version of the configuration in force.
+    #[serde(rename = "k")]
+    pub catalog: u64,
+    /// Table version of the newest change of the list of upstreams.
+    #[serde(rename = "u", default)]
+    pub roster: u64,
+}
+
 /// An entry's report to the planner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
@@ -25,9 +36,9 @@
     /// What it requests and runs.
     #[serde(rename = "d")]
     pub demand: EntryDemand,
-    /// Version of the configuration in force there.
-    #[serde(rename = "k")]
-    pub catalog_version: u64,
+    /// Newest changes that it has read. The planner reads a feed again if its own version is lower.
+    #[serde(flatten)]
+    pub feeds: FeedVersions,
     /// Crashes that the entry saw since its last report.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashRecord>,
@@ -47,10 +58,10 @@
     /// Number of entries that reported recently, this one included.
     #[serde(rename = "n")]
     pub entry_count: u32,
-    /// Version of the configuration in force at the planner. An entry whose own version is lower
-    /// reads the configuration again, since its watch may hang.
-    #[serde(rename = "k")]
-    pub catalog_version: u64,
+    /// Newest changes that the planner has read. An entry reads a feed again if its own version is
+    /// lower, since its call for changes may hang.
+    #[serde(flatten)]
+    pub feeds: FeedVersions,
     /// Forecasts for the models that the report requests.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub forecasts: Vec<LoadForecast>,
--- a/src/planner_rpc/mod.rs
+++ b/src/planner_rpc/mod.rs
@@ -3,5 +3,7 @@
 mod messages;
 mod planner_api;
 
-pub use messages::{CrashRecord, DemandReport, DemandResponse, FollowMark, LoadForecast};
+pub use messages::{
+    CrashRecord, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
+};
 pub use planner_api::{PlannerApiClient, PlannerApiServer};
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -92,6 +92,7 @@
             .map(|(id, engine)| UpstreamChange::Listed(upstream_entry(id, &service, engine)));
         let update = UpstreamUpdate {
             version: FeedVersion(1),
+            newest_change: FeedVersion(1),
             is_snapshot: true,
             changes: changes.collect(),
         };
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -34,6 +34,7 @@
             .map(|(number, zone)| UpstreamChange::Listed(entry(number, zone)));
         let update = UpstreamUpdate {
             version: FeedVersion(1),
+            newest_change: FeedVersion(1),
             is_snapshot: true,
             changes: changes.collect(),
         };
@@ -247,6 +248,7 @@
     again.started_at_ms += 1;
     let update = UpstreamUpdate {
         version: FeedVersion(2),
+        newest_change: FeedVersion(2),
         is_snapshot: false,
         changes: vec![UpstreamChange::Listed(again)],
     };
