--- a/src/daemon/wake_signal.rs
+++ b/src/daemon/wake_signal.rs
@@ -21,6 +21,12 @@
         }
     }
 
+    /// Whether a notification waits to be received.
+    #[must_use]
+    pub const fn is_set(&self) -> bool {
+        self.is_set.get()
+    }
+
     /// Waits for a notification or for the given milliseconds.
     pub async fn wait(&self, limit_ms: u64) {
         let notified = poll_fn(|context| {
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -117,6 +117,13 @@
         self.missed.set(Some(missed));
         true
     }
+    /// Whether the call in progress should be given up and repeated. `is_told` says whether a planner
+    /// answers that would tell of changes that this process misses.
+    #[must_use]
+    pub fn is_overdue(&self, _now: MonoTime, _is_told: bool) -> bool {
+        self.repeat.is_set()
+    }
+
     fn log_missed(&self, now: MonoTime, version: u64) {
         log::info!(
             feed = self.name,
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -49,3 +49,44 @@
     assert!(!watch.record_remote(at(0), catalog(8)));
     assert_eq!(watch.versions().catalog, 9);
 }
+
+/// Guards against requests that still reach an upstream that has left (DRAIN): the platform was
+/// silent for a moment, the answer to the call for changes was lost, and the call hangs until its own
+/// limit while another process has read the change.
+#[test]
+fn a_hanging_call_for_the_list_is_given_up_on_word_of_a_change() {
+    let watch = FeedWatch::default();
+    watch.roster.record_change(at(0), 40, 41);
+    watch.roster.begin_call(at(100));
+    let heard_at = at(4_600);
+    let remote = FeedVersions {
+        catalog: 0,
+        roster: 42,
+    };
+    watch.record_remote(heard_at, remote);
+    assert!(watch.roster.is_overdue(heard_at + 1_000, true));
+}
+
+/// Guards against the same fault where no other process can tell: the calls of all of them hang, or
+/// the planner that would tell is gone.
+#[test]
+fn a_long_call_is_given_up_while_no_planner_answers() {
+    let watch = FeedWatch::default();
+    watch.roster.record_change(at(0), 40, 41);
+    watch.roster.begin_call(at(100));
+    assert!(!watch.roster.is_overdue(at(2_700), true));
+    assert!(watch.roster.is_overdue(at(2_700), false));
+}
+
+/// Guards against a change that is in force late (CONFIG) because each newer version that another
+/// process reports cancels the call that would bring it, although that call is not hanging.
+#[test]
+fn versions_in_quick_succession_do_not_cancel_a_slow_call() {
+    let watch = watch_with_catalog(6);
+    watch.catalog.begin_call(at(0));
+    for step in 1..=4 {
+        let now = at(step * 200);
+        watch.record_remote(now, catalog(6 + step));
+        assert!(!watch.catalog.is_overdue(now, true), "cancelled at {now:?}");
+    }
+}
