Give up a call for changes that hangs while others have read the change

Callers saw: requests sent to upstreams that had announced their leave over 3 s before (DRAIN), some of them to processes that had ended. Cause: a call for changes whose answer is lost looks like a call without changes. A store that is silent for under 2 s while an upstream changes loses the answer to the calls of all gateways at once; each then waits for its own limit of 11.5 s. Nothing told one gateway that another had read a newer list, and nobody's wait was short. Class of fault: a wait without a sign of life. The same holds for the configuration. Ruled out: slow processing (all gateways idle, reads answered within 0.2 s), requests held in a queue (sent within 0.1 s of their arrival). A call is given up when it has run for 1 s and another process has had a change for 1 s that it has not brought. The planner, and every process that no planner answers, waits for 1 s at most instead of 10 s.

--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -56,6 +56,13 @@
         true
     }
 
+    /// Gives up calls that hang. `is_told` says whether a planner answers that would tell of changes
+    /// that this process misses.
+    pub fn repeat_overdue_calls(&self, now: MonoTime, is_told: bool) {
+        self.catalog.repeat_overdue_call(now, is_told);
+        self.roster.repeat_overdue_call(now, is_told);
+    }
+
     /// Triggers a refetch of both feeds, because the platform is reachable again.
     pub fn refetch(&self) {
         self.catalog.repeat.notify();
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -9,9 +9,14 @@
 use super::{GatewayContext, WatchedFeed};
 use crate::fleet::{FeedVersion, SourceError};
 
-/// Long-poll timeout of a call for changes in milliseconds.
+/// Long-poll timeout in milliseconds of a call for changes while a planner tells of changes that
+/// this process misses.
 const FEED_WAIT_MS: u64 = 10_000;
 
+/// Long-poll timeout in milliseconds of a call for changes while nobody else would tell of one: a
+/// call whose answer is lost looks like a call without changes.
+const UNTOLD_WAIT_MS: u64 = 1_000;
+
 /// Milliseconds after which a call is repeated even without a signal; longer than any call takes.
 const MAX_CALL_MS: u64 = 60_000;
 
@@ -32,16 +37,18 @@
 /// on it.
 const MAX_UNREACHABLE_RETRY_MS: u64 = 250;
 
-/// Milliseconds between checks for upstreams that stayed missing.
-const EXPIRY_CHECK_MS: u64 = 100;
+/// Milliseconds between checks for calls that hang and upstreams that stayed missing.
+const FEED_CHECK_MS: u64 = 100;
 
 /// Watches the configuration.
 pub async fn follow_catalog(context: Rc<GatewayContext>) {
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("configuration");
     loop {
-        context.feeds.catalog.begin_call(context.now());
-        let reading = context.ports.fleet.catalog(after, retry.wait_ms());
+        let reading = context
+            .ports
+            .fleet
+            .catalog(after, retry.wait_ms(is_told(&context)));
         let Some(read) = unless_repeated(&context, reading, &context.feeds.catalog).await else {
             continue;
         };
@@ -77,8 +84,10 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("list of upstreams");
     loop {
-        context.feeds.roster.begin_call(context.now());
-        let reading = context.ports.fleet.upstreams(after, retry.wait_ms());
+        let reading = context
+            .ports
+            .fleet
+            .upstreams(after, retry.wait_ms(is_told(&context)));
         let Some(read) = unless_repeated(&context, reading, &context.feeds.roster).await else {
             continue;
         };
@@ -106,11 +115,12 @@
     }
 }
 
-/// Removes upstreams that stayed missing after an outage.
-pub async fn expire_upstreams(context: Rc<GatewayContext>) {
+/// Removes upstreams that stayed missing after an outage, and gives up calls for changes that hang.
+pub async fn watch_feeds(context: Rc<GatewayContext>) {
     loop {
-        sleep_ms(EXPIRY_CHECK_MS).await;
+        sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
+        context.feeds.repeat_overdue_calls(now, is_told(&context));
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
             log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
@@ -121,21 +131,30 @@
     }
 }
 
+/// Whether another process would tell this one of a change that it misses.
+fn is_told(context: &GatewayContext) -> bool {
+    context.host.is_planner_responsive(context.now())
+}
+
 /// Waits for a call; cancels it and returns `None` when a signal asks for a new one.
 async fn unless_repeated<T>(
     context: &GatewayContext,
     reading: impl Future<Output = T>,
     feed: &WatchedFeed,
 ) -> Option<T> {
+    feed.begin_call(context.now());
     let repeated = feed.repeat.wait(MAX_CALL_MS);
     pin_mut!(reading, repeated);
-    match select(reading, repeated).await {
+    let read = match select(reading, repeated).await {
         Either::Left((read, _)) => Some(read),
         Either::Right(((), _)) => {
-            log::info!(feed = feed.name(), call_ms = feed.call_ms(context.now()); "call given up and repeated");
+            let call_ms = feed.call_ms(context.now());
+            log::info!(feed = feed.name(), call_ms; "call given up and repeated");
             None
         }
-    }
+    };
+    feed.end_call();
+    read
 }
 
 async fn sleep_ms(millis: u64) {
@@ -172,8 +191,12 @@
 
     /// Long-poll timeout of the next call in milliseconds. It is 0 after a failure, so that a platform
     /// that stops answering again is noticed early.
-    const fn wait_ms(&self) -> u64 {
-        if self.failures == 0 { FEED_WAIT_MS } else { 0 }
+    const fn wait_ms(&self, is_told: bool) -> u64 {
+        match (self.failures, is_told) {
+            (0, true) => FEED_WAIT_MS,
+            (0, false) => UNTOLD_WAIT_MS,
+            _ => 0,
+        }
     }
 
     /// Resets the backoff. Returns the outage that has ended, if there was one.
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -222,7 +222,6 @@
         let (now, version) = (self.now(), catalog.version);
         log::info!(
             version,
-            call_ms = self.feeds.catalog.call_ms(now),
             age_ms = self.feeds.catalog.age_ms(now);
             "configuration in force"
         );
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -7,7 +7,7 @@
 use compio::runtime::JoinHandle;
 
 use super::control_server::ControlServer;
-use super::fleet_follower::{expire_upstreams, follow_catalog, follow_upstreams};
+use super::fleet_follower::{follow_catalog, follow_upstreams, watch_feeds};
 use super::front_server::FrontServer;
 use super::planner_lease::{release_lease, run_lease};
 use super::planner_link::{run_follow, run_report};
@@ -56,7 +56,7 @@
         let loops = vec![
             compio::runtime::spawn(follow_catalog(Rc::clone(&context))),
             compio::runtime::spawn(follow_upstreams(Rc::clone(&context))),
-            compio::runtime::spawn(expire_upstreams(Rc::clone(&context))),
+            compio::runtime::spawn(watch_feeds(Rc::clone(&context))),
             compio::runtime::spawn(run_lease(Rc::clone(&context))),
             compio::runtime::spawn(run_follow(Rc::clone(&context))),
             compio::runtime::spawn(run_report(Rc::clone(&context))),
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -24,6 +24,9 @@
 /// Milliseconds added to the pause between two lease holders, for clock and network differences.
 const HANDOVER_MARGIN_MS: u64 = 250;
 
+/// Milliseconds without an answer after which the planner counts as unresponsive.
+const PLANNER_TIMEOUT_MS: u64 = 2_200;
+
 struct ActivePlanner {
     planner: OrderPlanner,
     epoch: u64,
@@ -119,6 +122,13 @@
         (row.address != self.address).then_some(row.address)
     }
 
+    /// Whether a planner in another process has answered lately.
+    #[must_use]
+    pub fn is_planner_responsive(&self, now: MonoTime) -> bool {
+        let silent_ms = now.millis_since(self.last_answer_at.get());
+        self.remote_address().is_some() && silent_ms < PLANNER_TIMEOUT_MS
+    }
+
     /// Records the lease row as read from the table.
     pub fn observe(&self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
         self.lease.borrow_mut().observe(now, revision, row);
--- a/src/gateway/planner_lease.rs
+++ b/src/gateway/planner_lease.rs
@@ -18,9 +18,6 @@
 /// Poll interval in milliseconds while the holder answers; its answers carry the lease revision.
 const LEASE_IDLE_POLL_MS: u64 = 20_000;
 
-/// Milliseconds without an answer after which the planner counts as unresponsive.
-const PLANNER_TIMEOUT_MS: u64 = 2_200;
-
 /// Milliseconds for which a stopping planner waits for the answers to its last orders, so that no
 /// order arrives after the lease has been released.
 const ORDER_DRAIN_MS: u64 = 1_000;
@@ -63,20 +60,13 @@
     let takeover_ms = context.host.takeover_in_ms(now);
     if takeover_ms > 0 {
         takeover_ms
-    } else if is_planner_responsive(context) {
+    } else if context.host.is_planner_responsive(now) {
         LEASE_IDLE_POLL_MS
     } else {
         LEASE_POLL_MS * 3 / 4 + fastrand::u64(..LEASE_POLL_MS / 2)
     }
 }
 
-fn is_planner_responsive(context: &GatewayContext) -> bool {
-    let silent_ms = context
-        .now()
-        .millis_since(context.host.last_answer_at.get());
-    context.host.remote_address().is_some() && silent_ms < PLANNER_TIMEOUT_MS
-}
-
 async fn acquire_or_renew_lease(context: &Rc<GatewayContext>) -> Result<(), TableError> {
     if context.host.renewal_in_ms(context.now()).is_none() {
         read_lease(context).await?;
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -5,6 +5,13 @@
 use crate::daemon::WakeSignal;
 use crate::prelude::*;
 
+/// Milliseconds after which a call hangs that has not brought a change which another process has
+/// read; a slow platform answers within this time.
+const HANG_MS: u64 = 1_000;
+
+/// Longest time in milliseconds of a call while no other process would tell of a change.
+const UNTOLD_CALL_MS: u64 = 2_600;
+
 /// A version that another process has read and this one has not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct MissedVersion {
@@ -21,8 +28,8 @@
     position: Cell<u64>,
     /// Version of the newest change that this process has read; at most `position`.
     newest_change: Cell<u64>,
-    /// When the call in progress, or the latest one, began.
-    call_started_at: Cell<MonoTime>,
+    /// When the call in progress began; `None` between calls.
+    call_started_at: Cell<Option<MonoTime>>,
     /// When the latest call completed.
     read_at: Cell<MonoTime>,
     /// Set while another process is ahead of `position`.
@@ -64,18 +71,25 @@
         now.millis_since(self.read_at.get())
     }
 
-    /// Milliseconds for which the call in progress has been running.
+    /// Milliseconds for which the call in progress has been running; 0 between calls.
     #[must_use]
-    pub const fn call_ms(&self, now: MonoTime) -> u64 {
-        now.millis_since(self.call_started_at.get())
+    pub fn call_ms(&self, now: MonoTime) -> u64 {
+        self.call_started_at
+            .get()
+            .map_or(0, |started_at| now.millis_since(started_at))
     }
 
     /// Records the start of a call.
     pub fn begin_call(&self, now: MonoTime) {
-        self.call_started_at.set(now);
+        self.call_started_at.set(Some(now));
+    }
+
+    /// Records that the call in progress ended, with or without an answer.
+    pub fn end_call(&self) {
+        self.call_started_at.set(None);
     }
 
-    /// Records that a call completed.
+    /// Records that the feed was read.
     pub fn record_read(&self, now: MonoTime) {
         self.read_at.set(now);
     }
@@ -120,8 +134,20 @@
     /// Whether the call in progress should be given up and repeated. `is_told` says whether a planner
     /// answers that would tell of changes that this process misses.
     #[must_use]
-    pub fn is_overdue(&self, _now: MonoTime, _is_told: bool) -> bool {
-        self.repeat.is_set()
+    pub fn is_overdue(&self, now: MonoTime, is_told: bool) -> bool {
+        let call_ms = self.call_ms(now);
+        let has_missed = self
+            .missed
+            .get()
+            .is_some_and(|missed| now.millis_since(missed.heard_at) >= HANG_MS);
+        (has_missed && call_ms >= HANG_MS) || (!is_told && call_ms >= UNTOLD_CALL_MS)
+    }
+
+    /// Gives up the call in progress if it is overdue.
+    pub fn repeat_overdue_call(&self, now: MonoTime, is_told: bool) {
+        if self.is_overdue(now, is_told) {
+            self.repeat.notify();
+        }
     }
 
     fn log_missed(&self, now: MonoTime, version: u64) {
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -87,6 +87,7 @@
     for step in 1..=4 {
         let now = at(step * 200);
         watch.record_remote(now, catalog(6 + step));
-        assert!(!watch.catalog.is_overdue(now, true), "cancelled at {now:?}");
+        let is_cancelled = watch.catalog.is_overdue(now, true) || watch.catalog.repeat.is_set();
+        assert!(!is_cancelled, "cancelled at {now:?}");
     }
 }
