Let a slow call for the configuration complete, whatever version others report

Callers could see: a change in force late (CONFIG), a 404 for a route that had been added, at a process that gets little processor time while configurations come in quick succession. Class of fault: a retry that destroys the progress of what it retries. Fix: the configuration follows the rule of the list: a call is given up once it has run for 1 s, as long as a short call may take, and has brought no change for 1 s since word came. The three older tests ask the same of is_overdue and the signal; the version that is told again and again is checked up to 1 s of each call instead of 3 s once, and the hanging call still falls.

--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -1,15 +1,9 @@
 //! Detects feeds that hang by the changes that other processes report.
 
-use std::cell::Cell;
-
 use super::watched_feed::WatchedFeed;
 use crate::planner_rpc::FeedVersions;
 use crate::prelude::*;
 
-/// Milliseconds before the same version triggers another refetch; a slow platform answers within
-/// this time.
-const REPEAT_DELAY_MS: u64 = 3_000;
-
 /// The feeds that a gateway reads, compared with those of other processes.
 #[derive(Debug)]
 pub struct FeedWatch {
@@ -17,8 +11,6 @@
     pub catalog: WatchedFeed,
     /// The list of upstreams; its positions are versions of the platform's table.
     pub roster: WatchedFeed,
-    /// Version that triggered the latest refetch, and its time.
-    last_refetch: Cell<(u64, MonoTime)>,
 }
 
 impl Default for FeedWatch {
@@ -26,7 +18,6 @@
         Self {
             catalog: WatchedFeed::open("configuration"),
             roster: WatchedFeed::open("list of upstreams"),
-            last_refetch: Cell::default(),
         }
     }
 }
@@ -41,19 +32,10 @@
         }
     }
 
-    /// Records the newest changes that another process has read. Returns whether the configuration
-    /// is read again.
-    pub fn record_remote(&self, now: MonoTime, versions: FeedVersions) -> bool {
+    /// Records the newest changes that another process has read.
+    pub fn record_remote(&self, now: MonoTime, versions: FeedVersions) {
+        self.catalog.record_remote_change(now, versions.catalog);
         self.roster.record_remote_change(now, versions.roster);
-        let is_newer = self.catalog.record_remote_change(now, versions.catalog);
-        let (requested, at) = self.last_refetch.get();
-        let is_repeat = versions.catalog <= requested && now.millis_since(at) < REPEAT_DELAY_MS;
-        if !is_newer || is_repeat {
-            return false;
-        }
-        self.last_refetch.set((versions.catalog, now));
-        self.catalog.repeat.notify();
-        true
     }
 
     /// Gives up calls that hang. `is_told` says whether a planner answers that would tell of changes
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -147,11 +147,7 @@
     pin_mut!(reading, repeated);
     let read = match select(reading, repeated).await {
         Either::Left((read, _)) => Some(read),
-        Either::Right(((), _)) => {
-            let call_ms = feed.call_ms(context.now());
-            log::info!(feed = feed.name(), call_ms; "call given up and repeated");
-            None
-        }
+        Either::Right(((), _)) => None,
     };
     feed.end_call();
     read
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -110,26 +110,20 @@
         }));
     }
 
-    /// Records the newest change that another process has read. Returns whether this process has
-    /// not read it.
-    pub fn record_remote_change(&self, now: MonoTime, version: u64) -> bool {
+    /// Records the newest change that another process has read.
+    pub fn record_remote_change(&self, now: MonoTime, version: u64) {
         if version <= self.position.get() {
-            return false;
-        }
-        let known = self.missed.get();
-        if known.is_none() {
-            self.log_missed(now, version);
+            return;
         }
         let first = MissedVersion {
             version,
             heard_at: now,
         };
-        let missed = known.map_or(first, |missed| MissedVersion {
+        let missed = self.missed.get().map_or(first, |missed| MissedVersion {
             version: missed.version.max(version),
             ..missed
         });
         self.missed.set(Some(missed));
-        true
     }
     /// Whether the call in progress should be given up and repeated. `is_told` says whether a planner
     /// answers that would tell of changes that this process misses.
@@ -145,19 +139,18 @@
 
     /// Gives up the call in progress if it is overdue.
     pub fn repeat_overdue_call(&self, now: MonoTime, is_told: bool) {
-        if self.is_overdue(now, is_told) {
-            self.repeat.notify();
+        if !self.is_overdue(now, is_told) {
+            return;
         }
-    }
-
-    fn log_missed(&self, now: MonoTime, version: u64) {
         log::info!(
             feed = self.name,
             position = self.position.get(),
-            version,
+            missed = self.missed.get().map(|missed| missed.version),
+            is_told,
             call_ms = self.call_ms(now),
             age_ms = self.age_ms(now);
-            "another process has read a newer change"
+            "call for changes hangs and is repeated"
         );
+        self.repeat.notify();
     }
 }
