Do not take the process's own delay for an outage of the list

Callers could see: requests sent to upstreams that had left (DRAIN), at a process that gets little processor time. A process without processor time for a second gives up reads that were answered in time. Class of fault: own slowness taken for a failure of the other side. Fix: DelayWatch measures how late the process's own timer is. Ruled out: a shorter grace period; the platform grants two seconds for entries to come back.

--- a/src/fleet/fleet_source.rs
+++ b/src/fleet/fleet_source.rs
@@ -30,6 +30,20 @@
     Missing,
 }
 
+impl SourceError {
+    /// Whether the call was given up because its time was over.
+    #[must_use]
+    pub const fn is_timeout(&self) -> bool {
+        use crate::net::{BodyError, NetError};
+        matches!(
+            self,
+            Self::Timeout(_)
+                | Self::Unreachable(NetError::ConnectTimeout(_))
+                | Self::Truncated(BodyError::TooSlow(_))
+        )
+    }
+}
+
 /// Result of reading or watching the configuration.
 #[derive(Debug)]
 pub struct CatalogUpdate {
--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -4,8 +4,9 @@
 
 use slotmap::SlotMap;
 
-use super::{UpstreamChange, UpstreamEntry, UpstreamPhase, UpstreamUpdate};
+use super::{SourceError, UpstreamChange, UpstreamEntry, UpstreamPhase, UpstreamUpdate};
 use crate::prelude::*;
+use crate::time::DelayWatch;
 
 slotmap::new_key_type! {
     /// Key of one start of one upstream.
@@ -54,7 +55,24 @@
         Self::default()
     }
 
-    /// Records a failed read of the list.
+    /// Records a read of the list that began at `started_at` and failed. Returns whether it shows
+    /// an outage of the platform.
+    pub fn note_failed_read(
+        &mut self,
+        started_at: MonoTime,
+        now: MonoTime,
+        error: &SourceError,
+        delay: &DelayWatch,
+    ) -> bool {
+        // A delayed process gives up calls that were answered in time, and no entry has lapsed then.
+        let is_own_delay = error.is_timeout() && delay.was_delayed(started_at, now);
+        if !is_own_delay {
+            self.note_outage(now);
+        }
+        !is_own_delay
+    }
+
+    /// Records an outage of the list.
     pub fn note_outage(&mut self, now: MonoTime) {
         self.last_failed_read = Some(now);
     }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -38,7 +38,7 @@
 const MAX_UNREACHABLE_RETRY_MS: u64 = 250;
 
 /// Milliseconds between checks for calls that hang and upstreams that stayed missing.
-const FEED_CHECK_MS: u64 = 100;
+pub const FEED_CHECK_MS: u64 = 100;
 
 /// Watches the configuration.
 pub async fn follow_catalog(context: Rc<GatewayContext>) {
@@ -73,7 +73,7 @@
                 if matches!(error, SourceError::HistoryLost) {
                     after = None;
                 }
-                retry.failed(&error).await;
+                retry.failed(&error, true).await;
             }
         }
     }
@@ -84,6 +84,7 @@
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("list of upstreams");
     loop {
+        let started_at = context.now();
         let reading = context
             .ports
             .fleet
@@ -104,12 +105,13 @@
                 sleep_ms(ROSTER_PAUSE_MS).await;
             }
             Err(error) => {
-                if matches!(error, SourceError::HistoryLost) {
+                let is_outage = if matches!(error, SourceError::HistoryLost) {
                     after = None;
+                    false
                 } else {
-                    context.roster.borrow_mut().note_outage(context.now());
-                }
-                retry.failed(&error).await;
+                    context.record_failed_list_read(started_at, &error)
+                };
+                retry.failed(&error, is_outage).await;
             }
         }
     }
@@ -120,6 +122,7 @@
     loop {
         sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
+        context.delay.tick(now);
         context.feeds.repeat_overdue_calls(now, is_told(&context));
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
@@ -171,7 +174,8 @@
     dependency: &'static str,
     pause_ms: u64,
     failures: u32,
-    /// Kind of the latest failure; set while there are failures.
+    /// Kind of the latest failure that shows an outage; `None` if there was none since the latest
+    /// success.
     outage: Option<OutageKind>,
 }
 
@@ -205,7 +209,9 @@
         self.outage.take()
     }
 
-    async fn failed(&mut self, error: &SourceError) {
+    /// Waits before the next call. `is_outage` says whether the failure shows an outage of the
+    /// platform.
+    async fn failed(&mut self, error: &SourceError, is_outage: bool) {
         if self.failures == 0 {
             log::warn!(dependency = self.dependency, error:% = error; "dependency lost");
         }
@@ -214,11 +220,11 @@
             SourceError::Unreachable(_) => {
                 (Some(OutageKind::Unreachable), MAX_UNREACHABLE_RETRY_MS)
             }
-            // The platform answers, so no entry has expired.
-            SourceError::HistoryLost => (self.outage, MAX_RETRY_MS),
             _ => (Some(OutageKind::Refusing), MAX_RETRY_MS),
         };
-        self.outage = outage;
+        if is_outage {
+            self.outage = outage;
+        }
         self.pause_ms = self.pause_ms.min(longest_ms);
         let pause_ms = self.pause_ms * 3 / 4 + fastrand::u64(..=self.pause_ms / 4);
         self.pause_ms = (self.pause_ms * 2).min(longest_ms);
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -10,13 +10,15 @@
 use futures_util::future::{LocalBoxFuture, Shared};
 
 use super::feed_watch::FeedWatch;
+use super::fleet_follower::FEED_CHECK_MS;
 use super::planner_host::PlannerHost;
 use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, WaitRegistry};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::decision::unix_ms;
 use crate::fleet::{
-    FleetCatalog, FleetSource, ModelNeed, RosterChange, UpstreamKey, UpstreamRoster, UpstreamUpdate,
+    FleetCatalog, FleetSource, ModelNeed, RosterChange, SourceError, UpstreamKey, UpstreamRoster,
+    UpstreamUpdate,
 };
 use crate::metrics::{NodeMetrics, RequestLabels};
 use crate::net::PeerClient;
@@ -27,7 +29,7 @@
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
 use crate::table::TableService;
-use crate::time::MonoClock;
+use crate::time::{DelayWatch, MonoClock};
 
 /// Timeout of a call to another process in milliseconds.
 const RPC_TIMEOUT_MS: u64 = 1_800;
@@ -95,6 +97,8 @@
     pub host: PlannerHost,
     /// Version of the configuration read so far, and signals to refetch.
     pub feeds: FeedWatch,
+    /// Detects that this process gets too little processor time.
+    pub delay: DelayWatch,
     /// Wakes the lease loop before its next poll.
     pub lease_wake: WakeSignal,
     /// Start of the shutdown; never cleared.
@@ -139,6 +143,7 @@
             crashes: RefCell::new(QuarantineTracker::open()),
             host,
             feeds: FeedWatch::default(),
+            delay: DelayWatch::open(clock.now(), FEED_CHECK_MS),
             lease_wake: WakeSignal::default(),
             stopped_at: Cell::new(None),
             exit_near: exit_receiver.map(|_| ()).boxed_local().shared(),
@@ -248,6 +253,19 @@
         self.propagate_roster();
     }
 
+    /// Records a read of the upstream list that began at `started_at` and failed. Returns whether it
+    /// shows an outage of the platform.
+    pub fn record_failed_list_read(&self, started_at: MonoTime, error: &SourceError) -> bool {
+        let now = self.now();
+        let mut roster = self.roster.borrow_mut();
+        let is_outage = roster.note_failed_read(started_at, now, error, &self.delay);
+        if !is_outage {
+            let call_ms = now.millis_since(started_at);
+            log::warn!(error:% = error, call_ms, reason = "this process was delayed"; "read given up");
+        }
+        is_outage
+    }
+
     /// Updates placement, load tracking, planner and waiting requests from the roster.
     pub fn propagate_roster(&self) {
         let now = self.now();
