Try one request of a part that stood beside a crashing one at each crash

Callers could see: sound requests refused for ten minutes, because one of their parts was in all the requests that crashed engines (LOST). Cause: parts with equal crashes cannot be told apart by crashes alone, and a part that is held back can no longer be cleared by an answer. Fix: such parts are uncertain. The process that plans, of which there is one, lets one request at a time through that contains one of them only: an answer clears its part everywhere, a crash makes the other one explained. All other requests with them are refused. Test parts_that_were_at_the_same_crashes_stay_uncertain_until_one_is_tried failed before.

--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -14,6 +14,7 @@
 use crate::metrics::RefusalLabels;
 use crate::net::HttpBody;
 use crate::prelude::*;
+use crate::quarantine::{PartVerdict, TrialGuard, TrialPermit};
 
 /// Milliseconds after which a waiting request checks again without being woken.
 const WAIT_POLL_MS: u64 = 250;
@@ -41,6 +42,7 @@
         held_since: None,
         has_waited: false,
         resume_after: None,
+        trial: None,
     };
     match flow.run().await {
         FlowEnd::Response(response) => response,
@@ -73,6 +75,8 @@
     has_waited: bool,
     /// Id of the last event that the client has received; `None` before the first one.
     resume_after: Option<u64>,
+    /// Set while this request tries an uncertain part of its prompt.
+    trial: Option<TrialGuard>,
 }
 
 impl CallFlow {
@@ -143,12 +147,11 @@
     }
 
     /// Refuses a request that cannot be served whatever the upstreams do.
-    fn refuse_at_once(&self, now: MonoTime) -> Option<Response<HttpBody>> {
+    fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
         if self.context.is_quarantined(self.call.fingerprint) {
             return Some(self.refuse(RefusalReason::CrashSuspect, None));
         }
-        if let Some(part) = self.context.held_back_part(&self.call.plan) {
-            log::info!(request:% = self.call.plan.request, part:% = part; "part of the prompt is held back");
+        if !self.may_run_parts() {
             return Some(self.refuse(RefusalReason::CrashSuspect, None));
         }
         if now >= self.call.plan.ends_at {
@@ -158,6 +161,28 @@
         is_exit_near.then(|| self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS)))
     }
 
+    /// Whether the parts of the prompt may reach an upstream. An uncertain part is tried by one
+    /// request at a time, in the process that plans.
+    fn may_run_parts(&mut self) -> bool {
+        let (part, is_uncertain) = match self.context.part_verdict(&self.call.plan) {
+            PartVerdict::Clear => return true,
+            PartVerdict::Uncertain(part) => (part, true),
+            PartVerdict::HeldBack(part) => (part, false),
+        };
+        if is_uncertain && self.trial.is_none() && self.context.host.is_active() {
+            self.trial = TrialPermit::take(&self.context.part_trial);
+        }
+        let is_trial = is_uncertain && self.trial.is_some();
+        log::info!(
+            request:% = self.call.plan.request,
+            part:% = part,
+            is_uncertain,
+            is_trial;
+            "part of the prompt is held back"
+        );
+        is_trial
+    }
+
     fn choose(&self, now: MonoTime) -> UpstreamChoice {
         let context = &self.context;
         choose_upstream(&ChoiceInput {
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -26,8 +26,8 @@
 use crate::planner_rpc::{CrashRecord, PartKnowledge};
 use crate::prelude::*;
 use crate::quarantine::{
-    CrashWitness, PartRecord, PartTracker, PromptPartId, QuarantineTracker, QuarantineVerdict,
-    RequestFingerprint, crash_id,
+    CrashWitness, PartRecord, PartTracker, PartVerdict, QuarantineTracker, QuarantineVerdict,
+    RequestFingerprint, TrialPermit, crash_id,
 };
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
@@ -98,6 +98,8 @@
     pub crashes: RefCell<QuarantineTracker>,
     /// Parts of prompts at crashes.
     pub parts: RefCell<PartTracker>,
+    /// Held by the request that tries an uncertain part of a prompt.
+    pub part_trial: Rc<TrialPermit>,
     /// Planner lease and, while it is held, the planner.
     pub host: PlannerHost,
     /// Version of the configuration read so far, and signals to refetch.
@@ -147,6 +149,7 @@
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
             parts: RefCell::new(PartTracker::open()),
+            part_trial: Rc::default(),
             host,
             feeds: FeedWatch::default(),
             delay: DelayWatch::open(clock.now(), FEED_CHECK_MS),
@@ -478,10 +481,10 @@
         result
     }
 
-    /// The part of a request's prompt that must not reach an upstream, if there is one.
+    /// Whether a request may reach an upstream, as far as the parts of its prompt tell.
     #[must_use]
-    pub fn held_back_part(&self, plan: &CallPlan) -> Option<PromptPartId> {
-        self.parts.borrow().held_back(&plan.parts)
+    pub fn part_verdict(&self, plan: &CallPlan) -> PartVerdict {
+        self.parts.borrow().verdict(&plan.parts)
     }
 
     /// Records crashes that other processes reported.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -8,11 +8,13 @@
 mod quarantine_row;
 mod quarantine_tracker;
 mod request_fingerprint;
+mod trial_permit;
 
 pub use loss_tracker::{LossTracker, UnexplainedLoss, crash_id};
 pub use part_record::{CrashWitness, PartRecord};
-pub use part_tracker::PartTracker;
+pub use part_tracker::{PartTracker, PartVerdict};
 pub use prompt_part_id::PromptPartId;
 pub use quarantine_row::{QUARANTINE_PREFIX, QuarantineRow};
 pub use quarantine_tracker::{QuarantineTracker, QuarantineVerdict};
 pub use request_fingerprint::RequestFingerprint;
+pub use trial_permit::{TrialGuard, TrialPermit};
--- a/src/quarantine/part_tracker.rs
+++ b/src/quarantine/part_tracker.rs
@@ -19,6 +19,18 @@
 /// Records stored at most; the oldest is dropped first.
 const MAX_RECORDS: usize = 512;
 
+/// Whether a request may reach an upstream, as far as the parts of its prompt tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartVerdict {
+    /// It may.
+    Clear,
+    /// It may as a trial: this part or another one, which the request does not contain, crashes
+    /// upstreams.
+    Uncertain(PromptPartId),
+    /// It must not: this part crashes upstreams.
+    HeldBack(PromptPartId),
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CrashEvidence {
     /// The lowest of the requests that witnessed the crash, so that all processes keep the same.
@@ -48,6 +60,8 @@
     answered: AnsweredParts,
     /// Parts that must not reach an upstream; derived from `evidence`.
     held_back: BTreeSet<PromptPartId>,
+    /// Those of `held_back` that were at the same crashes as another one.
+    uncertain: BTreeSet<PromptPartId>,
     /// Digest of `evidence`.
     digest: u64,
 }
@@ -137,6 +151,17 @@
         }
     }
 
+    /// Whether a request with these parts may reach an upstream.
+    #[must_use]
+    pub fn verdict(&self, parts: &[PromptPartId]) -> PartVerdict {
+        let mut blamed = parts.iter().filter(|part| self.held_back.contains(part));
+        match (blamed.next(), blamed.next()) {
+            (None, _) => PartVerdict::Clear,
+            (Some(part), None) if self.uncertain.contains(part) => PartVerdict::Uncertain(*part),
+            (Some(part), _) => PartVerdict::HeldBack(*part),
+        }
+    }
+
     /// The first of these parts that must not reach an upstream.
     #[must_use]
     pub fn held_back(&self, parts: &[PromptPartId]) -> Option<PromptPartId> {
@@ -193,6 +218,7 @@
     fn update(&mut self) {
         let suspects = Suspects::of(&self.evidence);
         self.held_back = suspects.guilty_parts().collect();
+        self.uncertain = suspects.ambiguous_among(&self.held_back);
         self.digest = self
             .evidence
             .iter()
@@ -237,6 +263,16 @@
             .map(|(part, _)| *part)
     }
 
+    /// Those of `parts` that were at the same crashes as another of them.
+    fn ambiguous_among(&self, parts: &BTreeSet<PromptPartId>) -> BTreeSet<PromptPartId> {
+        let is_ambiguous = |part: &&PromptPartId| {
+            parts
+                .iter()
+                .any(|other| other != *part && self.crashes[other] == self.crashes[*part])
+        };
+        parts.iter().filter(is_ambiguous).copied().collect()
+    }
+
     /// Whether another part was at all of these crashes and at more.
     fn is_explained(&self, crashes: &BTreeSet<u64>) -> bool {
         self.crashes
--- a/tests/part_tracker.rs
+++ b/tests/part_tracker.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use quetzalpin::prelude::*;
 use quetzalpin::quarantine::{
-    CrashWitness, PartRecord, PartTracker, PromptPartId, RequestFingerprint,
+    CrashWitness, PartRecord, PartTracker, PartVerdict, PromptPartId, RequestFingerprint,
 };
 use rstest::rstest;
 
@@ -210,3 +210,23 @@
         }
     }
 }
+
+/// Guards against sound requests that are refused for as long as records count, because one of their
+/// parts stood beside the deadly one at each crash: only a trial can tell the two apart.
+#[test]
+fn parts_that_were_at_the_same_crashes_stay_uncertain_until_one_is_tried() {
+    let mut tracker = PartTracker::open();
+    crash(&mut tracker, 1, 1, &[OTHER, DEADLY]);
+    crash(&mut tracker, 2, 2, &[OTHER, DEADLY]);
+    assert_eq!(tracker.verdict(&[OTHER]), PartVerdict::Uncertain(OTHER));
+    assert_eq!(tracker.verdict(&[DEADLY]), PartVerdict::Uncertain(DEADLY));
+    let both = tracker.verdict(&[OTHER, DEADLY]);
+    assert_eq!(
+        both,
+        PartVerdict::HeldBack(OTHER),
+        "a trial of both tells nothing"
+    );
+    tracker.record_answered(&[OTHER]);
+    assert_eq!(tracker.verdict(&[OTHER]), PartVerdict::Clear);
+    assert_eq!(tracker.verdict(&[DEADLY]), PartVerdict::HeldBack(DEADLY));
+}
