Do not pass off a broken stream without length or chunks as complete

Cause: an answer with neither a length nor chunks ends with its connection, so its end says nothing, and the rest behind the last whole event was passed on as the stream's end. Fix: a stream is complete if it ended behind an event and had one; else it failed, is taken up elsewhere where its route allows it, and counts for the parts of its prompt. The same in agent and entry, for an end inside an event. EventBuffer::is_inside_event takes the place of take_rest; its tests ask the same. Test an_unframed_stream_that_is_broken_off_does_not_look_complete failed before in both cases (Answer("... id: 2\nda"), Answer("")); an_unframed_stream_that_ends_after_an_event_is_complete passes before and after.

--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -123,6 +123,40 @@
     );
 }
 
+/// Guards against a broken-off stream that looks complete: an answer with neither a length nor chunks
+/// ends with its connection, and only the last event tells whether it was broken off.
+#[rstest]
+#[case::inside_an_event(RawAnswer::UnframedPartialEvent)]
+#[case::before_the_first_event(RawAnswer::UnframedHeadOnly)]
+fn an_unframed_stream_that_is_broken_off_does_not_look_complete(#[case] answer: RawAnswer) {
+    with_trouble(
+        WorkerKind::Engine,
+        answer,
+        async |fleet: SoakFleet, _worker: RawWorker| {
+            let chat = call(CallKind::Chat, TROUBLED_MODEL);
+            let outcome = send(&fleet, &chat).await;
+            let is_true = matches!(outcome, CallOutcome::Cut | CallOutcome::Status(502));
+            assert!(is_true, "{outcome:?}");
+        },
+    );
+}
+
+#[test]
+fn an_unframed_stream_that_ends_after_an_event_is_complete() {
+    with_trouble(
+        WorkerKind::Engine,
+        RawAnswer::UnframedEvent,
+        async |fleet: SoakFleet, _worker: RawWorker| {
+            let chat = call(CallKind::Chat, TROUBLED_MODEL);
+            let expected = format!("id: 1\ndata: {}\n\n", chat.id);
+            assert_eq!(
+                send(&fleet, &chat).await,
+                CallOutcome::Answer(expected.into())
+            );
+        },
+    );
+}
+
 #[rstest]
 #[case::noise(RawAnswer::EndlessNoise)]
 #[case::head(RawAnswer::EndlessHead)]
--- a/src/agent/engine_run.rs
+++ b/src/agent/engine_run.rs
@@ -287,8 +287,11 @@
             let events = buffer.push(chunk);
             events.map_err(|_| RunFailure::Disconnected)?
         } else {
+            if buffer.is_inside_event() {
+                return Err(RunFailure::Disconnected);
+            }
             is_ended = true;
-            buffer.take_rest()
+            None
         };
         let Some(chunk) = events else {
             continue;
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -83,9 +83,12 @@
                 }
                 Some(Err(_)) if self.resume().await => None,
                 Some(Err(_)) => return Some(Err(BodyError::Truncated)),
+                None if self.events.is_inside_event() => {
+                    return Some(Err(BodyError::Truncated));
+                }
                 None => {
                     self.is_done = true;
-                    self.events.take_rest()
+                    None
                 }
             };
             if let Some(events) = events {
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -106,9 +106,7 @@
     async fn next_events(&mut self) -> Result<Option<Bytes>, StreamFailure> {
         while !self.is_ended {
             let Some(chunk) = poll_fn(|context| self.poll_chunk(context)).await? else {
-                self.is_ended = true;
-                self.guard.set_outcome("complete");
-                return Ok(self.events.take_rest());
+                return self.end().map(|()| None);
             };
             self.guard.record_frame(chunk.len());
             let events = self.events.push(chunk);
@@ -148,6 +146,17 @@
         }
     }
 
+    /// Ends the stream. An answer without a length also ends when its connection breaks, so only a
+    /// stream that ends after an event is complete.
+    fn end(&mut self) -> Result<(), StreamFailure> {
+        self.is_ended = true;
+        if !self.has_events || self.events.is_inside_event() {
+            return Err(StreamFailure::Lost);
+        }
+        self.guard.set_outcome("complete");
+        Ok(())
+    }
+
     /// Clears the parts of the prompt with the first events.
     fn record_events(&mut self) {
         if !std::mem::replace(&mut self.has_events, true) {
--- a/src/net/event_buffer.rs
+++ b/src/net/event_buffer.rs
@@ -62,10 +62,10 @@
         Ok(Some(events))
     }
 
-    /// Removes and returns what follows the last complete event, at the end of the stream.
-    pub fn take_rest(&mut self) -> Option<Bytes> {
-        let rest = self.partial.split().freeze();
-        (!rest.is_empty()).then_some(rest)
+    /// Whether bytes follow the last complete event. A stream that ends there was broken off.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
     }
 
     /// Id of the first complete event that had one.
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -21,13 +21,14 @@
         Some("id: 1\ndata: a\n\n")
     );
     assert_eq!(buffer.last_id(), Some(1));
+    assert!(buffer.is_inside_event());
     assert_eq!(push(&mut buffer, "ta: b\n"), None);
     assert_eq!(
         push(&mut buffer, "\n").as_deref(),
         Some("id: 2\ndata: b\n\n")
     );
     assert_eq!(buffer.last_id(), Some(2));
-    assert_eq!(buffer.take_rest(), None);
+    assert!(!buffer.is_inside_event());
 }
 
 #[test]
@@ -85,6 +86,6 @@
         }
         prop_assert_eq!(received, stream);
         prop_assert_eq!(buffer.last_id(), Some(lengths.len() as u64));
-        prop_assert_eq!(buffer.take_rest(), None);
+        prop_assert!(!buffer.is_inside_event());
     }
 }
