--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -254,9 +254,7 @@
         if !has_crashed(upstream.address).await {
             return AttemptOutcome::sent(end, true);
         }
-        let fingerprint = self.call.fingerprint;
-        self.context
-            .record_part_crash(&self.call.plan, fingerprint, &upstream);
+        self.context.record_part_crash(self.call, &upstream);
         AttemptOutcome::sent(AttemptEnd::Crashed, true)
     }
 
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -164,13 +164,13 @@
     /// Whether the parts of the prompt may reach an upstream. An uncertain part is tried by one
     /// request at a time, in the process that plans.
     fn may_run_parts(&mut self) -> bool {
-        let (part, is_uncertain) = match self.context.part_verdict(&self.call.plan) {
+        let (part, is_uncertain) = match self.context.parts.verdict(&self.call.plan) {
             PartVerdict::Clear => return true,
             PartVerdict::Uncertain(part) => (part, true),
             PartVerdict::HeldBack(part) => (part, false),
         };
         if is_uncertain && self.trial.is_none() && self.context.host.is_active() {
-            self.trial = TrialPermit::take(&self.context.part_trial);
+            self.trial = TrialPermit::take(&self.context.parts.trial);
         }
         let is_trial = is_uncertain && self.trial.is_some();
         log::info!(
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -124,7 +124,7 @@
         let now = context.now();
         context.delay.tick(now);
         context.feeds.repeat_overdue_calls(now, is_told(&context));
-        context.change_parts(|tracker| tracker.expire(now));
+        context.parts.expire(now);
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
             log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -9,8 +9,10 @@
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 
+use super::buffered_call::BufferedCall;
 use super::feed_watch::FeedWatch;
 use super::fleet_follower::FEED_CHECK_MS;
+use super::part_watch::PartWatch;
 use super::planner_host::PlannerHost;
 use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, WaitRegistry};
 use crate::config::{GatewayConfig, NodeConfig};
@@ -23,12 +25,9 @@
 use crate::metrics::{NodeMetrics, RequestLabels};
 use crate::net::PeerClient;
 use crate::orders::{ArrivedRequests, EngineControl, EntryDemand, RunningRequests};
-use crate::planner_rpc::{CrashRecord, PartKnowledge};
+use crate::planner_rpc::CrashRecord;
 use crate::prelude::*;
-use crate::quarantine::{
-    CrashWitness, PartRecord, PartTracker, PartVerdict, QuarantineTracker, QuarantineVerdict,
-    RequestFingerprint, TrialPermit, crash_id,
-};
+use crate::quarantine::{QuarantineTracker, QuarantineVerdict, RequestFingerprint, crash_id};
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
 use crate::table::TableService;
@@ -97,9 +96,7 @@
     /// Requests that were in flight at crashes.
     pub crashes: RefCell<QuarantineTracker>,
     /// Parts of prompts at crashes.
-    pub parts: RefCell<PartTracker>,
-    /// Held by the request that tries an uncertain part of a prompt.
-    pub part_trial: Rc<TrialPermit>,
+    pub parts: PartWatch,
     /// Planner lease and, while it is held, the planner.
     pub host: PlannerHost,
     /// Version of the configuration read so far, and signals to refetch.
@@ -148,8 +145,7 @@
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
-            parts: RefCell::new(PartTracker::open()),
-            part_trial: Rc::default(),
+            parts: PartWatch::default(),
             host,
             feeds: FeedWatch::default(),
             delay: DelayWatch::open(clock.now(), FEED_CHECK_MS),
@@ -405,88 +401,22 @@
         }
     }
 
-    /// Records that an upstream crashed when it had begun to answer a request and had sent no event.
-    pub fn record_part_crash(
-        &self,
-        plan: &CallPlan,
-        request: RequestFingerprint,
-        upstream: &UpstreamEntry,
-    ) {
-        let instance = InstanceName::from(upstream.id.as_str());
-        let crash = crash_id(&instance, upstream.started_at_ms);
-        let parts: Vec<String> = plan.parts.iter().map(ToString::to_string).collect();
-        log::warn!(
-            request:% = plan.request,
-            upstream:% = upstream.id,
-            crash,
-            parts:? = parts;
-            "upstream crashed at the begin of an answer"
-        );
-        let now = self.now();
-        self.change_parts(|tracker| {
-            for part in &plan.parts {
-                let witness = CrashWitness {
-                    part: *part,
-                    crash,
-                    request,
-                };
-                tracker.record_crash(now, witness);
-            }
-        });
+    /// Records that an upstream crashed when it had begun to answer a request and had sent no event;
+    /// the planner is told at once.
+    pub fn record_part_crash(&self, call: &BufferedCall, upstream: &UpstreamEntry) {
+        self.parts
+            .record_crash(self.now(), &call.plan, call.fingerprint, upstream);
         self.waits.wanted.notify();
     }
 
-    /// Records that a request has received an event.
+    /// Records that a request has received an event; the planner is told at once if that clears a
+    /// part of its prompt.
     pub fn record_part_answer(&self, plan: &CallPlan) {
-        let is_changed = self.change_parts(|tracker| tracker.record_answered(&plan.parts));
-        if is_changed {
+        if self.parts.record_answer(plan) {
             self.waits.wanted.notify();
         }
     }
 
-    /// Adds the records of parts that another process sent.
-    pub fn merge_parts(&self, records: &[PartRecord]) {
-        if records.is_empty() {
-            return;
-        }
-        let now = self.now();
-        self.change_parts(|tracker| tracker.merge(now, records));
-    }
-
-    /// What this process knows of parts, for a process whose records have the given digest.
-    #[must_use]
-    pub fn part_knowledge(&self, known_digest: u64) -> PartKnowledge {
-        let tracker = self.parts.borrow();
-        let digest = tracker.digest();
-        let records = if digest == known_digest {
-            Vec::new()
-        } else {
-            tracker.records(self.now())
-        };
-        PartKnowledge { digest, records }
-    }
-
-    /// Changes the records of parts, and logs each part that is held back or free again.
-    pub fn change_parts<R>(&self, change: impl FnOnce(&mut PartTracker) -> R) -> R {
-        let mut tracker = self.parts.borrow_mut();
-        let before = tracker.all_held_back().clone();
-        let result = change(&mut tracker);
-        let after = tracker.all_held_back();
-        for part in after.difference(&before) {
-            log::warn!(part:% = part, records = tracker.records(self.now()).len(); "part of prompts held back");
-        }
-        for part in before.difference(after) {
-            log::info!(part:% = part; "part of prompts free again");
-        }
-        result
-    }
-
-    /// Whether a request may reach an upstream, as far as the parts of its prompt tell.
-    #[must_use]
-    pub fn part_verdict(&self, plan: &CallPlan) -> PartVerdict {
-        self.parts.borrow().verdict(&plan.parts)
-    }
-
     /// Records crashes that other processes reported.
     pub fn record_crashes(&self, records: &[CrashRecord]) {
         let now = self.now();
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -98,7 +98,7 @@
             demand: context.take_demand(),
             feeds: context.feeds.versions(),
             crashes: context.drain_crashes(),
-            parts: context.part_knowledge(planner_digest),
+            parts: context.parts.knowledge(context.now(), planner_digest),
         };
         let response = match context.host.remote_address() {
             None => {
@@ -122,7 +122,7 @@
             context.feeds.record_remote(context.now(), response.feeds);
             context.set_resend_share(response.entry_count);
             context.record_crashes(&response.crashes);
-            context.merge_parts(&response.parts.records);
+            context.parts.merge(context.now(), &response.parts.records);
             planner_digest = response.parts.digest;
             context.waits.set_forecasts(response.forecasts);
         }
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -42,12 +42,12 @@
         let now = self.context.now();
         self.context.record_crashes(&report.crashes);
         self.context.feeds.record_remote(now, report.feeds);
-        self.context.merge_parts(&report.parts.records);
+        self.context.parts.merge(now, &report.parts.records);
         let known_digest = report.parts.digest;
         let feeds = self.context.feeds.versions();
         let response = self.context.host.record_report(now, report, feeds);
         let mut response = response.ok_or_else(not_planner)?;
-        response.parts = self.context.part_knowledge(known_digest);
+        response.parts = self.context.parts.knowledge(now, known_digest);
         Ok(response)
     }
 
