Play parts that crash engines against real gateways

Two cases: two gateways that each saw one crash hold the part back, serve sound requests with the other parts, and a restarted gateway learns it; an engine that breaks off two answers and lives on holds nothing back.

--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -6,7 +6,8 @@
 use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, call_gateway, expected_body,
+    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, call_gateway,
+    expected_body,
 };
 use rstest::rstest;
 
@@ -90,6 +91,7 @@
             model: String::new(),
             events: 0,
             gateway: 0,
+            prompt: USUAL_PROMPT.to_owned(),
         };
         let outcome = call_gateway(address, &lookup).await;
         assert_eq!(outcome, CallOutcome::Answer(expected_body(&lookup).into()));
--- /dev/null
+++ b/daemon/tests/deadly_parts.rs
@@ -0,0 +1,146 @@
+//! Parts of prompts that crash engines, at real gateways.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use quetzalpin_platform_soak::{
+    CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, USUAL_PROMPT,
+    WorkerKind, call_gateway, encoded,
+};
+
+const SIZE: FleetSize = FleetSize {
+    gateways: 2,
+    engines: 2,
+    plain_workers: 1,
+};
+
+/// Time limit for an event that a test waits for.
+const EVENT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Line that a gateway writes when it begins to hold a part back.
+const HELD_BACK: &str = "part of prompts held back";
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// A model that a sound engine has loaded.
+const SOUND_MODEL: &str = "m0";
+
+/// Models that only the engines in trouble have loaded.
+const TROUBLED_MODELS: [&str; 2] = ["m7", "m8"];
+
+fn stream(gateway: usize, model: &str, prompt: &str) -> SoakCall {
+    SoakCall {
+        id: format!("case-{:016x}", fastrand::u64(..)),
+        kind: CallKind::Chat,
+        model: model.to_owned(),
+        events: 3,
+        gateway,
+        prompt: prompt.to_owned(),
+    }
+}
+
+async fn send(fleet: &SoakFleet, call: &SoakCall) -> CallOutcome {
+    call_gateway(fleet.gateways[call.gateway].process.address, call).await
+}
+
+/// Waits until a gateway has written a line `count` times. A restarted one appends to its log.
+async fn wait_for_lines(fleet: &SoakFleet, gateway: usize, text: &str, count: usize) {
+    let deadline = Instant::now() + EVENT_LIMIT;
+    while fleet.gateways[gateway].process.log().matches(text).count() < count {
+        assert!(Instant::now() < deadline, "no line {text} at {gateway}");
+        compio::time::sleep(POLL).await;
+    }
+}
+
+async fn wait_until_answered(fleet: &SoakFleet, gateway: usize) {
+    let deadline = Instant::now() + EVENT_LIMIT;
+    loop {
+        let sound = stream(gateway, SOUND_MODEL, USUAL_PROMPT);
+        if matches!(send(fleet, &sound).await, CallOutcome::Answer(_)) {
+            return;
+        }
+        assert!(
+            Instant::now() < deadline,
+            "gateway {gateway} does not serve"
+        );
+        compio::time::sleep(POLL).await;
+    }
+}
+
+async fn assert_held_back(fleet: &SoakFleet, gateway: usize) {
+    let deadly = stream(gateway, SOUND_MODEL, "aa:80,dead:30,c3:20");
+    assert_eq!(send(fleet, &deadly).await, CallOutcome::Status(503));
+    let sound = stream(gateway, SOUND_MODEL, "aa:80,ee:30,c4:20");
+    let outcome = send(fleet, &sound).await;
+    assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+}
+
+/// Guards against requests with one part that crash engine after engine (BUDGET) because each gateway
+/// sees only one of the crashes, or has just started; and against sound requests with the other
+/// parts that are refused beside them (LOST).
+#[test]
+fn a_part_that_crashed_engines_of_two_gateways_is_held_back_at_all() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let mut fleet = spawning.await.expect("a ready fleet");
+        let mut engines = Vec::new();
+        for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
+            let id = format!("i-raw-{number}");
+            let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::CrashAtHead);
+            let engine = spawning.await.expect("an engine");
+            let entry = encoded(&engine.entry(&[model]));
+            fleet.store.state.put("servers", &id, entry);
+            engines.push(engine);
+        }
+        for gateway in 0..SIZE.gateways {
+            for number in 0..TROUBLED_MODELS.len() {
+                let joined = format!("\"upstream joined\",\"upstream\":\"i-raw-{number}\"");
+                wait_for_lines(&fleet, gateway, &joined, 1).await;
+            }
+            wait_until_answered(&fleet, gateway).await;
+        }
+        for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
+            let deadly = stream(gateway, model, &format!("aa:80,dead:30,c{gateway}:20"));
+            assert_eq!(send(&fleet, &deadly).await, CallOutcome::Status(502));
+            assert_eq!(engines[gateway].requests(), 1);
+        }
+        for gateway in 0..SIZE.gateways {
+            wait_for_lines(&fleet, gateway, HELD_BACK, 1).await;
+            assert_held_back(&fleet, gateway).await;
+        }
+        fleet.gateways[1].kill();
+        let restarted = fleet.gateways[1].start_if_ended();
+        restarted.expect("a started gateway");
+        wait_until_answered(&fleet, 1).await;
+        wait_for_lines(&fleet, 1, HELD_BACK, 2).await;
+        assert_held_back(&fleet, 1).await;
+    });
+}
+
+/// Guards against sound requests that are refused because an engine broke off two answers without
+/// having crashed.
+#[test]
+fn answers_broken_off_by_a_living_engine_hold_no_part_back() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
+        for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
+            let id = format!("i-raw-{number}");
+            let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::HeadOnly);
+            let engine = spawning.await.expect("an engine");
+            let entry = encoded(&engine.entry(&[model]));
+            fleet.store.state.put("servers", &id, entry);
+            let joined = format!("\"upstream joined\",\"upstream\":\"{id}\"");
+            wait_for_lines(&fleet, 0, &joined, 1).await;
+            let broken = stream(0, model, &format!("aa:80,dd:30,c{number}:20"));
+            assert_eq!(send(&fleet, &broken).await, CallOutcome::Status(502));
+        }
+        let sound = stream(0, SOUND_MODEL, "aa:80,dd:30,c3:20");
+        let outcome = send(&fleet, &sound).await;
+        assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+    });
+}
--- a/daemon/tests/gateway_cases.rs
+++ b/daemon/tests/gateway_cases.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, StoreFault, WorkerKind, call_gateway,
-    expected_body,
+    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, StoreFault, USUAL_PROMPT, WorkerKind,
+    call_gateway, expected_body,
 };
 
 /// Time limit in milliseconds for a gateway to shut down.
@@ -55,6 +55,7 @@
         model: model.to_owned(),
         events,
         gateway: 0,
+        prompt: USUAL_PROMPT.to_owned(),
     }
 }
 
--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, WorkerKind,
-    call_gateway, encoded, expected_body,
+    CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, USUAL_PROMPT,
+    WorkerKind, call_gateway, encoded, expected_body,
 };
 use rstest::rstest;
 
@@ -85,6 +85,7 @@
         model: model.to_owned(),
         events: 5,
         gateway: 0,
+        prompt: USUAL_PROMPT.to_owned(),
     }
 }
 
