--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -38,11 +38,11 @@
         self.roster.record_remote_change(now, versions.roster);
     }
 
-    /// Gives up calls that hang. `is_told` says whether a planner answers that would tell of changes
+    /// Gives up calls that hang. `has_planner` says whether a planner answers that would tell of changes
     /// that this process misses.
-    pub fn repeat_overdue_calls(&self, now: MonoTime, is_told: bool) {
-        self.catalog.repeat_overdue_call(now, is_told);
-        self.roster.repeat_overdue_call(now, is_told);
+    pub fn repeat_overdue_calls(&self, now: MonoTime, has_planner: bool) {
+        self.catalog.repeat_overdue_call(now, has_planner);
+        self.roster.repeat_overdue_call(now, has_planner);
     }
 
     /// Triggers a refetch of both feeds, because the platform is reachable again.
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -15,7 +15,7 @@
 
 /// Long-poll timeout in milliseconds of a call for changes while nobody else would tell of one: a
 /// call whose answer is lost looks like a call without changes.
-const UNTOLD_WAIT_MS: u64 = 1_000;
+const NO_PLANNER_WAIT_MS: u64 = 1_000;
 
 /// Milliseconds after which a call is repeated even without a signal; longer than any call takes.
 const MAX_CALL_MS: u64 = 60_000;
@@ -48,7 +48,7 @@
         let reading = context
             .ports
             .fleet
-            .catalog(after, retry.wait_ms(is_told(&context)));
+            .catalog(after, retry.wait_ms(has_planner(&context)));
         let Some(read) = unless_repeated(&context, reading, &context.feeds.catalog).await else {
             continue;
         };
@@ -88,7 +88,7 @@
         let reading = context
             .ports
             .fleet
-            .upstreams(after, retry.wait_ms(is_told(&context)));
+            .upstreams(after, retry.wait_ms(has_planner(&context)));
         let Some(read) = unless_repeated(&context, reading, &context.feeds.roster).await else {
             continue;
         };
@@ -123,7 +123,7 @@
         sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
         context.delay.tick(now);
-        context.feeds.repeat_overdue_calls(now, is_told(&context));
+        context.feeds.repeat_overdue_calls(now, has_planner(&context));
         context.parts.expire(now);
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
@@ -136,7 +136,7 @@
 }
 
 /// Whether another process would tell this one of a change that it misses.
-fn is_told(context: &GatewayContext) -> bool {
+fn has_planner(context: &GatewayContext) -> bool {
     context.host.is_planner_responsive(context.now())
 }
 
@@ -192,10 +192,10 @@
 
     /// Long-poll timeout of the next call in milliseconds. It is 0 after a failure, so that a platform
     /// that stops answering again is noticed early.
-    const fn wait_ms(&self, is_told: bool) -> u64 {
-        match (self.failures, is_told) {
+    const fn wait_ms(&self, has_planner: bool) -> u64 {
+        match (self.failures, has_planner) {
             (0, true) => FEED_WAIT_MS,
-            (0, false) => UNTOLD_WAIT_MS,
+            (0, false) => NO_PLANNER_WAIT_MS,
             _ => 0,
         }
     }
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -10,7 +10,7 @@
 const HANG_MS: u64 = 1_000;
 
 /// Longest time in milliseconds of a call while no other process would tell of a change.
-const UNTOLD_CALL_MS: u64 = 2_600;
+const NO_PLANNER_CALL_MS: u64 = 2_600;
 
 /// A version that another process has read and this one has not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,28 +125,28 @@
         });
         self.missed.set(Some(missed));
     }
-    /// Whether the call in progress should be given up and repeated. `is_told` says whether a planner
+    /// Whether the call in progress should be given up and repeated. `has_planner` says whether a planner
     /// answers that would tell of changes that this process misses.
     #[must_use]
-    pub fn is_overdue(&self, now: MonoTime, is_told: bool) -> bool {
+    pub fn is_overdue(&self, now: MonoTime, has_planner: bool) -> bool {
         let call_ms = self.call_ms(now);
         let has_missed = self
             .missed
             .get()
             .is_some_and(|missed| now.millis_since(missed.heard_at) >= HANG_MS);
-        (has_missed && call_ms >= HANG_MS) || (!is_told && call_ms >= UNTOLD_CALL_MS)
+        (has_missed && call_ms >= HANG_MS) || (!has_planner && call_ms >= NO_PLANNER_CALL_MS)
     }
 
     /// Gives up the call in progress if it is overdue.
-    pub fn repeat_overdue_call(&self, now: MonoTime, is_told: bool) {
-        if !self.is_overdue(now, is_told) {
+    pub fn repeat_overdue_call(&self, now: MonoTime, has_planner: bool) {
+        if !self.is_overdue(now, has_planner) {
             return;
         }
         log::info!(
             feed = self.name,
             position = self.position.get(),
             missed = self.missed.get().map(|missed| missed.version),
-            is_told,
+            has_planner,
             call_ms = self.call_ms(now),
             age_ms = self.age_ms(now);
             "call for changes hangs and is repeated"
