Keep the records of prompt parts in the table, for a planner that knows none

Callers could see: engines crash again after the gateways were restarted one after the other, as in any deployment (BUDGET). Cause: records passed through the planner only, and a stopping gateway reports to none. A gateway that had just started took the lease while all others that knew the part were stopping. Fix: the process that plans reads the row when it begins and writes it when its records change. Records only grow, so a write by a planner that is no more does no harm. Ruled out: a feed of the row at each gateway (a call for each and every change); stopping gateways that look for the new planner (does not help when all are ended at once). Test a_part_stays_held_back_after_all_gateways_were_ended failed before (the row was not written).

--- a/daemon/tests/deadly_parts.rs
+++ b/daemon/tests/deadly_parts.rs
@@ -20,6 +20,9 @@
 /// Line that a gateway writes when it begins to hold a part back.
 const HELD_BACK: &str = "part of prompts held back";
 
+/// Line that the planner writes when the table holds its records.
+const STORED: &str = "records of prompt parts stored";
+
 const POLL: Duration = Duration::from_millis(50);
 
 /// A model that a sound engine has loaded.
@@ -82,32 +85,8 @@
 fn a_part_that_crashed_engines_of_two_gateways_is_held_back_at_all() {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
-        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
-        let mut fleet = spawning.await.expect("a ready fleet");
-        let mut engines = Vec::new();
-        for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
-            let id = format!("i-raw-{number}");
-            let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::CrashAtHead);
-            let engine = spawning.await.expect("an engine");
-            let entry = encoded(&engine.entry(&[model]));
-            fleet.store.state.put("servers", &id, entry);
-            engines.push(engine);
-        }
+        let mut fleet = fleet_with_a_part_held_back().await;
         for gateway in 0..SIZE.gateways {
-            for number in 0..TROUBLED_MODELS.len() {
-                let joined = format!("\"upstream joined\",\"upstream\":\"i-raw-{number}\"");
-                wait_for_lines(&fleet, gateway, &joined, 1).await;
-            }
-            wait_until_answered(&fleet, gateway).await;
-        }
-        for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
-            let deadly = stream(gateway, model, &format!("aa:80,dead:30,c{gateway}:20"));
-            assert_eq!(send(&fleet, &deadly).await, CallOutcome::Status(502));
-            assert_eq!(engines[gateway].requests(), 1);
-        }
-        for gateway in 0..SIZE.gateways {
-            wait_for_lines(&fleet, gateway, HELD_BACK, 1).await;
             assert_held_back(&fleet, gateway).await;
         }
         fleet.gateways[1].kill();
@@ -119,6 +98,68 @@
     });
 }
 
+/// Guards against engines that crash again after each deployment (BUDGET), because the gateways are
+/// restarted one after the other, or all at once, and the one that plans next knows nothing.
+#[test]
+fn a_part_stays_held_back_after_all_gateways_were_ended() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let mut fleet = fleet_with_a_part_held_back().await;
+        let deadline = Instant::now() + EVENT_LIMIT;
+        while !fleet
+            .gateways
+            .iter()
+            .any(|gateway| gateway.process.log().contains(STORED))
+        {
+            assert!(Instant::now() < deadline, "the records are not stored");
+            compio::time::sleep(POLL).await;
+        }
+        for gateway in &mut fleet.gateways {
+            gateway.kill();
+        }
+        for gateway in &mut fleet.gateways {
+            gateway.start_if_ended().expect("a started gateway");
+        }
+        for gateway in 0..SIZE.gateways {
+            wait_until_answered(&fleet, gateway).await;
+            wait_for_lines(&fleet, gateway, HELD_BACK, 2).await;
+            assert_held_back(&fleet, gateway).await;
+        }
+    });
+}
+
+/// A fleet at whose gateways requests with one part have crashed one engine each.
+async fn fleet_with_a_part_held_back() -> SoakFleet {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+    let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+    let fleet = spawning.await.expect("a ready fleet");
+    let mut engines = Vec::new();
+    for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
+        let id = format!("i-raw-{number}");
+        let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::CrashAtHead);
+        let engine = spawning.await.expect("an engine");
+        let entry = encoded(&engine.entry(&[model]));
+        fleet.store.state.put("servers", &id, entry);
+        engines.push(engine);
+    }
+    for gateway in 0..SIZE.gateways {
+        for number in 0..TROUBLED_MODELS.len() {
+            let joined = format!("\"upstream joined\",\"upstream\":\"i-raw-{number}\"");
+            wait_for_lines(&fleet, gateway, &joined, 1).await;
+        }
+        wait_until_answered(&fleet, gateway).await;
+    }
+    for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
+        let deadly = stream(gateway, model, &format!("aa:80,dead:30,c{gateway}:20"));
+        assert_eq!(send(&fleet, &deadly).await, CallOutcome::Status(502));
+        assert_eq!(engines[gateway].requests(), 1);
+    }
+    for gateway in 0..SIZE.gateways {
+        wait_for_lines(&fleet, gateway, HELD_BACK, 1).await;
+    }
+    fleet
+}
+
 /// Guards against sound requests that are refused because an engine broke off two answers without
 /// having crashed.
 #[test]
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -123,7 +123,9 @@
         sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
         context.delay.tick(now);
-        context.feeds.repeat_overdue_calls(now, has_planner(&context));
+        context
+            .feeds
+            .repeat_overdue_calls(now, has_planner(&context));
         context.parts.expire(now);
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod gateway_handle;
 mod header_codec;
 mod load_tracker;
+mod part_store;
 mod part_watch;
 mod placement_view;
 mod planner_host;
--- /dev/null
+++ b/src/gateway/part_store.rs
@@ -0,0 +1,112 @@
+//! Keeps the records of prompt parts in the platform's table, for a planner that knows none.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::GatewayContext;
+use crate::decision::unix_ms;
+use crate::quarantine::PartRecord;
+use crate::table::{RowRevision, TableError, TableTxn, TxnOutcome};
+
+/// Table key of the records.
+const PARTS_KEY: &str = "quarantine-parts";
+
+/// Milliseconds between two checks for records that are not stored.
+const CHECK_MS: u64 = 250;
+
+/// Milliseconds before a failed call is repeated.
+const RETRY_MS: u64 = 1_000;
+
+/// Records stored at most, the newest first; a row of the platform has a limited size.
+const MAX_STORED_RECORDS: usize = 256;
+
+/// The table row.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredParts {
+    /// When it was written, in milliseconds since the Unix epoch; the ages count from then.
+    at_unix_ms: u64,
+    records: Vec<PartRecord>,
+}
+
+/// What a planner knows of the row.
+#[derive(Debug, Clone, Copy)]
+struct StoredState {
+    revision: RowRevision,
+    /// Digest of the records that were written.
+    digest: u64,
+}
+
+/// Reads the records when this process begins to plan, and stores them while it plans.
+pub async fn run_part_store(context: Rc<GatewayContext>) {
+    let mut state: Option<StoredState> = None;
+    loop {
+        let mut pause_ms = CHECK_MS;
+        if context.host.is_active() {
+            if let Err(error) = sync(&context, &mut state).await {
+                log::warn!(dependency = "table", error:% = error; "records of prompt parts not read or stored");
+                pause_ms = RETRY_MS;
+            }
+        } else {
+            state = None;
+        }
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+async fn sync(context: &GatewayContext, state: &mut Option<StoredState>) -> Result<(), TableError> {
+    let Some(known) = *state else {
+        *state = Some(read(context).await?);
+        return Ok(());
+    };
+    if context.parts.digest() != known.digest {
+        *state = store(context, known.revision).await?;
+    }
+    Ok(())
+}
+
+async fn read(context: &GatewayContext) -> Result<StoredState, TableError> {
+    let row = context.ports.table.read(PARTS_KEY.to_owned()).await?;
+    let stored: StoredParts = row.decode()?.unwrap_or_default();
+    let elapsed_ms = unix_ms().saturating_sub(stored.at_unix_ms);
+    let records: Vec<PartRecord> = stored
+        .records
+        .into_iter()
+        .map(|record| PartRecord {
+            age_ms: record.age_ms.saturating_add(elapsed_ms),
+            ..record
+        })
+        .collect();
+    context.parts.merge(context.now(), &records);
+    Ok(StoredState {
+        revision: row.revision,
+        digest: 0,
+    })
+}
+
+/// Stores the records. Returns `None` if another process has changed the row.
+async fn store(
+    context: &GatewayContext,
+    revision: RowRevision,
+) -> Result<Option<StoredState>, TableError> {
+    let knowledge = context.parts.knowledge(context.now(), 0);
+    let digest = knowledge.digest;
+    let mut records = knowledge.records;
+    records.sort_by_key(|record| record.age_ms);
+    records.truncate(MAX_STORED_RECORDS);
+    let row = StoredParts {
+        at_unix_ms: unix_ms(),
+        records,
+    };
+    let txn = TableTxn::default()
+        .check(PARTS_KEY, revision)
+        .write(PARTS_KEY, &row)?;
+    match context.ports.table.commit(txn).await? {
+        TxnOutcome::Committed(revision) => {
+            log::info!(digest, records = row.records.len(); "records of prompt parts stored");
+            Ok(Some(StoredState { revision, digest }))
+        }
+        TxnOutcome::Conflict(_) => Ok(None),
+    }
+}
--- a/src/gateway/part_watch.rs
+++ b/src/gateway/part_watch.rs
@@ -80,6 +80,12 @@
         PartKnowledge { digest, records }
     }
 
+    /// Digest of all records; 0 without records.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.tracker.borrow().digest()
+    }
+
     /// Whether a request may reach an upstream, as far as the parts of its prompt tell.
     #[must_use]
     pub fn verdict(&self, plan: &CallPlan) -> PartVerdict {
