Decode and log the rate limits that upstreams name

The logs could not tell the three hypotheses of docs/incidents/upstream-rate-limits.md apart. An answer's head now carries an UpstreamNotice (load and rate limit), decoded once in platform/; a change of a limit is logged, and each attempt tells the limit. No decision changes.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -17,6 +17,7 @@
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::net::{HttpBody, full_body, read_body};
 use crate::prelude::*;
+use crate::rate_limit::RequestRate;
 
 /// Connect timeout to an upstream in milliseconds; remote regions answer within 60 ms.
 const CONNECT_TIMEOUT_MS: u64 = 350;
@@ -133,6 +134,7 @@
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             load = self.load,
             load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
+            limit_per_s = self.context.rate_limiter.borrow().limit(self.key).map(RequestRate::per_s),
             candidates = self.candidates,
             list_age_ms = self.context.feeds.roster.age_ms(now),
             waited_ms = now.millis_since(plan.arrived_at),
@@ -197,9 +199,7 @@
         let codec = &context.ports.header_codec;
         let (mut parts, incoming) = response.into_parts();
         let head = codec.read_answer(parts.status, &parts.headers);
-        if let Some(count) = head.load {
-            context.loads.borrow_mut().record_load(now, self.key, count);
-        }
+        context.record_notice(now, self.key, head.notice);
         if head.is_not_run {
             guard.set_outcome("not_run");
             let is_excluded = self.record_refusal(&head, parts.status);
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -14,7 +14,7 @@
 use super::fleet_follower::FEED_CHECK_MS;
 use super::part_watch::PartWatch;
 use super::planner_host::PlannerHost;
-use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, WaitRegistry};
+use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, UpstreamNotice, WaitRegistry};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::decision::unix_ms;
@@ -28,6 +28,7 @@
 use crate::planner_rpc::CrashRecord;
 use crate::prelude::*;
 use crate::quarantine::{QuarantineTracker, QuarantineVerdict, RequestFingerprint, crash_id};
+use crate::rate_limit::{RateLimiter, RequestRate};
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
 use crate::table::TableService;
@@ -87,6 +88,8 @@
     pub placement: RefCell<PlacementView>,
     /// Load and health of upstreams.
     pub loads: RefCell<LoadTracker>,
+    /// Request rate limits that upstreams name.
+    pub rate_limiter: RefCell<RateLimiter>,
     /// Requests that wait for a model.
     pub waits: Rc<WaitRegistry>,
     /// Notified when an engine has finished reading a prompt of this process.
@@ -142,6 +145,7 @@
             knows_roster: Cell::new(false),
             placement: RefCell::new(PlacementView::open()),
             loads: RefCell::new(LoadTracker::open()),
+            rate_limiter: RefCell::new(RateLimiter::open()),
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
@@ -279,6 +283,9 @@
         self.loads
             .borrow_mut()
             .retain(|key| roster.get(key).is_some());
+        self.rate_limiter
+            .borrow_mut()
+            .retain(|key| roster.get(key).is_some());
         self.host
             .with_planner(|planner| planner.apply_roster(now, &roster));
         self.waits.wake_all();
@@ -366,6 +373,22 @@
         self.resends.borrow_mut().set_reserve(share);
     }
 
+    /// Records what an upstream says of its state in an answer.
+    pub fn record_notice(&self, now: MonoTime, key: UpstreamKey, notice: UpstreamNotice) {
+        if let Some(count) = notice.load {
+            self.loads.borrow_mut().record_load(now, key, count);
+        }
+        let mut limiter = self.rate_limiter.borrow_mut();
+        if limiter.record_answer(now, key, notice.rate_limit) {
+            let upstream = self.roster.borrow().get(key).map(|entry| entry.id.clone());
+            log::info!(
+                upstream:? = upstream,
+                limit_per_s = notice.rate_limit.map(RequestRate::per_s);
+                "rate limit of an upstream"
+            );
+        }
+    }
+
     /// Records an engine's report that it cannot serve a need.
     pub fn record_missing(&self, now: MonoTime, key: UpstreamKey, need: &ModelNeed) {
         self.placement.borrow_mut().record_missing(now, key, need);
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
+use crate::rate_limit::RequestRate;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,7 +46,7 @@
 }
 
 /// Header contents of an upstream's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether the upstream states that the request did not run.
     pub is_not_run: bool,
@@ -55,8 +56,17 @@
     pub request: Option<CompactString>,
     /// Whether the response carries the upstream's seal for the body.
     pub is_sealed: bool,
+    /// What the upstream says of its own state.
+    pub notice: UpstreamNotice,
+}
+
+/// What an upstream says of its own state in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UpstreamNotice {
     /// Number of requests that run or wait at the upstream.
     pub load: Option<u32>,
+    /// Request rate that it accepts from all instances together; `None` without a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Reads and writes a platform's headers; implemented by the platform adapter.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod planner_rpc;
 pub mod prelude;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
