Keep requests within the rate limits that upstreams name

Callers saw nothing; upstreams that named a limit got more than it. Requests wait for a token by rank if it comes in time, and are refused at once if not. The planner counts a limited engine as what its limit serves.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -91,6 +91,14 @@
         let Some(entry) = entry else {
             return AttemptOutcome::unsent(false);
         };
+        // Every request to an upstream is counted here: first attempts, retries and resumed streams.
+        if !context
+            .rate_limiter
+            .borrow_mut()
+            .take(context.now(), self.key)
+        {
+            return AttemptOutcome::unsent(false);
+        }
         let left_ms = self.call.plan.ends_at.millis_since(context.now());
         self.log_start(&entry, left_ms);
         let mut guard = CallGuard::begin(context, self.call, self.key, entry.id.clone());
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -9,6 +9,7 @@
 use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
 use super::stream_relay::StartedStream;
+use super::token_wait::TokenWait;
 use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
 use crate::fleet::UpstreamKey;
 use crate::metrics::RefusalLabels;
@@ -25,6 +26,9 @@
 /// Default `Retry-After` in milliseconds, used where there is no forecast.
 const DEFAULT_RETRY_MS: u64 = 400;
 
+/// Milliseconds after which a request that waits for a token checks again without being woken.
+const TOKEN_POLL_MS: u64 = 60;
+
 /// Milliseconds after which a delayed prompt chooses its engine again.
 const HOLD_POLL_MS: u64 = 60;
 
@@ -41,6 +45,7 @@
         unknown_outcomes: 0,
         held_since: None,
         has_waited: false,
+        has_waited_for_token: false,
         resume_after: None,
         trial: None,
     };
@@ -73,6 +78,8 @@
     held_since: Option<MonoTime>,
     /// Whether the request has waited for its model; logged once.
     has_waited: bool,
+    /// Whether the request has waited for a token; logged once.
+    has_waited_for_token: bool,
     /// Id of the last event that the client has received; `None` before the first one.
     resume_after: Option<u64>,
     /// Set while this request tries an uncertain part of its prompt.
@@ -137,6 +144,12 @@
                         }
                     }
                 }
+                UpstreamChoice::Limited { key, forecast_ms } => {
+                    let waiting = self.wait_for_token(now, generation, key, forecast_ms);
+                    if let Some(response) = waiting.await {
+                        return FlowEnd::Response(response);
+                    }
+                }
                 choice => {
                     if let Some(response) = self.wait(now, generation, choice).await {
                         return FlowEnd::Response(response);
@@ -191,6 +204,7 @@
             roster: &context.roster.borrow(),
             placement: &context.placement.borrow(),
             loads: &context.loads.borrow(),
+            limiter: &context.rate_limiter.borrow(),
             tried: &self.tried,
             zone: &context.node.zone,
             is_near: &|zone| context.is_near(zone),
@@ -250,6 +264,30 @@
         None
     }
 
+    /// Waits for a token of a limited upstream; returns a refusal if it would come too late.
+    async fn wait_for_token(
+        &mut self,
+        now: MonoTime,
+        generation: u64,
+        key: UpstreamKey,
+        forecast_ms: u64,
+    ) -> Option<Response<HttpBody>> {
+        let plan = &self.call.plan;
+        let left_ms = self.context.wait_limit(plan).millis_since(now);
+        if forecast_ms > left_ms {
+            let mut limiter = self.context.rate_limiter.borrow_mut();
+            limiter.record_refused(now, key);
+            return Some(self.refuse(RefusalReason::Overloaded, Some(forecast_ms)));
+        }
+        if !std::mem::replace(&mut self.has_waited_for_token, true) {
+            log::info!(request:% = plan.request, forecast_ms, limit_ms = left_ms; "waiting for a token");
+        }
+        let registration = TokenWait::begin(&self.context, key, plan.wait_turn());
+        self.pause(generation, left_ms.min(TOKEN_POLL_MS)).await;
+        drop(registration);
+        None
+    }
+
     /// Delays the prompt if the engine is still reading others. Returns whether it waited, in which
     /// case the caller chooses the upstream again.
     async fn hold_prompt(&mut self, now: MonoTime, key: UpstreamKey) -> bool {
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{ModelNeed, RouteKind, RouteRule};
 use crate::prelude::*;
 use crate::quarantine::PromptPartId;
+use crate::rate_limit::WaitTurn;
 use crate::routing::rendezvous_weight;
 
 /// Shortest time in milliseconds that clients are assumed to wait for the first event of a stream.
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Position among requests that wait for the same upstream.
+    #[must_use]
+    pub const fn wait_turn(&self) -> WaitTurn {
+        WaitTurn {
+            rank: self.rank,
+            arrived_at: self.arrived_at,
+        }
+    }
+
     /// Whether the answer is a stream.
     #[must_use]
     pub const fn is_stream(&self) -> bool {
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -117,7 +117,8 @@
     }
 }
 
-/// Removes upstreams that stayed missing after an outage, and gives up calls for changes that hang.
+/// Removes upstreams that stayed missing after an outage, gives up calls for changes that hang, and
+/// notices that no planner issues tokens.
 pub async fn watch_feeds(context: Rc<GatewayContext>) {
     loop {
         sleep_ms(FEED_CHECK_MS).await;
@@ -127,6 +128,7 @@
             .feeds
             .repeat_overdue_calls(now, has_planner(&context));
         context.parts.expire(now);
+        context.rate_limiter.borrow_mut().advance(now);
         let dropped = context.roster.borrow_mut().expire(now);
         for id in &dropped {
             log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -14,7 +14,7 @@
 use super::fleet_follower::FEED_CHECK_MS;
 use super::part_watch::PartWatch;
 use super::planner_host::PlannerHost;
-use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, UpstreamNotice, WaitRegistry};
+use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, WaitRegistry};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::decision::unix_ms;
@@ -28,7 +28,7 @@
 use crate::planner_rpc::CrashRecord;
 use crate::prelude::*;
 use crate::quarantine::{QuarantineTracker, QuarantineVerdict, RequestFingerprint, crash_id};
-use crate::rate_limit::{RateLimiter, RequestRate};
+use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
 use crate::table::TableService;
@@ -373,22 +373,6 @@
         self.resends.borrow_mut().set_reserve(share);
     }
 
-    /// Records what an upstream says of its state in an answer.
-    pub fn record_notice(&self, now: MonoTime, key: UpstreamKey, notice: UpstreamNotice) {
-        if let Some(count) = notice.load {
-            self.loads.borrow_mut().record_load(now, key, count);
-        }
-        let mut limiter = self.rate_limiter.borrow_mut();
-        if limiter.record_answer(now, key, notice.rate_limit) {
-            let upstream = self.roster.borrow().get(key).map(|entry| entry.id.clone());
-            log::info!(
-                upstream:? = upstream,
-                limit_per_s = notice.rate_limit.map(RequestRate::per_s);
-                "rate limit of an upstream"
-            );
-        }
-    }
-
     /// Records an engine's report that it cannot serve a need.
     pub fn record_missing(&self, now: MonoTime, key: UpstreamKey, need: &ModelNeed) {
         self.placement.borrow_mut().record_missing(now, key, need);
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -3,9 +3,9 @@
 use compact_str::CompactString;
 use hyper::{HeaderMap, StatusCode};
 
+use super::UpstreamNotice;
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
-use crate::rate_limit::RequestRate;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,15 +60,6 @@
     pub notice: UpstreamNotice,
 }
 
-/// What an upstream says of its own state in a response.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct UpstreamNotice {
-    /// Number of requests that run or wait at the upstream.
-    pub load: Option<u32>,
-    /// Request rate that it accepts from all instances together; `None` without a limit.
-    pub rate_limit: Option<RequestRate>,
-}
-
 /// Reads and writes a platform's headers; implemented by the platform adapter.
 pub trait HeaderCodec {
     /// Reads the headers of a client request.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,8 +27,10 @@
 mod prompt_admission;
 mod stream_relay;
 mod takeover_delay;
+mod token_wait;
 mod upstream_call;
 mod upstream_choice;
+mod upstream_notice;
 mod upstream_stream;
 mod wait_registry;
 mod watched_feed;
@@ -37,13 +39,12 @@
 pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
-pub use header_codec::{
-    AnswerHead, AttemptHead, CallHead, HeaderCodec, PromptPart, UpstreamNotice,
-};
+pub use header_codec::{AnswerHead, AttemptHead, CallHead, HeaderCodec, PromptPart};
 pub use load_tracker::{AttemptResult, LoadTracker};
 pub use placement_view::PlacementView;
 pub use prompt_admission::PromptAdmission;
 pub use takeover_delay::{age_delay_ms, capacity_delay_ms};
 pub use upstream_choice::{ChoiceInput, UpstreamChoice, choose_upstream};
+pub use upstream_notice::UpstreamNotice;
 pub use wait_registry::WaitRegistry;
 pub use watched_feed::WatchedFeed;
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -14,6 +14,7 @@
     PartKnowledge,
 };
 use crate::prelude::*;
+use crate::rate_limit::TokenIssuer;
 use crate::table::RowRevision;
 
 /// Milliseconds after its last report for which an entry counts as live.
@@ -34,6 +35,8 @@
     /// Time of the last report and address of each live entry.
     entries: HashMap<InstanceName, (MonoTime, SocketAddr)>,
     crashes: Vec<(MonoTime, CrashRecord)>,
+    /// Shares the rate limits of upstreams among the entries.
+    issuer: TokenIssuer,
 }
 
 /// Lease state of this process and, while the lease is held, its planner.
@@ -198,6 +201,7 @@
             epoch: intent.row.epoch,
             entries: HashMap::new(),
             crashes: Vec::new(),
+            issuer: TokenIssuer::open(),
         });
         Some(intent.row.epoch)
     }
@@ -255,6 +259,8 @@
         active
             .crashes
             .extend(report.crashes.iter().map(|crash| (now, *crash)));
+        let tokens = active.issuer.exchange(now, &report.entry, &report.tokens);
+        active.planner.set_rate_limits(active.issuer.limits());
         let wants = report.demand.wants.clone();
         active
             .planner
@@ -270,6 +276,7 @@
             forecasts: forecasts.collect(),
             crashes: active.crashes.iter().map(|(_, crash)| *crash).collect(),
             parts: PartKnowledge::default(),
+            tokens,
         };
         self.order_wake.notify();
         Some(response)
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -16,6 +16,9 @@
 /// Milliseconds between demand reports while no request waits for a new need.
 const REPORT_MS: u64 = 500;
 
+/// Milliseconds between demand reports while requests wait for tokens of a limited upstream.
+const TOKEN_REPORT_MS: u64 = 150;
+
 /// Milliseconds for which new wants are batched into one report.
 const REPORT_BATCH_MS: u64 = 4;
 
@@ -90,7 +93,13 @@
     // Records of the planner that answered last; a new planner tells its own with its first answer.
     let mut planner_digest = 0;
     loop {
-        context.waits.wanted.wait(REPORT_MS).await;
+        let has_waiting = context.rate_limiter.borrow().has_waiting();
+        let pause_ms = if has_waiting {
+            TOKEN_REPORT_MS
+        } else {
+            REPORT_MS
+        };
+        context.waits.wanted.wait(pause_ms).await;
         compio::time::sleep(Duration::from_millis(REPORT_BATCH_MS)).await;
         let report = DemandReport {
             entry: context.node.instance.clone(),
@@ -99,6 +108,7 @@
             feeds: context.feeds.versions(),
             crashes: context.drain_crashes(),
             parts: context.parts.knowledge(context.now(), planner_digest),
+            tokens: context.take_token_requests(),
         };
         let response = match context.host.remote_address() {
             None => {
@@ -121,6 +131,7 @@
         if let Some(response) = response {
             context.feeds.record_remote(context.now(), response.feeds);
             context.set_resend_share(response.entry_count);
+            context.apply_token_grants(response.entry_count, &response.tokens);
             context.record_crashes(&response.crashes);
             context.parts.merge(context.now(), &response.parts.records);
             planner_digest = response.parts.digest;
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -3,6 +3,7 @@
 use super::{CallPlan, LoadTracker, PlacementView};
 use crate::fleet::{UpstreamEntry, UpstreamKey, UpstreamPhase, UpstreamRoster};
 use crate::prelude::*;
+use crate::rate_limit::RateLimiter;
 use crate::routing::rendezvous_weight;
 
 /// Cost of another availability zone of the same region; a cost of 1 is one full upstream.
@@ -26,6 +27,10 @@
 /// Cost of queued requests beyond a full upstream, for each upstream's worth of slots.
 const QUEUE_COST: f64 = 3.0;
 
+/// Cost of an upstream that limits its request rate, so that its tokens are left for requests that
+/// no other upstream can serve.
+const LIMITED_COST: f64 = 0.2;
+
 /// Inputs of the choice.
 pub struct ChoiceInput<'a> {
     /// Current time.
@@ -38,6 +43,8 @@
     pub placement: &'a PlacementView,
     /// Load and health of upstreams.
     pub loads: &'a LoadTracker,
+    /// Request rate limits of upstreams.
+    pub limiter: &'a RateLimiter,
     /// Upstreams that are excluded because this request has already tried them.
     pub tried: &'a [UpstreamKey],
     /// Availability zone of this process.
@@ -58,6 +65,13 @@
         /// Number of upstreams that could serve it.
         candidates: usize,
     },
+    /// Every upstream that could serve the request has reached its request rate limit.
+    Limited {
+        /// The upstream that is expected to accept the request first.
+        key: UpstreamKey,
+        /// Milliseconds until then, as far as is known.
+        forecast_ms: u64,
+    },
     /// No reachable upstream has the model loaded.
     NotLoaded,
     /// The service has no ready upstream left to try.
@@ -72,6 +86,8 @@
     let mut best: Option<(f64, UpstreamKey)> = None;
     let mut preferred: Option<(u64, UpstreamKey)> = None;
     let mut scored: Vec<(UpstreamKey, f64)> = Vec::new();
+    let mut limited: Option<(u64, UpstreamKey)> = None;
+    let turn = input.plan.wait_turn();
     for (key, entry) in input.roster.iter() {
         let is_usable = entry.service == input.plan.service
             && entry.phase == UpstreamPhase::Ready
@@ -91,6 +107,11 @@
         if !can_serve {
             continue;
         }
+        if !input.limiter.may_send(input.now, key, turn) {
+            let forecast_ms = input.limiter.forecast_ms(key, turn);
+            limited = limited.into_iter().chain([(forecast_ms, key)]).min();
+            continue;
+        }
         candidates += 1;
         scored.push((key, cost(input, key, entry)));
         if let Some(affinity) = &input.plan.affinity {
@@ -110,14 +131,15 @@
             best = Some((total, key));
         }
     }
-    match best {
-        Some((_, key)) => UpstreamChoice::Send {
+    match (best, limited) {
+        (Some((_, key)), _) => UpstreamChoice::Send {
             key,
             load: input.loads.estimate(input.now, key),
             candidates,
         },
-        None if has_upstream => UpstreamChoice::NotLoaded,
-        None => UpstreamChoice::NoUpstream,
+        (None, Some((forecast_ms, key))) => UpstreamChoice::Limited { key, forecast_ms },
+        (None, None) if has_upstream => UpstreamChoice::NotLoaded,
+        (None, None) => UpstreamChoice::NoUpstream,
     }
 }
 
@@ -139,6 +161,9 @@
     if input.loads.is_suspect(input.now, key) {
         cost += SUSPECT_COST;
     }
+    if input.limiter.limit(key).is_some() {
+        cost += LIMITED_COST;
+    }
     // Breaks ties, so that requests are spread over upstreams of equal cost.
     cost + tie_break(&input.plan.request, entry) / slots
 }
--- /dev/null
+++ b/src/gateway/upstream_notice.rs
@@ -0,0 +1,92 @@
+//! What upstreams say of their own state in responses.
+
+use super::GatewayContext;
+use crate::fleet::UpstreamKey;
+use crate::prelude::*;
+use crate::rate_limit::{RequestRate, TokenGrant, TokenRequest};
+
+/// What an upstream says of its own state in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UpstreamNotice {
+    /// Number of requests that run or wait at the upstream.
+    pub load: Option<u32>,
+    /// Request rate that it accepts from all instances together; `None` without a limit.
+    pub rate_limit: Option<RequestRate>,
+}
+
+impl GatewayContext {
+    /// Records what an upstream says of its state in a response.
+    pub fn record_notice(&self, now: MonoTime, key: UpstreamKey, notice: UpstreamNotice) {
+        if let Some(count) = notice.load {
+            self.loads.borrow_mut().record_load(now, key, count);
+        }
+        let mut limiter = self.rate_limiter.borrow_mut();
+        let is_changed = limiter.record_answer(now, key, notice.rate_limit);
+        drop(limiter);
+        if is_changed {
+            self.log_rate_limit(key, "answer");
+            // The planner issues tokens from the first report on.
+            self.waits.wanted.notify();
+        }
+    }
+
+    /// The tokens that this process needs, for its next report.
+    #[must_use]
+    pub fn take_token_requests(&self) -> Vec<TokenRequest> {
+        let needs = self.rate_limiter.borrow_mut().take_needs(self.now());
+        let roster = self.roster.borrow();
+        let requests = needs.into_iter().filter_map(|need| {
+            let entry = roster.get(need.key)?;
+            Some(TokenRequest {
+                upstream: entry.id.clone(),
+                started_at_ms: entry.started_at_ms,
+                hearing: need.hearing,
+                waiting: need.waiting,
+                expected: need.expected,
+                returned: need.returned,
+            })
+        });
+        requests.collect()
+    }
+
+    /// Applies the planner's tokens, and its word on limits that others have heard of later.
+    pub fn apply_token_grants(&self, entry_count: u32, grants: &[TokenGrant]) {
+        let now = self.now();
+        let mut changed = Vec::new();
+        let mut limiter = self.rate_limiter.borrow_mut();
+        limiter.record_planner_answer(now, entry_count);
+        for grant in grants {
+            let Some(key) = self.key_of_start(grant) else {
+                continue;
+            };
+            if limiter.adopt(now, key, grant.hearing) {
+                changed.push(key);
+            }
+            limiter.grant(now, key, grant.count, grant.queue);
+        }
+        drop(limiter);
+        for key in changed {
+            self.log_rate_limit(key, "planner");
+        }
+    }
+
+    /// The upstream of a grant; `None` if it is not known or has started again.
+    fn key_of_start(&self, grant: &TokenGrant) -> Option<UpstreamKey> {
+        let roster = self.roster.borrow();
+        let key = roster.key_of(&grant.upstream)?;
+        let is_same_start = roster.get(key)?.started_at_ms == grant.started_at_ms;
+        is_same_start.then_some(key)
+    }
+
+    fn log_rate_limit(&self, key: UpstreamKey, source: &str) {
+        let roster = self.roster.borrow();
+        let Some(entry) = roster.get(key) else { return };
+        let limit = self.rate_limiter.borrow().limit(key);
+        log::info!(
+            upstream:% = entry.id,
+            limit_per_s = limit.map(RequestRate::per_s),
+            source;
+            "rate limit of an upstream"
+        );
+    }
+}
--- a/src/orders/demand_aggregator.rs
+++ b/src/orders/demand_aggregator.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
+use crate::time::RateMeter;
 
 /// Milliseconds after which an entry's report expires; entries report twice a second.
 const REPORT_TTL_MS: u64 = 2_500;
@@ -75,25 +76,11 @@
     pub since: MonoTime,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct RateEstimate {
-    per_s: f64,
-    at: MonoTime,
-}
-
-impl RateEstimate {
-    fn at(self, now: MonoTime) -> f64 {
-        #[allow(clippy::cast_precision_loss)]
-        let age_ms = now.millis_since(self.at) as f64;
-        self.per_s * (-age_ms / RATE_WINDOW_MS).exp()
-    }
-}
-
 /// Keeps the latest report of each entry, their sums, and request rates by model.
 #[derive(Debug, Default)]
 pub struct DemandAggregator {
     reports: HashMap<InstanceName, (MonoTime, EntryDemand)>,
-    rates: HashMap<ModelName, RateEstimate>,
+    rates: HashMap<ModelName, RateMeter>,
     /// Sums over `reports`; changed by what a report adds to and takes from them.
     sums: DemandSums,
 }
@@ -216,9 +203,9 @@
     /// Records an entry's report in place of its previous one.
     pub fn record(&mut self, now: MonoTime, entry: InstanceName, demand: EntryDemand) {
         for ArrivedRequests(model, count) in &demand.asked {
-            let rate = self.rates.entry(model.clone()).or_default();
-            let per_s = rate.at(now) + f64::from(*count) * 1_000.0 / RATE_WINDOW_MS;
-            *rate = RateEstimate { per_s, at: now };
+            let rate = self.rates.entry(model.clone());
+            rate.or_insert(RateMeter::open(RATE_WINDOW_MS))
+                .record(now, *count);
         }
         if let Some((_, known)) = self.reports.remove(&entry) {
             self.sums.remove(&entry, &known);
@@ -254,7 +241,7 @@
     /// Average request rate of a model in requests per second.
     #[must_use]
     pub fn rate(&self, now: MonoTime, model: &ModelName) -> f64 {
-        self.rates.get(model).map_or(0.0, |rate| rate.at(now))
+        self.rates.get(model).map_or(0.0, |rate| rate.per_s(now))
     }
 
     /// Drops the reports of entries that stopped reporting.
--- a/src/orders/load_option.rs
+++ b/src/orders/load_option.rs
@@ -5,6 +5,7 @@
 use super::{LoadSource, PlannerPolicy};
 use crate::fleet::{EngineConfig, ModelConfig};
 use crate::prelude::*;
+use crate::rate_limit::send_rate_per_s;
 
 /// Milliseconds that the unload of an idle model takes, including the engine's answer.
 const UNLOAD_MS: f64 = 80.0;
@@ -19,6 +20,10 @@
 /// Factor on the request rate in the cost of evicting a copy that is not the model's last one.
 const COPY_DISCOUNT: f64 = 0.7;
 
+/// Cost in milliseconds of a load at an engine that limits its request rate, if the limit is what the
+/// copy would serve; a copy that would serve more costs more.
+const LIMITED_COST_MS: f64 = 2_000.0;
+
 /// Inputs of the cost of a load, besides the engine's state.
 pub(super) struct CostView<'a> {
     pub now: MonoTime,
@@ -66,6 +71,9 @@
     #[allow(clippy::cast_precision_loss)]
     let mut cost_ms = load_ms as f64;
     cost_ms += facts.rate_per_s() * busy_cost_ms(source);
+    if let Some(limit) = state.rate_limit {
+        cost_ms += view.gain_per_s / send_rate_per_s(limit) * LIMITED_COST_MS;
+    }
     if missing_mb > 0.0 {
         for (held, loss_ms) in eviction_candidates(view, facts, missing_mb) {
             missing_mb -= held.memory_mb;
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -186,7 +186,8 @@
             return None;
         }
         let rate = self.demand.rate(view.now, model);
-        let limit = f64::from(copies) * self.policy.copy_rate_per_s(config.slots);
+        let copy_per_s = self.policy.copy_rate_per_s(config.slots);
+        let limit = total.rate_per_s(copy_per_s);
         let is_busy = total.running * 100 > copies * config.slots * self.policy.crowded_percent;
         (is_busy || rate > limit).then_some(rate > limit * URGENT_CROWDING_FACTOR)
     }
@@ -272,7 +273,7 @@
         model: &ModelName,
         purpose: LoadPurpose,
     ) -> Option<CostView<'a>> {
-        let gain_per_s = self.gain_per_s(view, model, self.copies(model), purpose);
+        let gain_per_s = self.gain_per_s(view, model, self.copies(model), config.slots, purpose);
         Some(CostView {
             now: view.now,
             config,
@@ -335,13 +336,18 @@
         view: TickView<'_>,
         model: &ModelName,
         copies: usize,
+        slots: u32,
         purpose: LoadPurpose,
     ) -> f64 {
         let rate = self.demand.rate(view.now, model);
         match purpose {
             LoadPurpose::Wanted { .. } | LoadPurpose::Planned => rate.max(WANTED_GAIN_PER_S),
             LoadPurpose::Interim if copies == 0 => rate.max(WANTED_GAIN_PER_S),
-            LoadPurpose::Copy { .. } | LoadPurpose::Interim => rate / (copies as f64 + 1.0),
+            LoadPurpose::Copy { .. } | LoadPurpose::Interim => {
+                let copy_per_s = self.policy.copy_rate_per_s(slots);
+                let excess_per_s = rate - self.index.total(model).rate_per_s(copy_per_s);
+                excess_per_s.max(rate / (copies as f64 + 1.0))
+            }
             LoadPurpose::Prefetch => PREFETCH_GAIN_PER_S,
         }
     }
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -1,6 +1,6 @@
 //! Decides which engine loads and unloads which models and adapters.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::SecondaryMap;
@@ -17,6 +17,7 @@
     EngineConfig, FleetCatalog, ModelNeed, UpstreamKey, UpstreamPhase, UpstreamRoster,
 };
 use crate::prelude::*;
+use crate::rate_limit::RequestRate;
 
 /// Inputs of one tick of the planner.
 #[derive(Clone, Copy)]
@@ -144,6 +145,17 @@
         self.demand.record(now, entry, demand);
     }
 
+    /// Sets the request rate limits of upstreams; engines that are not among them have none.
+    pub fn set_rate_limits<'a>(
+        &mut self,
+        limits: impl Iterator<Item = (&'a UpstreamId, RequestRate)>,
+    ) {
+        let limits: HashMap<&UpstreamId, RequestRate> = limits.collect();
+        for state in self.upstreams.values_mut() {
+            state.rate_limit = limits.get(&state.target.id).copied();
+        }
+    }
+
     /// Applies an engine's report; `None` if the engine did not answer.
     pub fn apply_report(&mut self, now: MonoTime, key: UpstreamKey, report: Option<&EngineReport>) {
         let Some(state) = self.upstreams.get_mut(key) else {
--- a/src/orders/tick_index.rs
+++ b/src/orders/tick_index.rs
@@ -14,12 +14,26 @@
 use crate::prelude::*;
 
 /// Usable copies of one model over all engines.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct CopyTotal {
     /// Number of engines that can serve the model.
     pub copies: usize,
     /// Requests in flight for the model at these engines.
     pub running: u32,
+    /// Number of these engines that limit their request rate.
+    pub limited: usize,
+    /// Requests per second that the limited engines accept together.
+    pub limited_per_s: f64,
+}
+
+impl CopyTotal {
+    /// Requests per second that the copies serve, each of them at most `copy_per_s`.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn rate_per_s(&self, copy_per_s: f64) -> f64 {
+        let unlimited = (self.copies - self.limited) as f64;
+        let limited_per_s = self.limited_per_s.min(self.limited as f64 * copy_per_s);
+        unlimited * copy_per_s + limited_per_s
+    }
 }
 
 /// Copies of each model, usable and on disks.
@@ -45,6 +59,10 @@
                 let total = self.copies.entry(model.clone()).or_default();
                 total.copies += 1;
                 total.running += demand.running(&state.target.id, model);
+                if let Some(limit) = state.rate_limit {
+                    total.limited += 1;
+                    total.limited_per_s += limit.per_s();
+                }
             }
         }
     }
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -7,6 +7,7 @@
 use super::{OrderAnswer, UpstreamTarget};
 use crate::fleet::{EngineConfig, HeldModel, ModelNeed, UpstreamEntry};
 use crate::prelude::*;
+use crate::rate_limit::RequestRate;
 
 /// Milliseconds by which an engine's report lags behind its state.
 pub(super) const REPORT_LAG_MS: u64 = 250;
@@ -43,6 +44,8 @@
     pub(super) service: ServiceName,
     pub(super) started_at_ms: u64,
     pub(super) is_ready: bool,
+    /// Request rate that the engine accepts; `None` without a limit.
+    pub(super) rate_limit: Option<RequestRate>,
     /// Number of orders known to be accepted; the precondition of the next order.
     pub(super) order_count: u64,
     /// Models that count as occupying memory. A model being unloaded stays until its unload ends
@@ -78,6 +81,7 @@
             service: entry.service.clone(),
             started_at_ms: entry.started_at_ms,
             is_ready: true,
+            rate_limit: None,
             order_count: 0,
             models: BTreeMap::new(),
             local_copies: entry.local_copies.iter().cloned().collect(),
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -8,6 +8,7 @@
 use crate::orders::EntryDemand;
 use crate::prelude::*;
 use crate::quarantine::{PartRecord, RequestFingerprint};
+use crate::rate_limit::{TokenGrant, TokenRequest};
 
 /// A request that was in flight at a crash, and the number of the crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,7 +37,7 @@
 }
 
 /// An entry's report to the planner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DemandReport {
     /// The reporting entry.
     #[serde(rename = "i")]
@@ -56,6 +57,9 @@
     /// What the entry knows of parts of prompts at crashes.
     #[serde(rename = "q", default)]
     pub parts: PartKnowledge,
+    /// Tokens that the entry needs for limited upstreams.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub tokens: Vec<TokenRequest>,
 }
 
 /// Forecast of the milliseconds until a model that is not loaded can be used.
@@ -63,7 +67,7 @@
 pub struct LoadForecast(pub ModelNeed, pub u64);
 
 /// The planner's response to a report.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DemandResponse {
     /// Revision of the lease row, by which an entry notices that the lease was renewed; 0 if the
     /// planner does not hold the lease.
@@ -85,6 +89,9 @@
     /// What the planner knows of parts of prompts at crashes.
     #[serde(rename = "q", default)]
     pub parts: PartKnowledge,
+    /// Tokens for limited upstreams, and limits that the entry may not know.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub tokens: Vec<TokenGrant>,
 }
 
 /// Position up to which an entry has followed the planner's updates.
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -12,6 +12,7 @@
 };
 use quetzalpin::orders::{PlacementUpdate, UpstreamHoldings};
 use quetzalpin::prelude::*;
+use quetzalpin::rate_limit::RateLimiter;
 
 const HOME_ZONE: &str = "home";
 const FAR_ZONE: &str = "far";
@@ -22,6 +23,7 @@
     roster: UpstreamRoster,
     placement: PlacementView,
     loads: LoadTracker,
+    limiter: RateLimiter,
     now: MonoTime,
 }
 
@@ -45,6 +47,7 @@
             roster,
             placement,
             loads: LoadTracker::open(),
+            limiter: RateLimiter::open(),
             now: MonoTime::from_millis(1_000),
         }
     }
@@ -61,6 +64,7 @@
             roster: &self.roster,
             placement: &self.placement,
             loads: &self.loads,
+            limiter: &self.limiter,
             tried: &[],
             zone: &ZoneName::from(HOME_ZONE),
             is_near: &|zone| zone.as_str() == HOME_ZONE,
