Let a wait for a limited upstream compete with busy upstreams

A limited upstream is now a candidate whose cost includes its forecast wait. The new test failed before (the full engine was chosen).

--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -31,6 +31,13 @@
 /// no other upstream can serve.
 const LIMITED_COST: f64 = 0.2;
 
+/// Cost of each millisecond until a rate limit allows the request; half a second is as bad as a full
+/// upstream.
+const WAIT_COST: f64 = 0.002;
+
+/// Cost of a wait that the request cannot afford; it is refused if no other upstream can serve it.
+const TOO_LATE_COST: f64 = 100.0;
+
 /// Inputs of the choice.
 pub struct ChoiceInput<'a> {
     /// Current time.
@@ -65,9 +72,9 @@
         /// Number of upstreams that could serve it.
         candidates: usize,
     },
-    /// Every upstream that could serve the request has reached its request rate limit.
+    /// The upstream with the lowest cost has reached its request rate limit.
     Limited {
-        /// The upstream that is expected to accept the request first.
+        /// The upstream.
         key: UpstreamKey,
         /// Milliseconds until then, as far as is known.
         forecast_ms: u64,
@@ -78,68 +85,99 @@
     NoUpstream,
 }
 
+/// An upstream that could serve the request.
+struct UpstreamCandidate<'a> {
+    key: UpstreamKey,
+    entry: &'a UpstreamEntry,
+    cost: f64,
+    /// Milliseconds until its rate limit allows the request; 0 if it does now.
+    wait_ms: u64,
+}
+
 /// Chooses the upstream with the lowest cost.
 #[must_use]
 pub fn choose_upstream(input: &ChoiceInput<'_>) -> UpstreamChoice {
-    let mut has_upstream = false;
-    let mut candidates = 0;
-    let mut best: Option<(f64, UpstreamKey)> = None;
-    let mut preferred: Option<(u64, UpstreamKey)> = None;
-    let mut scored: Vec<(UpstreamKey, f64)> = Vec::new();
-    let mut limited: Option<(u64, UpstreamKey)> = None;
-    let turn = input.plan.wait_turn();
-    for (key, entry) in input.roster.iter() {
-        let is_usable = entry.service == input.plan.service
+    let is_usable = |(key, entry): &(UpstreamKey, &UpstreamEntry)| {
+        entry.service == input.plan.service
             && entry.phase == UpstreamPhase::Ready
-            && !input.tried.contains(&key);
-        if !is_usable {
-            continue;
-        }
+            && !input.tried.contains(key)
+    };
+    let usable = input.roster.iter().filter(is_usable);
+    let mut has_upstream = false;
+    let mut candidates: Vec<UpstreamCandidate<'_>> = Vec::new();
+    for (key, entry) in usable {
         has_upstream = true;
-        if input.loads.is_unreachable(input.now, key) {
-            continue;
-        }
-        let can_serve = input
-            .plan
-            .need
-            .as_ref()
-            .is_none_or(|need| input.placement.can_serve(input.now, key, need));
-        if !can_serve {
-            continue;
-        }
-        if !input.limiter.may_send(input.now, key, turn) {
-            let forecast_ms = input.limiter.forecast_ms(key, turn);
-            limited = limited.into_iter().chain([(forecast_ms, key)]).min();
-            continue;
-        }
-        candidates += 1;
-        scored.push((key, cost(input, key, entry)));
-        if let Some(affinity) = &input.plan.affinity {
-            let weight = rendezvous_weight(affinity, entry.id.as_str());
-            if preferred.is_none_or(|(known, _)| weight > known) {
-                preferred = Some((weight, key));
-            }
-        }
-    }
-    for (key, cost) in scored {
-        let discount = match preferred {
-            Some((_, preferred_key)) if preferred_key == key => AFFINITY_DISCOUNT,
-            _ => 0.0,
-        };
-        let total = cost - discount;
-        if best.is_none_or(|(known, _)| total < known) {
-            best = Some((total, key));
+        if can_serve(input, key) {
+            candidates.push(candidate(input, key, entry));
         }
     }
-    match (best, limited) {
-        (Some((_, key)), _) => UpstreamChoice::Send {
+    discount_affinity(input, &mut candidates);
+    let count = candidates.len();
+    let best = candidates
+        .into_iter()
+        .min_by(|left, right| left.cost.total_cmp(&right.cost));
+    match best {
+        Some(UpstreamCandidate {
+            key, wait_ms: 0, ..
+        }) => UpstreamChoice::Send {
             key,
             load: input.loads.estimate(input.now, key),
-            candidates,
+            candidates: count,
         },
-        (None, Some((forecast_ms, key))) => UpstreamChoice::Limited { key, forecast_ms },
-        (None, None) if has_upstream => UpstreamChoice::NotLoaded,
-        (None, None) => UpstreamChoice::NoUpstream,
+        Some(UpstreamCandidate { key, wait_ms, .. }) => UpstreamChoice::Limited {
+            key,
+            forecast_ms: wait_ms,
+        },
+        None if has_upstream => UpstreamChoice::NotLoaded,
+        None => UpstreamChoice::NoUpstream,
+    }
+}
+
+fn can_serve(input: &ChoiceInput<'_>, key: UpstreamKey) -> bool {
+    let has_model = |need| input.placement.can_serve(input.now, key, need);
+    !input.loads.is_unreachable(input.now, key) && input.plan.need.as_ref().is_none_or(has_model)
+}
+
+fn candidate<'a>(
+    input: &ChoiceInput<'_>,
+    key: UpstreamKey,
+    entry: &'a UpstreamEntry,
+) -> UpstreamCandidate<'a> {
+    let turn = input.plan.wait_turn();
+    let wait_ms = if input.limiter.may_send(input.now, key, turn) {
+        0
+    } else {
+        input.limiter.forecast_ms(key, turn).max(1)
+    };
+    UpstreamCandidate {
+        key,
+        entry,
+        cost: cost(input, key, entry) + wait_cost(input, wait_ms),
+        wait_ms,
+    }
+}
+
+/// Cost of a wait for the upstream's rate limit.
+#[allow(clippy::cast_precision_loss)]
+fn wait_cost(input: &ChoiceInput<'_>, wait_ms: u64) -> f64 {
+    let too_late = if input.now + wait_ms > input.plan.wait_until {
+        TOO_LATE_COST
+    } else {
+        0.0
+    };
+    wait_ms as f64 * WAIT_COST + too_late
+}
+
+/// Makes the upstream cheaper that the shared prompt prefix hashes to.
+fn discount_affinity(input: &ChoiceInput<'_>, candidates: &mut [UpstreamCandidate<'_>]) {
+    let Some(affinity) = &input.plan.affinity else {
+        return;
+    };
+    let weight = |candidate: &&mut UpstreamCandidate<'_>| {
+        rendezvous_weight(affinity, candidate.entry.id.as_str())
+    };
+    if let Some(preferred) = candidates.iter_mut().max_by_key(weight) {
+        preferred.cost -= AFFINITY_DISCOUNT;
     }
 }
 
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -12,7 +12,7 @@
 };
 use quetzalpin::orders::{PlacementUpdate, UpstreamHoldings};
 use quetzalpin::prelude::*;
-use quetzalpin::rate_limit::RateLimiter;
+use quetzalpin::rate_limit::{RateLimiter, RequestRate};
 
 const HOME_ZONE: &str = "home";
 const FAR_ZONE: &str = "far";
@@ -269,3 +269,42 @@
     assert_eq!(fixture.loads.estimate(fixture.now, present), 1);
     assert!(!fixture.loads.is_suspect(fixture.now, present));
 }
+
+/// Sets a limit at an upstream whose planner answers.
+fn limit(fixture: &mut ChoiceFixture, number: usize, per_s: f64) {
+    let (now, key) = (fixture.now, fixture.key(number));
+    let limit = RequestRate::from_per_s(per_s);
+    fixture.limiter.record_answer(now, key, limit);
+    fixture.limiter.record_planner_answer(now, 1);
+}
+
+/// Guards against requests that pile up at an engine without a limit while limited ones are idle:
+/// a short wait for a token costs less than a full engine.
+#[test]
+fn a_request_waits_for_a_limited_upstream_rather_than_join_a_full_one() {
+    let mut fixture = ChoiceFixture::open(&[HOME_ZONE, HOME_ZONE]);
+    limit(&mut fixture, 0, 4.0);
+    let request = plan("r1", &[("p", 100)]);
+    assert_eq!(fixture.chosen(&request), fixture.key(1));
+    for _ in 0..48 {
+        fixture.loads.begin_request(fixture.key(1));
+    }
+    let expected = UpstreamChoice::Limited {
+        key: fixture.key(0),
+        forecast_ms: 250,
+    };
+    assert_eq!(fixture.choose(&request), expected);
+}
+
+/// Guards against a request that waits for a token beyond its time though another upstream can
+/// serve it.
+#[test]
+fn a_token_that_comes_too_late_is_not_waited_for_while_another_upstream_can_serve() {
+    let mut fixture = ChoiceFixture::open(&[HOME_ZONE, HOME_ZONE]);
+    limit(&mut fixture, 0, 0.2);
+    for _ in 0..48 {
+        fixture.loads.begin_request(fixture.key(1));
+    }
+    let request = plan("r1", &[("p", 100)]);
+    assert_eq!(fixture.chosen(&request), fixture.key(1));
+}
