Send nothing to an upstream that says in an answer that it leaves

An upstream that leaves says so in all its answers, also while its entry in the list still says that it is ready. The answer's notice now marks the upstream as draining in the roster, the state that an entry sets too, so that the choice of upstreams, the planner's orders and later heartbeats treat both alike. The test of the roster shows that a heartbeat under the same start does not make it ready again.

--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -109,6 +109,15 @@
         changes
     }
 
+    /// Marks an upstream as draining because it said so itself. Returns whether it was ready.
+    pub fn mark_draining(&mut self, key: UpstreamKey) -> bool {
+        let Some(row) = self.rows.get_mut(key) else {
+            return false;
+        };
+        let phase = std::mem::replace(&mut row.entry.phase, UpstreamPhase::Draining);
+        phase == UpstreamPhase::Ready
+    }
+
     /// Drops the upstreams whose grace period has expired and returns their identities.
     pub fn expire(&mut self, now: MonoTime) -> Vec<UpstreamId> {
         let expired: Vec<UpstreamId> = self
--- a/src/gateway/upstream_notice.rs
+++ b/src/gateway/upstream_notice.rs
@@ -12,11 +12,16 @@
     pub load: Option<u32>,
     /// Request rate that it accepts from all instances together; `None` without a limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether it leaves and must get no new requests.
+    pub is_leaving: bool,
 }
 
 impl GatewayContext {
     /// Records what an upstream says of its state in a response.
     pub fn record_notice(&self, now: MonoTime, key: UpstreamKey, notice: UpstreamNotice) {
+        if notice.is_leaving {
+            self.record_leaving(key);
+        }
         if let Some(count) = notice.load {
             self.loads.borrow_mut().record_load(now, key, count);
         }
@@ -30,6 +35,17 @@
         }
     }
 
+    fn record_leaving(&self, key: UpstreamKey) {
+        let is_news = self.roster.borrow_mut().mark_draining(key);
+        if !is_news {
+            return;
+        }
+        if let Some(entry) = self.roster.borrow().get(key) {
+            log::info!(upstream:% = entry.id, source = "answer"; "upstream leaving");
+        }
+        self.propagate_roster();
+    }
+
     /// The tokens that this process needs, for its next report.
     #[must_use]
     pub fn take_token_requests(&self) -> Vec<TokenRequest> {
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -138,3 +138,16 @@
     assert_eq!(changes, vec![RosterChange::Unreadable(id(), reason)]);
     assert!(roster.key_of(&id()).is_none());
 }
+
+/// Guards against DRAIN: a heartbeat that was written before an upstream said in an answer that it
+/// leaves makes it ready again.
+#[test]
+fn an_upstream_that_said_that_it_leaves_is_not_ready_by_its_entry() {
+    let mut roster = roster_with_start(1);
+    let key = roster.key_of(&id()).expect("an upstream");
+    assert!(roster.mark_draining(key));
+    assert!(!roster.mark_draining(key));
+    roster.apply(at(10), update(entry(1, UpstreamPhase::Ready)));
+    let phase = roster.get(key).map(|entry| entry.phase);
+    assert_eq!(phase, Some(UpstreamPhase::Draining));
+}
