Stay away from an upstream for as long as its refusal asks

An upstream that answers 503 may name a time in Retry-After for which it wants nothing from that instance. No process read it: of 40 requests after such a refusal the new tests saw some reach it and be refused. The answer's notice now carries the pause, LoadTracker keeps it for each start of an upstream, and the choice counts it as a wait, like one for a token: another upstream serves the request, or it waits if that is in time, or it is refused at once.

--- a/daemon/tests/upstream_notices.rs
+++ b/daemon/tests/upstream_notices.rs
@@ -17,9 +17,12 @@
 /// Largest number of requests after which each of the workers has got one.
 const CALLS_TO_REACH_ALL: usize = 60;
 
+/// Seconds for which a worker wants no requests.
+const REFUSE_FOR_S: f64 = 120.0;
+
 async fn lookup(fleet: &SoakFleet, number: usize) -> CallOutcome {
     let call = SoakCall {
-        id: format!("notice-{number:04}"),
+        id: format!("notice-{number:04}-{:08x}", fastrand::u32(..)),
         kind: CallKind::Lookup,
         model: String::new(),
         events: 0,
@@ -46,10 +49,11 @@
     });
 }
 
-/// Sends requests until the worker has got one.
+/// Sends requests until the worker has got another one.
 async fn reach(fleet: &SoakFleet, worker: &WorkerStandin) {
+    let known = worker.arrivals.borrow().len();
     for number in 0..CALLS_TO_REACH_ALL {
-        if !worker.arrivals.borrow().is_empty() {
+        if worker.arrivals.borrow().len() > known {
             return;
         }
         lookup(fleet, number).await;
@@ -57,6 +61,11 @@
     panic!("no request reached {}", worker.id);
 }
 
+fn arrivals(workers: &[&WorkerStandin]) -> usize {
+    let counts = workers.iter().map(|worker| worker.arrivals.borrow().len());
+    counts.sum()
+}
+
 /// Guards against DRAIN: an upstream that said in an answer that it leaves gets more requests from
 /// the gateway that passed the answer on, because its entry in the list still says that it is ready.
 #[test]
@@ -72,3 +81,34 @@
         assert_eq!(workers[0].arrivals.borrow().len(), known);
     });
 }
+
+/// Guards against BUDGET: an upstream that answered 503 with `Retry-After` gets requests from the
+/// same gateway before that time has passed.
+#[test]
+fn an_upstream_gets_no_requests_for_the_time_that_its_refusal_names() {
+    with_plain_workers(async |fleet, workers| {
+        workers[0].refuse_for_s.set(Some(REFUSE_FOR_S));
+        reach(fleet, workers[0]).await;
+        let known = workers[0].arrivals.borrow().len();
+        for number in 100..140 {
+            let outcome = lookup(fleet, number).await;
+            assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+        }
+        assert_eq!(workers[0].arrivals.borrow().len(), known);
+    });
+}
+
+/// Guards against callers that wait in vain: if every upstream of a service wants no requests, a
+/// request is refused at once.
+#[test]
+fn a_request_is_refused_at_once_if_all_upstreams_want_none_for_long() {
+    with_plain_workers(async |fleet, workers| {
+        for worker in workers {
+            worker.refuse_for_s.set(Some(REFUSE_FOR_S));
+            reach(fleet, worker).await;
+        }
+        let known = arrivals(workers);
+        assert_eq!(lookup(fleet, 100).await, CallOutcome::Status(503));
+        assert_eq!(arrivals(workers), known);
+    });
+}
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -264,7 +264,7 @@
         None
     }
 
-    /// Waits for a token of a limited upstream; returns a refusal if it would come too late.
+    /// Waits until an upstream accepts the request; returns a refusal if that is too late.
     async fn wait_for_token(
         &mut self,
         now: MonoTime,
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -31,7 +31,7 @@
 /// no other upstream can serve.
 const LIMITED_COST: f64 = 0.2;
 
-/// Cost of each millisecond until a rate limit allows the request; half a second is as bad as a full
+/// Cost of each millisecond until an upstream accepts the request; half a second is as bad as a full
 /// upstream.
 const WAIT_COST: f64 = 0.002;
 
@@ -72,7 +72,8 @@
         /// Number of upstreams that could serve it.
         candidates: usize,
     },
-    /// The upstream with the lowest cost has reached its request rate limit.
+    /// The upstream with the lowest cost accepts no request yet: it has reached its request rate
+    /// limit, or wants no requests for a while.
     Limited {
         /// The upstream.
         key: UpstreamKey,
@@ -90,7 +91,7 @@
     key: UpstreamKey,
     entry: &'a UpstreamEntry,
     cost: f64,
-    /// Milliseconds until its rate limit allows the request; 0 if it does now.
+    /// Milliseconds until it accepts the request; 0 if it does now.
     wait_ms: u64,
 }
 
@@ -144,11 +145,12 @@
     entry: &'a UpstreamEntry,
 ) -> UpstreamCandidate<'a> {
     let turn = input.plan.wait_turn();
-    let wait_ms = if input.limiter.may_send(input.now, key, turn) {
+    let limit_wait_ms = if input.limiter.may_send(input.now, key, turn) {
         0
     } else {
         input.limiter.forecast_ms(key, turn).max(1)
     };
+    let wait_ms = limit_wait_ms.max(input.loads.pause_left_ms(input.now, key));
     UpstreamCandidate {
         key,
         entry,
@@ -157,7 +159,7 @@
     }
 }
 
-/// Cost of a wait for the upstream's rate limit.
+/// Cost of a wait until the upstream accepts the request.
 #[allow(clippy::cast_precision_loss)]
 fn wait_cost(input: &ChoiceInput<'_>, wait_ms: u64) -> f64 {
     let too_late = if input.now + wait_ms > input.plan.wait_until {
--- a/src/gateway/upstream_notice.rs
+++ b/src/gateway/upstream_notice.rs
@@ -14,6 +14,9 @@
     pub rate_limit: Option<RequestRate>,
     /// Whether it leaves and must get no new requests.
     pub is_leaving: bool,
+    /// Milliseconds for which it wants no more requests from this instance; `None` without such a
+    /// wish.
+    pub pause_ms: Option<u64>,
 }
 
 impl GatewayContext {
@@ -25,6 +28,9 @@
         if let Some(count) = notice.load {
             self.loads.borrow_mut().record_load(now, key, count);
         }
+        if let Some(pause_ms) = notice.pause_ms {
+            self.record_pause(now, key, pause_ms);
+        }
         let mut limiter = self.rate_limiter.borrow_mut();
         let is_changed = limiter.record_answer(now, key, notice.rate_limit);
         drop(limiter);
@@ -46,6 +52,13 @@
         self.propagate_roster();
     }
 
+    fn record_pause(&self, now: MonoTime, key: UpstreamKey, pause_ms: u64) {
+        self.loads.borrow_mut().record_pause(now, key, pause_ms);
+        if let Some(entry) = self.roster.borrow().get(key) {
+            log::info!(upstream:% = entry.id, pause_ms; "upstream wants no requests");
+        }
+    }
+
     /// The tokens that this process needs, for its next report.
     #[must_use]
     pub fn take_token_requests(&self) -> Vec<TokenRequest> {
