--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -124,6 +124,7 @@
         sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
         context.delay.tick(now);
+        context.check_era();
         context
             .feeds
             .repeat_overdue_calls(now, has_planner(&context));
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -31,7 +31,7 @@
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
-use crate::table::TableService;
+use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
 
 /// Timeout of a call to another process in milliseconds.
@@ -106,6 +106,8 @@
     pub feeds: FeedWatch,
     /// Detects that this process gets too little processor time.
     pub delay: DelayWatch,
+    /// Era of the platform's table that this process knows; `None` before the first response.
+    pub era: Cell<Option<TableEra>>,
     /// Wakes the lease loop before its next poll.
     pub lease_wake: WakeSignal,
     /// Start of the shutdown; never cleared.
@@ -153,6 +155,7 @@
             host,
             feeds: FeedWatch::default(),
             delay: DelayWatch::open(clock.now(), FEED_CHECK_MS),
+            era: Cell::new(None),
             lease_wake: WakeSignal::default(),
             stopped_at: Cell::new(None),
             exit_near: exit_receiver.map(|_| ()).boxed_local().shared(),
@@ -275,6 +278,18 @@
         is_outage
     }
 
+    /// Notices that the platform's table was restored from an older copy.
+    pub fn check_era(&self) {
+        if !self.knows_roster.get() {
+            return;
+        }
+        let era = self.ports.table.era();
+        let known = self.era.replace(Some(era));
+        if known.is_some_and(|known| era > known) {
+            log::warn!(dependency = "table", era = era.0; "table restored from an older copy");
+        }
+    }
+
     /// Updates placement, load tracking, planner and waiting requests from the roster.
     pub fn propagate_roster(&self) {
         let now = self.now();
--- a/src/table/table_service.rs
+++ b/src/table/table_service.rs
@@ -2,13 +2,18 @@
 
 use futures_util::future::LocalBoxFuture;
 
-use super::{RowRevision, TableError, TableRow, TableTxn, TxnOutcome};
+use super::{RowRevision, TableEra, TableError, TableRow, TableTxn, TxnOutcome};
 
 /// A transactional table with compare-and-set.
 ///
 /// An error from [`TableService::commit`] leaves open whether the transaction took effect: the
 /// caller reads the rows back.
 pub trait TableService {
+    /// The newest era that any response named. Services that are never restored have only one.
+    fn era(&self) -> TableEra {
+        TableEra::default()
+    }
+
     /// Commits a transaction.
     fn commit(&self, txn: TableTxn) -> LocalBoxFuture<'_, Result<TxnOutcome, TableError>>;
 
