Failing tests: rows written below a gateway's position after a restore are missed

After a return from an older copy whose version passes the gateway's position before it reads again, a confirmed route is answered 404 for 20 s and a removed upstream stays known.

--- /dev/null
+++ b/daemon/tests/store_restore.rs
@@ -0,0 +1,113 @@
+//! A store that comes back from an older copy, whose version then passes the position of a gateway
+//! that did not read meanwhile.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use quetzalpin_platform_soak::{
+    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, StoreRows, USUAL_PROMPT, WorkerKind,
+    call_gateway, encode_catalog,
+};
+
+const SIZE: FleetSize = FleetSize {
+    gateways: 1,
+    engines: 1,
+    plain_workers: 2,
+};
+
+/// Longest time that a test waits for an event.
+const EVENT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two checks of a condition.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Time after which a gateway has read up to the newest version.
+const READ_TIME: Duration = Duration::from_secs(3);
+
+/// Number of versions by which the copy is older.
+const LOST_VERSIONS: u64 = 40;
+
+/// Table whose rows nobody reads.
+const OTHER_TABLE: &str = "other";
+
+/// Version of the configuration that is written after the return.
+const NEW_CATALOG: u64 = 2;
+
+/// Runs a case on a fleet whose store has since had `LOST_VERSIONS` more versions than the copy
+/// that the case gets.
+fn with_older_copy(case: impl AsyncFnOnce(&SoakFleet, StoreRows)) {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
+        let copy = fleet.store.state.rows.borrow().clone();
+        advance_store(&fleet, LOST_VERSIONS);
+        compio::time::sleep(READ_TIME).await;
+        case(&fleet, copy).await;
+    });
+}
+
+/// Writes rows that nobody reads, so that the store's version rises.
+fn advance_store(fleet: &SoakFleet, versions: u64) {
+    for number in 0..versions {
+        let store = &fleet.store.state;
+        store.put(OTHER_TABLE, &format!("row-{number}"), String::new());
+    }
+}
+
+async fn probe(fleet: &SoakFleet) -> CallOutcome {
+    let call = SoakCall {
+        id: format!("restore-{:08x}", fastrand::u32(..)),
+        kind: CallKind::Probe(NEW_CATALOG),
+        model: String::new(),
+        events: 0,
+        gateway: 0,
+        prompt: USUAL_PROMPT.to_owned(),
+    };
+    call_gateway(fleet.gateways[0].process.address, &call).await
+}
+
+/// Guards against CONFIG: a configuration that was written after the return, below the position of
+/// a gateway, never comes into force there.
+#[test]
+fn a_configuration_written_below_the_position_after_a_restore_comes_into_force() {
+    with_older_copy(async |fleet, copy| {
+        let store = &fleet.store.state;
+        store.restore(copy);
+        store.put("op", "config", encode_catalog(NEW_CATALOG));
+        advance_store(fleet, 4 * LOST_VERSIONS);
+        let deadline = Instant::now() + EVENT_LIMIT;
+        loop {
+            let outcome = probe(fleet).await;
+            if matches!(outcome, CallOutcome::Answer(_)) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "not served: {outcome:?}");
+            compio::time::sleep(POLL).await;
+        }
+    });
+}
+
+/// Guards against DRAIN: the removal of an upstream that was written after the return, below the
+/// position of a gateway, is never read there.
+#[test]
+fn a_removal_written_below_the_position_after_a_restore_is_noticed() {
+    with_older_copy(async |fleet, copy| {
+        let store = &fleet.store.state;
+        let plain = fleet.workers.iter().map(|worker| &worker.worker.state);
+        let removed = plain
+            .into_iter()
+            .find(|worker| worker.kind == WorkerKind::Plain)
+            .expect("a plain worker");
+        store.restore(copy);
+        store.remove("servers", &removed.id);
+        advance_store(fleet, 4 * LOST_VERSIONS);
+        let gone = format!("\"upstream gone\",\"upstream\":\"{}\"", removed.id);
+        let deadline = Instant::now() + EVENT_LIMIT;
+        while !fleet.gateways[0].process.log().contains(&gone) {
+            assert!(Instant::now() < deadline, "the upstream is still known");
+            compio::time::sleep(POLL).await;
+        }
+    });
+}
