Read both feeds anew when the platform was restored from an older copy

Callers got 404 on a route that was confirmed, for as long as no newer configuration came, and a removed upstream stayed in use: a gateway that did not read between the return and the moment at which the store passed its position again got no 410 and went on after a position that meant other rows. The class: a version that is compared outside the history that gave it. A position now carries the era of the table; an answer of another era ends the feed, both feeds are read whole, and entries that the copy lacks have the time after an outage to come back. Positions that gateways tell each other are compared within one era only.

--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -122,8 +122,8 @@
             .collect();
         let mut roster = UpstreamRoster::open();
         let update = UpstreamUpdate {
-            version: FeedVersion(1),
-            newest_change: FeedVersion(1),
+            version: FeedVersion::in_first_era(1),
+            newest_change: FeedVersion::in_first_era(1),
             is_snapshot: true,
             changes: upstreams
                 .iter()
--- a/src/fleet/fleet_source.rs
+++ b/src/fleet/fleet_source.rs
@@ -1,21 +1,41 @@
 //! Where the fleet's configuration and list of upstreams come from.
 
-use derive_more::{Display as DeriveDisplay, Error};
+use derive_more::Error;
 use displaydoc::Display;
 use futures_util::future::LocalBoxFuture;
 
 use super::{FleetCatalog, UpstreamEntry};
 use crate::prelude::*;
+use crate::table::TableEra;
 
-/// Position in the platform's change history up to which a reader has read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, DeriveDisplay)]
-pub struct FeedVersion(pub u64);
+/// Position in the platform's change history up to which a reader has read. A later era begins anew
+/// with an older version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FeedVersion {
+    /// Era of the table.
+    pub era: TableEra,
+    /// Version of the table in that era.
+    pub version: u64,
+}
+
+impl FeedVersion {
+    /// A position in a table that was never restored.
+    #[must_use]
+    pub const fn in_first_era(version: u64) -> Self {
+        Self {
+            era: TableEra(0),
+            version,
+        }
+    }
+}
 
 /// Why the configuration or the list of upstreams could not be read.
 #[derive(Debug, Display, Error)]
 pub enum SourceError {
     /// the platform no longer has the changes since the known version
     HistoryLost,
+    /// the platform was restored from an older copy
+    Restored,
     /// the platform refused with status {0}
     Refused(#[error(not(source))] u16),
     /// the platform did not respond within {0} ms
@@ -31,6 +51,12 @@
 }
 
 impl SourceError {
+    /// Whether the reader has to read everything anew.
+    #[must_use]
+    pub const fn is_position_lost(&self) -> bool {
+        matches!(self, Self::HistoryLost | Self::Restored)
+    }
+
     /// Whether the call was given up because its time was over.
     #[must_use]
     pub const fn is_timeout(&self) -> bool {
--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -1,8 +1,13 @@
 //! Detects feeds that hang by the changes that other processes report.
 
+use std::cell::Cell;
+use std::cmp::Ordering;
+
 use super::watched_feed::WatchedFeed;
+use crate::fleet::FeedVersion;
 use crate::planner_rpc::FeedVersions;
 use crate::prelude::*;
+use crate::table::TableEra;
 
 /// The feeds that a gateway reads, compared with those of other processes.
 #[derive(Debug)]
@@ -11,6 +16,8 @@
     pub catalog: WatchedFeed,
     /// The list of upstreams; its positions are versions of the platform's table.
     pub roster: WatchedFeed,
+    /// Era of the table of the positions of `roster`.
+    roster_era: Cell<TableEra>,
 }
 
 impl Default for FeedWatch {
@@ -18,15 +25,26 @@
         Self {
             catalog: WatchedFeed::open("configuration"),
             roster: WatchedFeed::open("list of upstreams"),
+            roster_era: Cell::default(),
         }
     }
 }
 
 impl FeedWatch {
+    /// Records a read of the list of upstreams: its newest change, and the position after it.
+    pub fn record_roster_read(&self, now: MonoTime, change: FeedVersion, position: FeedVersion) {
+        if self.roster_era.replace(position.era) != position.era {
+            self.roster.restart();
+        }
+        self.roster
+            .record_change(now, change.version, position.version);
+    }
+
     /// The newest changes that this process has read.
     #[must_use]
     pub const fn versions(&self) -> FeedVersions {
         FeedVersions {
+            era: self.roster_era.get(),
             catalog: self.catalog.newest_change(),
             roster: self.roster.newest_change(),
         }
@@ -35,7 +53,11 @@
     /// Records the newest changes that another process has read.
     pub fn record_remote(&self, now: MonoTime, versions: FeedVersions) {
         self.catalog.record_remote_change(now, versions.catalog);
-        self.roster.record_remote_change(now, versions.roster);
+        match versions.era.cmp(&self.roster_era.get()) {
+            Ordering::Greater => self.roster.record_remote_change(now, u64::MAX),
+            Ordering::Equal => self.roster.record_remote_change(now, versions.roster),
+            Ordering::Less => {}
+        }
     }
 
     /// Gives up calls that hang. `has_planner` says whether a planner answers that would tell of changes
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -70,7 +70,7 @@
                 sleep_ms(CATALOG_PAUSE_MS).await;
             }
             Err(error) => {
-                if matches!(error, SourceError::HistoryLost) {
+                if error.is_position_lost() {
                     after = None;
                 }
                 retry.failed(&error, true).await;
@@ -105,12 +105,12 @@
                 sleep_ms(ROSTER_PAUSE_MS).await;
             }
             Err(error) => {
-                let is_outage = if matches!(error, SourceError::HistoryLost) {
+                if error.is_position_lost() {
                     after = None;
-                    false
-                } else {
-                    context.record_failed_list_read(started_at, &error)
-                };
+                }
+                // A restored list lacks what was written since its copy, like one after an outage.
+                let is_outage = !matches!(error, SourceError::HistoryLost)
+                    && context.record_failed_list_read(started_at, &error);
                 retry.failed(&error, is_outage).await;
             }
         }
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -255,8 +255,8 @@
     /// Applies changes of the upstream list.
     pub fn apply_upstreams(&self, update: UpstreamUpdate) {
         let now = self.now();
-        let (change, position) = (update.newest_change.0, update.version.0);
-        self.feeds.roster.record_change(now, change, position);
+        self.feeds
+            .record_roster_read(now, update.newest_change, update.version);
         let changes = self.roster.borrow_mut().apply(now, update);
         self.knows_roster.set(true);
         for change in changes {
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -110,6 +110,13 @@
         }));
     }
 
+    /// Forgets all positions, because the platform was restored and gives versions out again.
+    pub fn restart(&self) {
+        self.position.set(0);
+        self.newest_change.set(0);
+        self.missed.set(None);
+    }
+
     /// Records the newest change that another process has read.
     pub fn record_remote_change(&self, now: MonoTime, version: u64) {
         if version <= self.position.get() {
@@ -125,6 +132,7 @@
         });
         self.missed.set(Some(missed));
     }
+
     /// Whether the call in progress should be given up and repeated. `has_planner` says whether a planner
     /// answers that would tell of changes that this process misses.
     #[must_use]
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::quarantine::{PartRecord, RequestFingerprint};
 use crate::rate_limit::{TokenGrant, TokenRequest};
+use crate::table::TableEra;
 
 /// A request that was in flight at a crash, and the number of the crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -17,6 +18,9 @@
 /// The newest changes that a process has read from the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct FeedVersions {
+    /// Era of the platform's table in which the list of upstreams was read.
+    #[serde(rename = "g", default)]
+    pub era: TableEra,
     /// Version of the configuration in force.
     #[serde(rename = "k")]
     pub catalog: u64,
--- a/tests/delayed_process.rs
+++ b/tests/delayed_process.rs
@@ -25,8 +25,8 @@
 
 fn update(change: UpstreamChange) -> UpstreamUpdate {
     UpstreamUpdate {
-        version: FeedVersion(1),
-        newest_change: FeedVersion(1),
+        version: FeedVersion::in_first_era(1),
+        newest_change: FeedVersion::in_first_era(1),
         is_snapshot: false,
         changes: vec![change],
     }
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -1,8 +1,10 @@
 //! Refetch of the configuration when other processes report a newer version than the own watch.
 
+use quetzalpin::fleet::FeedVersion;
 use quetzalpin::gateway::FeedWatch;
 use quetzalpin::planner_rpc::FeedVersions;
 use quetzalpin::prelude::*;
+use quetzalpin::table::TableEra;
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
@@ -10,6 +12,7 @@
 
 fn catalog(version: u64) -> FeedVersions {
     FeedVersions {
+        era: TableEra(0),
         catalog: version,
         roster: 0,
     }
@@ -69,6 +72,7 @@
     watch.roster.begin_call(at(100));
     let heard_at = at(4_600);
     let remote = FeedVersions {
+        era: TableEra(0),
         catalog: 0,
         roster: 42,
     };
@@ -100,3 +104,31 @@
         assert!(!is_cancelled, "cancelled at {now:?}");
     }
 }
+
+/// Guards against a list that is read again and again after a restore, or never: versions of the
+/// table count within one era only.
+#[test]
+fn positions_of_different_eras_are_not_compared() {
+    let watch = FeedWatch::default();
+    let position = |era, version| FeedVersion {
+        era: TableEra(era),
+        version,
+    };
+    let remote = |era, roster| FeedVersions {
+        era: TableEra(era),
+        catalog: 0,
+        roster,
+    };
+    watch.record_roster_read(at(0), position(1, 40), position(1, 50));
+    watch.roster.begin_call(at(0));
+    watch.record_remote(at(0), remote(0, 90));
+    assert!(!watch.roster.is_overdue(at(2_000), true));
+    watch.record_remote(at(2_000), remote(2, 10));
+    assert!(watch.roster.is_overdue(at(3_000), true));
+    watch.record_roster_read(at(3_100), position(2, 12), position(2, 14));
+    watch.roster.begin_call(at(3_100));
+    watch.record_remote(at(3_200), remote(1, 90));
+    assert!(!watch.roster.is_overdue(at(5_000), true));
+    watch.record_remote(at(5_000), remote(2, 20));
+    assert!(watch.roster.is_overdue(at(6_000), true));
+}
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -91,8 +91,8 @@
             .iter()
             .map(|(id, engine)| UpstreamChange::Listed(upstream_entry(id, &service, engine)));
         let update = UpstreamUpdate {
-            version: FeedVersion(1),
-            newest_change: FeedVersion(1),
+            version: FeedVersion::in_first_era(1),
+            newest_change: FeedVersion::in_first_era(1),
             is_snapshot: true,
             changes: changes.collect(),
         };
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -35,8 +35,8 @@
             .enumerate()
             .map(|(number, zone)| UpstreamChange::Listed(entry(number, zone)));
         let update = UpstreamUpdate {
-            version: FeedVersion(1),
-            newest_change: FeedVersion(1),
+            version: FeedVersion::in_first_era(1),
+            newest_change: FeedVersion::in_first_era(1),
             is_snapshot: true,
             changes: changes.collect(),
         };
@@ -251,8 +251,8 @@
     let mut again = entry(0, HOME_ZONE);
     again.started_at_ms += 1;
     let update = UpstreamUpdate {
-        version: FeedVersion(2),
-        newest_change: FeedVersion(2),
+        version: FeedVersion::in_first_era(2),
+        newest_change: FeedVersion::in_first_era(2),
         is_snapshot: false,
         changes: vec![UpstreamChange::Listed(again)],
     };
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -34,8 +34,8 @@
 
 fn update(change: UpstreamChange) -> UpstreamUpdate {
     UpstreamUpdate {
-        version: FeedVersion(1),
-        newest_change: FeedVersion(1),
+        version: FeedVersion::in_first_era(1),
+        newest_change: FeedVersion::in_first_era(1),
         is_snapshot: false,
         changes: vec![change],
     }
@@ -59,7 +59,7 @@
 /// their upstreams must not be dropped before.
 #[rstest]
 #[case::removed(update(UpstreamChange::Removed(id())))]
-#[case::missing(UpstreamUpdate { version: FeedVersion(9), newest_change: FeedVersion(9), is_snapshot: true, changes: Vec::new() })]
+#[case::missing(UpstreamUpdate { version: FeedVersion::in_first_era(9), newest_change: FeedVersion::in_first_era(9), is_snapshot: true, changes: Vec::new() })]
 fn an_entry_that_lapsed_in_an_outage_may_be_listed_again(#[case] lapse: UpstreamUpdate) {
     let mut roster = roster_with_start(1);
     roster.note_outage(at(5_000));
@@ -90,8 +90,8 @@
     let mut roster = roster_with_start(1);
     roster.note_outage(at(5_000));
     let snapshot = UpstreamUpdate {
-        version: FeedVersion(9),
-        newest_change: FeedVersion(9),
+        version: FeedVersion::in_first_era(9),
+        newest_change: FeedVersion::in_first_era(9),
         is_snapshot: true,
         changes: Vec::new(),
     };
