Trust no lease row that a restored table shows from an earlier era

The class: a promise that rests on a row which the table has since lost. After a return from an older copy an earlier holder found its own row, or a released one, took the lease at once without the pause between two planners, and used an epoch again that orders already bore; a renewal could succeed on a revision that had been given to another row. A lease row now names the era in which it was written. A row of an earlier era is neither own, nor free, nor a predecessor's; a new era ends a held lease at once (also on word of another gateway), only its last holder may take it again before a term has passed, epochs of each era lie above those of the one before, and a write that crosses a restore counts as a conflict. Records of prompt parts are read and stored anew. Evidence: of the five new tests of tests/lease_holder.rs four fail without the handling of eras.

--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -278,15 +278,31 @@
         is_outage
     }
 
-    /// Notices that the platform's table was restored from an older copy.
+    /// Records the era that the platform's table named last.
     pub fn check_era(&self) {
-        if !self.knows_roster.get() {
+        if let Some(era) = self.ports.table.era() {
+            self.record_era(era);
+        }
+    }
+
+    /// Records the era that another process has read. A process that knows none yet learns it from
+    /// the table.
+    pub fn record_remote_era(&self, era: TableEra) {
+        if self.era.get().is_some() {
+            self.record_era(era);
+        }
+    }
+
+    fn record_era(&self, era: TableEra) {
+        let known = self.era.get();
+        if known.is_some_and(|known| era <= known) {
             return;
         }
-        let era = self.ports.table.era();
-        let known = self.era.replace(Some(era));
-        if known.is_some_and(|known| era > known) {
+        self.era.set(Some(era));
+        self.host.observe_era(self.now(), era);
+        if known.is_some() {
             log::warn!(dependency = "table", era = era.0; "table restored from an older copy");
+            self.lease_wake.notify();
         }
     }
 
--- a/src/gateway/part_store.rs
+++ b/src/gateway/part_store.rs
@@ -8,7 +8,7 @@
 use super::GatewayContext;
 use crate::decision::unix_ms;
 use crate::quarantine::PartRecord;
-use crate::table::{RowRevision, TableError, TableTxn, TxnOutcome};
+use crate::table::{RowRevision, TableEra, TableError, TableTxn, TxnOutcome};
 
 /// Table key of the records.
 const PARTS_KEY: &str = "quarantine-parts";
@@ -36,6 +36,8 @@
     revision: RowRevision,
     /// Digest of the records that were written.
     digest: u64,
+    /// Era of the table in which the row was read or written.
+    era: Option<TableEra>,
 }
 
 /// Reads the records when this process begins to plan, and stores them while it plans.
@@ -56,7 +58,9 @@
 }
 
 async fn sync(context: &GatewayContext, state: &mut Option<StoredState>) -> Result<(), TableError> {
-    let Some(known) = *state else {
+    // After a restore, the row may lack records that were stored.
+    let known = state.filter(|known| known.era == context.era.get());
+    let Some(known) = known else {
         *state = Some(read(context).await?);
         return Ok(());
     };
@@ -82,6 +86,7 @@
     Ok(StoredState {
         revision: row.revision,
         digest: 0,
+        era: context.era.get(),
     })
 }
 
@@ -105,7 +110,11 @@
     match context.ports.table.commit(txn).await? {
         TxnOutcome::Committed(revision) => {
             log::info!(digest, records = row.records.len(); "records of prompt parts stored");
-            Ok(Some(StoredState { revision, digest }))
+            Ok(Some(StoredState {
+                revision,
+                digest,
+                era: context.era.get(),
+            }))
         }
         TxnOutcome::Conflict(_) => Ok(None),
     }
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -7,7 +7,7 @@
 use super::{age_delay_ms, capacity_delay_ms};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
-use crate::lease::{LeaseHolder, LeaseIntent, LeaseRow};
+use crate::lease::{LeaseHolder, LeaseIntent, LeasePredecessor, LeaseRow};
 use crate::orders::{OrderPlanner, PlacementUpdate, PlannerPolicy};
 use crate::planner_rpc::{
     CrashRecord, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
@@ -15,7 +15,7 @@
 };
 use crate::prelude::*;
 use crate::rate_limit::TokenIssuer;
-use crate::table::RowRevision;
+use crate::table::{RowRevision, TableEra};
 
 /// Milliseconds after its last report for which an entry counts as live.
 const ENTRY_TTL_MS: u64 = 3_000;
@@ -122,7 +122,7 @@
     #[must_use]
     pub fn remote_address(&self) -> Option<SocketAddr> {
         let lease = self.lease.borrow();
-        let row = lease.last_row().filter(|row| !row.is_released)?;
+        let row = lease.current_row().filter(|row| !row.is_released)?;
         (row.address != self.address).then_some(row.address)
     }
 
@@ -133,6 +133,12 @@
         self.remote_address().is_some() && silent_ms < PLANNER_TIMEOUT_MS
     }
 
+    /// Records the table's era. Orders stop at once if the table was restored, until the lease is
+    /// written again.
+    pub fn observe_era(&self, now: MonoTime, era: TableEra) {
+        self.lease.borrow_mut().observe_era(now, era);
+    }
+
     /// Records the lease row as read from the table.
     pub fn observe(&self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
         self.lease.borrow_mut().observe(now, revision, row);
@@ -172,11 +178,8 @@
         intent: &LeaseIntent,
         revision: RowRevision,
     ) -> Option<u64> {
-        let is_first = intent.expected == RowRevision::ABSENT;
         let mut lease = self.lease.borrow_mut();
-        let was_last_writer = lease.is_last_writer();
-        let was_predecessor_last_writer = lease.is_predecessor_last_writer();
-        let released_for_ms = lease.released_for_ms(now).unwrap_or(0);
+        let predecessor = lease.predecessor(now, intent);
         lease.record_commit(sent_at, intent, revision);
         if intent.row.is_released {
             return None;
@@ -188,13 +191,13 @@
         {
             return None;
         }
-        let pause_ms = if is_first || was_last_writer {
-            0
-        } else if was_predecessor_last_writer {
-            HANDOVER_MARGIN_MS
-        } else {
+        let pause_ms = match predecessor {
+            LeasePredecessor::Nobody | LeasePredecessor::Itself => 0,
+            LeasePredecessor::EndedProcess => HANDOVER_MARGIN_MS,
             // The previous holder had finished its orders when it released the lease.
-            (self.handover_pause_ms + HANDOVER_MARGIN_MS).saturating_sub(released_for_ms)
+            LeasePredecessor::Other { released_for_ms } => {
+                (self.handover_pause_ms + HANDOVER_MARGIN_MS).saturating_sub(released_for_ms)
+            }
         };
         *active = Some(ActivePlanner {
             planner: OrderPlanner::open(self.policy, intent.row.epoch, now + pause_ms),
--- a/src/gateway/planner_lease.rs
+++ b/src/gateway/planner_lease.rs
@@ -87,6 +87,7 @@
 async fn read_lease(context: &Rc<GatewayContext>) -> Result<(), TableError> {
     let row = context.ports.table.read(PLANNER_LEASE.to_owned()).await?;
     let lease: Option<LeaseRow> = row.decode()?;
+    context.check_era();
     context.host.observe(context.now(), row.revision, lease);
     if context.host.stop_if_lease_lost() {
         log::info!("planning ended: another process holds the lease");
@@ -94,20 +95,30 @@
     Ok(())
 }
 
-/// Writes the lease row to the table. Returns its revision, or `None` on a conflict.
+/// Writes the lease row to the table. Returns its revision, or `None` on a conflict or if the table
+/// was restored meanwhile: the expected revision may then be that of another row.
 pub async fn commit_lease(
     context: &GatewayContext,
     intent: &LeaseIntent,
 ) -> Result<Option<RowRevision>, TableError> {
+    if !is_same_era(context, intent) {
+        return Ok(None);
+    }
     let txn = TableTxn::default()
         .check(PLANNER_LEASE, intent.expected)
         .write(PLANNER_LEASE, &intent.row)?;
-    match context.ports.table.commit(txn).await? {
-        TxnOutcome::Committed(revision) => Ok(Some(revision)),
-        TxnOutcome::Conflict(_) => Ok(None),
+    let outcome = context.ports.table.commit(txn).await?;
+    context.check_era();
+    match outcome {
+        TxnOutcome::Committed(revision) if is_same_era(context, intent) => Ok(Some(revision)),
+        TxnOutcome::Committed(_) | TxnOutcome::Conflict(_) => Ok(None),
     }
 }
 
+fn is_same_era(context: &GatewayContext, intent: &LeaseIntent) -> bool {
+    context.era.get().is_none_or(|era| era == intent.row.era)
+}
+
 /// Writes the lease row, through a peer if the table call fails. Returns `false` on a conflict.
 async fn write_lease(
     context: &Rc<GatewayContext>,
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -129,6 +129,7 @@
             },
         };
         if let Some(response) = response {
+            context.record_remote_era(response.feeds.era);
             context.feeds.record_remote(context.now(), response.feeds);
             context.set_resend_share(response.entry_count);
             context.apply_token_grants(response.entry_count, &response.tokens);
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -41,6 +41,7 @@
     fn demand(&self, report: DemandReport) -> RpcResult<DemandResponse> {
         let now = self.context.now();
         self.context.record_crashes(&report.crashes);
+        self.context.record_remote_era(report.feeds.era);
         self.context.feeds.record_remote(now, report.feeds);
         self.context.parts.merge(now, &report.parts.records);
         let known_digest = report.parts.digest;
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -6,7 +6,7 @@
 
 use super::{LeaseRow, LeaseWatch};
 use crate::prelude::*;
-use crate::table::RowRevision;
+use crate::table::{RowRevision, TableEra};
 
 /// A renewal is due after the term divided by this.
 const RENEW_DIVISOR: u64 = 3;
@@ -14,12 +14,33 @@
 /// The holder stops using the lease early by the term divided by this, to allow for clock drift.
 const MARGIN_DIVISOR: u64 = 5;
 
+/// Epochs that are reserved for each era of the table, so that no epoch is used again after the rows
+/// of the latest ones are lost.
+const EPOCHS_PER_ERA: u64 = 1_000_000;
+
+/// Whose decisions came before those of a new holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeasePredecessor {
+    /// Nobody's: the lease was never held before.
+    Nobody,
+    /// Its own: it was the last holder.
+    Itself,
+    /// Those of an earlier process of the same instance, which is known to have ended.
+    EndedProcess,
+    /// Those of another process, which released the lease this many milliseconds ago, as far as is
+    /// known.
+    Other {
+        /// Milliseconds since the release was first seen; 0 without one.
+        released_for_ms: u64,
+    },
+}
+
 /// A conditional write of the lease row that the holder asks its caller to send.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseIntent {
     /// Revision that the row must still have.
     pub expected: RowRevision,
-    /// The row to write.
+    /// The row to write. The write is void in any other era of the table than the row's.
     pub row: LeaseRow,
 }
 
@@ -50,6 +71,15 @@
     /// When the row was first seen as released; `None` while it is not.
     released_at: Option<MonoTime>,
     held: Option<HeldLease>,
+    /// Newest era of the table that this process knows.
+    era: TableEra,
+    /// The lease that was held when the table was restored. While it would be valid, no other
+    /// process can have held a later one.
+    carried: Option<HeldLease>,
+    /// Newest row that was written in the era in which it was read.
+    current_row: Option<LeaseRow>,
+    /// Highest epoch of any row seen.
+    highest_epoch: u64,
 }
 
 impl LeaseHolder {
@@ -67,6 +97,10 @@
             is_sole_process: false,
             released_at: None,
             held: None,
+            era: TableEra::default(),
+            carried: None,
+            current_row: None,
+            highest_epoch: 0,
         }
     }
 
@@ -91,6 +125,21 @@
         Some(now.millis_since(self.released_at?))
     }
 
+    /// Records the table's era. A new one ends a lease that is held: the table may have lost it, and
+    /// given its row's revision to another row. Returns whether the era is new.
+    pub fn observe_era(&mut self, now: MonoTime, era: TableEra) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        let carried = self.held.take().or(self.carried);
+        self.carried = carried.filter(|held| now < held.valid_until);
+        self.watch = LeaseWatch::default();
+        self.seen = None;
+        self.released_at = None;
+        true
+    }
+
     /// Records the row as read from the table.
     pub fn observe(&mut self, now: MonoTime, revision: RowRevision, row: Option<LeaseRow>) {
         let is_released = row.as_ref().is_some_and(|row| row.is_released);
@@ -102,7 +151,9 @@
         let since = self.released_at.filter(|_| is_known).unwrap_or(now);
         self.released_at = is_released.then_some(since);
         self.watch.observe(revision, now);
-        let is_own = row.as_ref().is_some_and(|row| self.is_ours(row));
+        let is_own = row
+            .as_ref()
+            .is_some_and(|row| self.is_ours(row) && self.is_current(row));
         match (&mut self.held, &row) {
             (Some(held), Some(row)) if is_own && !row.is_released => {
                 held.revision = revision;
@@ -110,6 +161,12 @@
             }
             _ => self.held = None,
         }
+        if let Some(row) = &row {
+            self.highest_epoch = self.highest_epoch.max(row.epoch);
+            if self.is_current(row) {
+                self.current_row = Some(row.clone());
+            }
+        }
         self.seen = Some((revision, row));
     }
 
@@ -121,17 +178,20 @@
             return (now >= held.renew_at).then(|| self.renewal(held));
         }
         let (revision, row) = self.seen.as_ref()?;
-        let is_own = row.as_ref().is_some_and(|row| self.is_ours(row));
-        let is_released = row.as_ref().is_some_and(|row| row.is_released);
+        // A row of an earlier era says nothing of who held the lease last.
+        let current = row.as_ref().filter(|row| self.is_current(row));
+        let is_own = current.is_some_and(|row| self.is_ours(row));
+        let is_released = current.is_some_and(|row| row.is_released);
         let has_expired = self
             .watch
             .has_expired(now, self.term_ms, self.takeover_delay_ms);
         let is_free = may_acquire && (is_released || has_expired);
-        let is_predecessor = row.as_ref().is_some_and(|row| self.is_predecessor(row));
-        if !is_own && !is_predecessor && !is_free {
+        let is_predecessor = current.is_some_and(|row| self.is_predecessor(row));
+        let is_carried = self.is_carried(now);
+        if !is_own && !is_predecessor && !is_free && !is_carried {
             return None;
         }
-        let epoch = row.as_ref().map_or(0, |row| row.epoch) + 1;
+        let epoch = self.highest_epoch.max(self.era.0 * EPOCHS_PER_ERA) + 1;
         Some(LeaseIntent {
             expected: *revision,
             row: self.row(epoch, 0),
@@ -147,6 +207,9 @@
     ) {
         self.watch.observe(revision, sent_at);
         self.released_at = None;
+        self.carried = None;
+        self.highest_epoch = self.highest_epoch.max(intent.row.epoch);
+        self.current_row = Some(intent.row.clone());
         self.seen = Some((revision, Some(intent.row.clone())));
         self.held = (!intent.row.is_released).then(|| HeldLease {
             revision,
@@ -187,11 +250,25 @@
         self.last_row().is_some_and(|row| self.is_ours(row))
     }
 
-    /// Whether the newest row seen was written by an earlier process of this instance that is
-    /// known to have ended.
+    /// Whose decisions come before those under a write that is about to be recorded.
     #[must_use]
-    pub fn is_predecessor_last_writer(&self) -> bool {
-        self.last_row().is_some_and(|row| self.is_predecessor(row))
+    pub fn predecessor(&self, now: MonoTime, intent: &LeaseIntent) -> LeasePredecessor {
+        let unknown = LeasePredecessor::Other { released_for_ms: 0 };
+        if self.is_carried(now) {
+            return LeasePredecessor::Itself;
+        }
+        match self.last_row() {
+            None if intent.expected == RowRevision::ABSENT && self.highest_epoch == 0 => {
+                LeasePredecessor::Nobody
+            }
+            None => unknown,
+            Some(row) if !self.is_current(row) => unknown,
+            Some(row) if self.is_ours(row) => LeasePredecessor::Itself,
+            Some(row) if self.is_predecessor(row) => LeasePredecessor::EndedProcess,
+            Some(_) => LeasePredecessor::Other {
+                released_for_ms: self.released_for_ms(now).unwrap_or(0),
+            },
+        }
     }
 
     /// Whether the lease is held and valid now, so that decisions may be made under it.
@@ -215,12 +292,27 @@
         self.held.map(|held| held.epoch)
     }
 
+    /// The newest row that is no copy from an earlier era, whichever process wrote it.
+    #[must_use]
+    pub const fn current_row(&self) -> Option<&LeaseRow> {
+        self.current_row.as_ref()
+    }
+
     /// The newest row seen, whichever process wrote it.
     #[must_use]
     pub fn last_row(&self) -> Option<&LeaseRow> {
         self.seen.as_ref().and_then(|(_, row)| row.as_ref())
     }
 
+    /// Whether a row was written in the present era of the table.
+    fn is_current(&self, row: &LeaseRow) -> bool {
+        row.era == self.era
+    }
+
+    fn is_carried(&self, now: MonoTime) -> bool {
+        self.carried.is_some_and(|held| now < held.valid_until)
+    }
+
     fn is_ours(&self, row: &LeaseRow) -> bool {
         row.holder == self.holder && row.start_id == self.start_id
     }
@@ -243,6 +335,7 @@
             start_id: self.start_id,
             epoch,
             beat,
+            era: self.era,
             is_released: false,
         }
     }
--- a/src/lease/lease_row.rs
+++ b/src/lease/lease_row.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::table::TableEra;
 
 /// The stored state of a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +21,10 @@
     pub epoch: u64,
     /// Increases with each renewal, so that each write changes the row.
     pub beat: u64,
+    /// Era of the table in which the row was written. A row of an earlier era comes from a copy, and
+    /// later rows may be lost.
+    #[serde(default)]
+    pub era: TableEra,
     /// Set when the holder releases the lease; another process may acquire it at once.
     #[serde(default)]
     pub is_released: bool,
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -4,6 +4,6 @@
 mod lease_row;
 mod lease_watch;
 
-pub use lease_holder::{LeaseHolder, LeaseIntent};
+pub use lease_holder::{LeaseHolder, LeaseIntent, LeasePredecessor};
 pub use lease_row::LeaseRow;
 pub use lease_watch::LeaseWatch;
--- a/src/table/table_service.rs
+++ b/src/table/table_service.rs
@@ -9,9 +9,9 @@
 /// An error from [`TableService::commit`] leaves open whether the transaction took effect: the
 /// caller reads the rows back.
 pub trait TableService {
-    /// The newest era that any response named. Services that are never restored have only one.
-    fn era(&self) -> TableEra {
-        TableEra::default()
+    /// The newest era that any response named; `None` if none did.
+    fn era(&self) -> Option<TableEra> {
+        None
     }
 
     /// Commits a transaction.
--- a/tests/lease_holder.rs
+++ b/tests/lease_holder.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use quetzalpin::lease::{LeaseHolder, LeaseRow};
+use quetzalpin::lease::{LeaseHolder, LeasePredecessor, LeaseRow};
 use quetzalpin::prelude::*;
-use quetzalpin::table::RowRevision;
+use quetzalpin::table::{RowRevision, TableEra};
 
 const TERM_MS: u64 = 5_000;
 
@@ -80,10 +80,11 @@
     let (_, row) = acquired_lease();
     let mut restarted = holder("a", 2).as_sole_process();
     restarted.observe(at(500), RowRevision(1), Some(row.clone()));
-    assert!(restarted.is_predecessor_last_writer());
     let intent = restarted
         .intent(at(500), true)
         .expect("the predecessor's lease");
+    let predecessor = restarted.predecessor(at(500), &intent);
+    assert_eq!(predecessor, LeasePredecessor::EndedProcess);
     assert_eq!(intent.row.epoch, row.epoch + 1);
     let mut other = holder("b", 3).as_sole_process();
     other.observe(at(500), RowRevision(1), Some(row));
@@ -125,3 +126,82 @@
     second.observe(at(21_000), RowRevision(10), None);
     assert_eq!(second.released_for_ms(at(21_100)), None);
 }
+
+/// A lease that process "a" held and lost to process "b", and its row in a copy from the time of
+/// "a".
+fn superseded_lease() -> (LeaseHolder, LeaseHolder, LeaseRow) {
+    let (mut first, old_row) = acquired_lease();
+    let release = first.release().expect("a held lease");
+    first.record_commit(at(1_000), &release, RowRevision(2));
+    let mut second = holder("b", 2);
+    second.observe(at(1_100), RowRevision(2), Some(release.row));
+    let intent = second.intent(at(1_100), true).expect("a free lease");
+    second.record_commit(at(1_100), &intent, RowRevision(3));
+    first.observe(at(1_200), RowRevision(3), Some(intent.row));
+    (first, second, old_row)
+}
+
+/// Guards against two planners, and against an epoch that is used twice: after a restore, an earlier
+/// holder finds its own row and takes the lease while the last holder still uses it.
+#[test]
+fn an_earlier_holder_does_not_take_its_own_row_of_a_restored_copy() {
+    let (mut first, second, old_row) = superseded_lease();
+    let taken = second.epoch().expect("a held lease");
+    assert!(first.observe_era(at(2_000), TableEra(1)));
+    first.observe(at(2_000), RowRevision(1), Some(old_row.clone()));
+    assert!(first.intent(at(2_000), true).is_none());
+    assert!(first.intent(at(2_000) + TERM_MS, true).is_none());
+    first.observe(at(2_100) + TERM_MS, RowRevision(1), Some(old_row));
+    let now = at(2_100) + TERM_MS;
+    let intent = first.intent(now, true).expect("an expired lease");
+    assert!(intent.row.epoch > taken);
+    let unknown = LeasePredecessor::Other { released_for_ms: 0 };
+    assert_eq!(first.predecessor(now, &intent), unknown);
+}
+
+/// Guards against the same fault with a row that a restored copy shows as released.
+#[test]
+fn a_released_row_of_a_restored_copy_is_not_free() {
+    let (mut first, _) = acquired_lease();
+    let release = first.release().expect("a held lease");
+    let mut other = holder("b", 2);
+    other.observe_era(at(2_000), TableEra(1));
+    other.observe(at(2_000), RowRevision(2), Some(release.row));
+    assert!(other.intent(at(2_000), true).is_none());
+}
+
+/// Guards against the same fault in a process that was started after the restore.
+#[test]
+fn a_restarted_process_does_not_take_its_predecessors_row_of_a_restored_copy() {
+    let (_, row) = acquired_lease();
+    let mut restarted = holder("a", 2).as_sole_process();
+    restarted.observe_era(at(500), TableEra(1));
+    restarted.observe(at(500), RowRevision(1), Some(row));
+    assert!(restarted.intent(at(500), true).is_none());
+}
+
+/// Guards against orders under a lease that the table has lost. The last holder takes the lease again
+/// at once, with an epoch that no lost row can have had.
+#[test]
+fn the_last_holder_takes_the_lease_again_after_a_restore() {
+    let (_, mut second, old_row) = superseded_lease();
+    assert!(second.observe_era(at(2_000), TableEra(1)));
+    assert!(!second.is_held(at(2_000)));
+    second.observe(at(2_100), RowRevision(1), Some(old_row));
+    let intent = second.intent(at(2_100), true).expect("the own lease");
+    assert!(intent.row.epoch > 1_000);
+    let predecessor = second.predecessor(at(2_100), &intent);
+    assert_eq!(predecessor, LeasePredecessor::Itself);
+    second.record_commit(at(2_100), &intent, RowRevision(2));
+    assert!(second.is_held(at(2_200)));
+}
+
+/// Guards against a holder that notices the restore only after its lease has ended.
+#[test]
+fn a_holder_whose_lease_has_ended_waits_after_a_restore() {
+    let (_, mut second, old_row) = superseded_lease();
+    let late = at(1_100) + TERM_MS;
+    second.observe_era(late, TableEra(1));
+    second.observe(late, RowRevision(1), Some(old_row));
+    assert!(second.intent(late, true).is_none());
+}
