Use no upstream that only a restored copy of the list brings back

After a return from an older copy, entries of upstreams that had left are listed as ready until the platform removes them again; a gateway that had acknowledged the leaving would send to them (DRAIN). The roster remembers dropped upstreams for a minute: one that was draining stays draining under the same start, and any other is used once it is written again or has stayed listed for 5 s. Without a restore nothing changes: an entry that lapsed and comes back counts at once.

--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -6,6 +6,7 @@
 
 use super::{SourceError, UpstreamChange, UpstreamEntry, UpstreamPhase, UpstreamUpdate};
 use crate::prelude::*;
+use crate::table::TableEra;
 use crate::time::DelayWatch;
 
 slotmap::new_key_type! {
@@ -17,6 +18,14 @@
 /// upstreams whose entries lapsed in the outage are listed again within it.
 const RELIST_GRACE_MS: u64 = 2_300;
 
+/// Milliseconds for which an upstream that was dropped is remembered; longer than a copy from which
+/// the platform is restored is old.
+const DEPARTED_TTL_MS: u64 = 60_000;
+
+/// Milliseconds for which an entry that a restore brought back is not used. Until then the platform
+/// has removed it again, or its upstream has written it again.
+const HELD_BACK_MS: u64 = 5_000;
+
 /// Effect of an update on the roster.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RosterChange {
@@ -24,8 +33,10 @@
     Joined(UpstreamKey),
     /// An upstream started to drain.
     Leaving(UpstreamKey),
-    /// An upstream was dropped.
+    /// An upstream was dropped because its entry was removed.
     Gone(UpstreamId),
+    /// An upstream was dropped because its entry stayed missing after an outage of the list.
+    Lapsed(UpstreamId),
     /// An entry cannot be decoded; its upstream was dropped if it was known.
     Unreadable(UpstreamId, String),
 }
@@ -38,6 +49,14 @@
     missing_until: Option<MonoTime>,
 }
 
+/// An upstream that was dropped.
+#[derive(Debug)]
+struct DepartedUpstream {
+    started_at_ms: u64,
+    phase: UpstreamPhase,
+    dropped_at: MonoTime,
+}
+
 /// The upstreams of the platform's list, with a grace period after outages of the list.
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
@@ -46,6 +65,12 @@
     by_id: HashMap<UpstreamId, UpstreamKey>,
     /// Time of the last failed read of the list.
     last_failed_read: Option<MonoTime>,
+    /// Era of the list as it was last read; `None` before the first read.
+    era: Option<TableEra>,
+    /// Upstreams that were dropped a short while ago.
+    departed: HashMap<UpstreamId, DepartedUpstream>,
+    /// Entries of departed upstreams that a restore brought back, and when they were read.
+    held_back: HashMap<UpstreamId, (MonoTime, UpstreamEntry)>,
 }
 
 impl UpstreamRoster {
@@ -80,7 +105,11 @@
     /// Applies an update of the list and returns its effects.
     pub fn apply(&mut self, now: MonoTime, update: UpstreamUpdate) -> Vec<RosterChange> {
         let mut changes = Vec::new();
+        let era = update.version.era;
+        let known_era = self.era.replace(era);
+        let is_restored = update.is_snapshot && known_era.is_some_and(|known| known != era);
         if update.is_snapshot {
+            self.held_back.clear();
             let is_listed = |id: &UpstreamId| {
                 update.changes.iter().any(
                     |change| matches!(change, UpstreamChange::Listed(entry) if entry.id == *id),
@@ -98,10 +127,19 @@
         }
         for change in update.changes {
             match change {
-                UpstreamChange::Listed(entry) => self.upsert(entry, &mut changes),
-                UpstreamChange::Removed(id) => self.remove(now, id, &mut changes),
+                UpstreamChange::Listed(entry) if is_restored && self.has_departed(now, &entry) => {
+                    self.held_back.insert(entry.id.clone(), (now, entry));
+                }
+                UpstreamChange::Listed(entry) => {
+                    self.held_back.remove(&entry.id);
+                    self.upsert(now, entry, &mut changes);
+                }
+                UpstreamChange::Removed(id) => {
+                    self.held_back.remove(&id);
+                    self.remove(now, id, &mut changes);
+                }
                 UpstreamChange::Unreadable { id, reason } => {
-                    self.drop_now(&id);
+                    self.drop_now(now, &id);
                     changes.push(RosterChange::Unreadable(id, reason));
                 }
             }
@@ -118,18 +156,32 @@
         phase == UpstreamPhase::Ready
     }
 
-    /// Drops the upstreams whose grace period has expired and returns their identities.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<UpstreamId> {
+    /// Drops the upstreams whose grace period has expired, and uses the entries that were held back
+    /// and are still listed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<RosterChange> {
         let expired: Vec<UpstreamId> = self
             .rows
             .values()
             .filter(|row| row.missing_until.is_some_and(|until| now >= until))
             .map(|row| row.entry.id.clone())
             .collect();
-        for id in &expired {
-            self.drop_now(id);
+        let mut changes = Vec::new();
+        for id in expired {
+            self.drop_now(now, &id);
+            changes.push(RosterChange::Lapsed(id));
         }
-        expired
+        let is_due = |read_at: MonoTime| now.millis_since(read_at) >= HELD_BACK_MS;
+        let due: Vec<UpstreamEntry> = self
+            .held_back
+            .extract_if(|_, (read_at, _)| is_due(*read_at))
+            .map(|(_, (_, entry))| entry)
+            .collect();
+        for entry in due {
+            self.upsert(now, entry, &mut changes);
+        }
+        self.departed
+            .retain(|_, departed| now.millis_since(departed.dropped_at) < DEPARTED_TTL_MS);
+        changes
     }
 
     /// An upstream by key.
@@ -149,7 +201,7 @@
         self.rows.iter().map(|(key, row)| (key, &row.entry))
     }
 
-    fn upsert(&mut self, entry: UpstreamEntry, changes: &mut Vec<RosterChange>) {
+    fn upsert(&mut self, now: MonoTime, mut entry: UpstreamEntry, changes: &mut Vec<RosterChange>) {
         let known = self
             .key_of(&entry.id)
             .and_then(|key| Some((key, self.rows.get_mut(key)?)));
@@ -175,6 +227,16 @@
             self.rows.remove(key);
         }
         let id = entry.id.clone();
+        // A draining upstream that was dropped stays draining if it is listed again.
+        let departed = self.departed.get(&id);
+        let was_draining = departed.is_some_and(|departed| {
+            departed.started_at_ms == entry.started_at_ms
+                && departed.phase == UpstreamPhase::Draining
+                && now.millis_since(departed.dropped_at) < DEPARTED_TTL_MS
+        });
+        if was_draining {
+            entry.phase = UpstreamPhase::Draining;
+        }
         let key = self.rows.insert(RosterRow {
             entry,
             missing_until: None,
@@ -192,16 +254,30 @@
                 row.missing_until = Some(until);
             }
             (Some(_), _) => {
-                self.drop_now(&id);
+                self.drop_now(now, &id);
                 changes.push(RosterChange::Gone(id));
             }
             (None, _) => {}
         }
     }
 
-    fn drop_now(&mut self, id: &UpstreamId) {
-        if let Some(key) = self.by_id.remove(id) {
-            self.rows.remove(key);
-        }
+    fn drop_now(&mut self, now: MonoTime, id: &UpstreamId) {
+        let row = self.by_id.remove(id).and_then(|key| self.rows.remove(key));
+        let Some(row) = row else { return };
+        let departed = DepartedUpstream {
+            started_at_ms: row.entry.started_at_ms,
+            phase: row.entry.phase,
+            dropped_at: now,
+        };
+        self.departed.insert(id.clone(), departed);
+    }
+
+    /// Whether an entry is of an upstream that was dropped a short while ago.
+    fn has_departed(&self, now: MonoTime, entry: &UpstreamEntry) -> bool {
+        let departed = self.departed.get(&entry.id);
+        departed.is_some_and(|departed| {
+            departed.started_at_ms >= entry.started_at_ms
+                && now.millis_since(departed.dropped_at) < DEPARTED_TTL_MS
+        })
     }
 }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -130,13 +130,7 @@
             .repeat_overdue_calls(now, has_planner(&context));
         context.parts.expire(now);
         context.rate_limiter.borrow_mut().advance(now);
-        let dropped = context.roster.borrow_mut().expire(now);
-        for id in &dropped {
-            log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
-        }
-        if !dropped.is_empty() {
-            context.propagate_roster();
-        }
+        context.expire_upstreams();
     }
 }
 
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -265,6 +265,18 @@
         self.propagate_roster();
     }
 
+    /// Drops upstreams that stayed missing after an outage, and uses those that stayed listed after a
+    /// restore.
+    pub fn expire_upstreams(&self) {
+        let changes = self.roster.borrow_mut().expire(self.now());
+        for change in &changes {
+            self.log_change(change);
+        }
+        if !changes.is_empty() {
+            self.propagate_roster();
+        }
+    }
+
     /// Records a read of the upstream list that began at `started_at` and failed. Returns whether it
     /// shows an outage of the platform.
     pub fn record_failed_list_read(&self, started_at: MonoTime, error: &SourceError) -> bool {
@@ -490,6 +502,9 @@
                 }
             }
             RosterChange::Gone(id) => log::info!(upstream:% = id; "upstream gone"),
+            RosterChange::Lapsed(id) => {
+                log::info!(upstream:% = id, reason = "stayed missing after an outage"; "upstream gone");
+            }
             RosterChange::Unreadable(id, reason) => {
                 log::warn!(upstream:% = id, reason:% = reason; "entry ignored");
             }
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -8,6 +8,7 @@
     UpstreamUpdate,
 };
 use quetzalpin::prelude::*;
+use quetzalpin::table::TableEra;
 use rstest::rstest;
 
 fn at(millis: u64) -> MonoTime {
@@ -79,7 +80,7 @@
     roster.note_outage(at(5_000));
     roster.apply(at(5_100), update(UpstreamChange::Removed(id())));
     assert!(roster.expire(at(7_000)).is_empty());
-    assert_eq!(roster.expire(at(7_400)), vec![id()]);
+    assert_eq!(roster.expire(at(7_400)), vec![RosterChange::Lapsed(id())]);
     assert!(roster.key_of(&id()).is_none());
 }
 
@@ -97,7 +98,7 @@
     };
     roster.apply(at(6_900), snapshot);
     assert!(roster.key_of(&id()).is_some());
-    assert_eq!(roster.expire(at(7_300)), vec![id()]);
+    assert_eq!(roster.expire(at(7_300)), vec![RosterChange::Lapsed(id())]);
 }
 
 /// A draining upstream must not receive new work, even if an outdated entry lists it as ready.
@@ -151,3 +152,69 @@
     let phase = roster.get(key).map(|entry| entry.phase);
     assert_eq!(phase, Some(UpstreamPhase::Draining));
 }
+
+/// A snapshot of the list in a later era, as it is read after a restore.
+fn restored_list(change: UpstreamChange) -> UpstreamUpdate {
+    let position = FeedVersion {
+        era: TableEra(1),
+        version: 1,
+    };
+    UpstreamUpdate {
+        version: position,
+        newest_change: position,
+        is_snapshot: true,
+        changes: vec![change],
+    }
+}
+
+fn roster_without_upstream(phase: UpstreamPhase) -> UpstreamRoster {
+    let mut roster = roster_with_start(1);
+    roster.apply(at(10), update(entry(1, phase)));
+    roster.apply(at(20), update(UpstreamChange::Removed(id())));
+    roster
+}
+
+/// Guards against DRAIN: an entry that a restore brings back makes an upstream ready that had left.
+#[test]
+fn an_upstream_that_drained_away_is_not_ready_after_a_restore() {
+    let mut roster = roster_without_upstream(UpstreamPhase::Draining);
+    roster.apply(at(9_000), restored_list(entry(1, UpstreamPhase::Ready)));
+    assert!(roster.key_of(&id()).is_none());
+    roster.expire(at(20_000));
+    let key = roster.key_of(&id()).expect("an entry that stayed listed");
+    let phase = roster.get(key).map(|entry| entry.phase);
+    assert_eq!(phase, Some(UpstreamPhase::Draining));
+}
+
+/// Guards against DRAIN: the same with an upstream that left without draining.
+#[test]
+fn an_upstream_that_was_removed_is_not_used_at_once_after_a_restore() {
+    let mut roster = roster_without_upstream(UpstreamPhase::Ready);
+    roster.apply(at(9_000), restored_list(entry(1, UpstreamPhase::Ready)));
+    assert!(roster.key_of(&id()).is_none());
+    roster.apply(at(9_500), update(UpstreamChange::Removed(id())));
+    assert!(roster.expire(at(60_000)).is_empty());
+    assert!(roster.key_of(&id()).is_none());
+}
+
+/// Guards against a live upstream that stays unused: after a restore its entry counts as soon as it
+/// is written again, or after a while in any case.
+#[rstest]
+#[case::written_again(Some(9_500), 9_500)]
+#[case::still_listed(None, 15_000)]
+fn an_entry_that_stays_listed_after_a_restore_is_used(
+    #[case] written_ms: Option<u64>,
+    #[case] known_ms: u64,
+) {
+    let mut roster = roster_without_upstream(UpstreamPhase::Ready);
+    roster.apply(at(9_000), restored_list(entry(1, UpstreamPhase::Ready)));
+    if let Some(written_ms) = written_ms {
+        let mut rewritten = update(entry(1, UpstreamPhase::Ready));
+        rewritten.version.era = TableEra(1);
+        roster.apply(at(written_ms), rewritten);
+    }
+    roster.expire(at(known_ms));
+    let key = roster.key_of(&id()).expect("an upstream in use");
+    let phase = roster.get(key).map(|entry| entry.phase);
+    assert_eq!(phase, Some(UpstreamPhase::Ready));
+}
