--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -17,12 +17,23 @@
 // A request ended at an upstream that a new start of the worker had replaced; its task panicked.
 #[case::replaced_upstream(90014, 21)]
 fn promises_hold_through_random_faults(#[case] seed: u64, #[case] seconds: u64) {
+    assert_promises_hold(seed, seconds, false);
+}
+
+/// A short sample with a store that also comes back from older copies.
+#[test]
+fn promises_hold_through_restores_of_the_store() {
+    assert_promises_hold(41_000_101, 15, true);
+}
+
+fn assert_promises_hold(seed: u64, seconds: u64, has_restores: bool) {
     let options = SoakOptions {
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_quetzalpind")),
         seed,
         duration: Duration::from_secs(seconds),
         callers: 12,
         size: FleetSize::default(),
+        has_restores,
         logs: None,
     };
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
