Let only a confirmed lease count as the last planner's own

The class is that of the restored store: who planned last is judged by the row that is found. A process is its own predecessor only if it is known to have held the lease after every other process; an earlier process of the same instance counts as the last planner only if its row was renewed, which shows that it knew of its lease.

--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -80,6 +80,10 @@
     current_row: Option<LeaseRow>,
     /// Highest epoch of any row seen.
     highest_epoch: u64,
+    /// Highest epoch under which this process is known to have held the lease.
+    own_epoch: u64,
+    /// Highest epoch of a row of another process.
+    foreign_epoch: u64,
 }
 
 impl LeaseHolder {
@@ -101,6 +105,8 @@
             carried: None,
             current_row: None,
             highest_epoch: 0,
+            own_epoch: 0,
+            foreign_epoch: 0,
         }
     }
 
@@ -163,6 +169,9 @@
         }
         if let Some(row) = &row {
             self.highest_epoch = self.highest_epoch.max(row.epoch);
+            if !self.is_ours(row) {
+                self.foreign_epoch = self.foreign_epoch.max(row.epoch);
+            }
             if self.is_current(row) {
                 self.current_row = Some(row.clone());
             }
@@ -209,6 +218,7 @@
         self.released_at = None;
         self.carried = None;
         self.highest_epoch = self.highest_epoch.max(intent.row.epoch);
+        self.own_epoch = self.own_epoch.max(intent.row.epoch);
         self.current_row = Some(intent.row.clone());
         self.seen = Some((revision, Some(intent.row.clone())));
         self.held = (!intent.row.is_released).then(|| HeldLease {
@@ -263,7 +273,10 @@
             }
             None => unknown,
             Some(row) if !self.is_current(row) => unknown,
+            // A write that was never confirmed may have followed the decisions of another process.
+            Some(row) if self.is_ours(row) && self.own_epoch <= self.foreign_epoch => unknown,
             Some(row) if self.is_ours(row) => LeasePredecessor::Itself,
+            Some(row) if self.is_predecessor(row) && row.beat == 0 => unknown,
             Some(row) if self.is_predecessor(row) => LeasePredecessor::EndedProcess,
             Some(_) => LeasePredecessor::Other {
                 released_for_ms: self.released_for_ms(now).unwrap_or(0),
