Trust a refusal only if it answers the request that was sent

A worker that writes the refusal of an earlier request once more made a caller hear 'not run, try again' for a request that may run, or let it run at a second worker (REFUSED, TWICE). It can happen here although no connection to an upstream is kept: the id in a refusal was not looked at. An answer with the id of another request now has an unknown outcome whatever its status, and its word on the upstream's load, limit or pause does not count.

--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -242,3 +242,35 @@
         },
     );
 }
+
+/// Guards against REFUSED and TWICE: a worker writes the refusal of an earlier request once more. The
+/// caller is told that its request did not run, or the request runs at a second worker.
+#[test]
+fn a_refusal_of_another_request_does_not_say_that_this_one_did_not_run() {
+    with_trouble(
+        WorkerKind::Plain,
+        RawAnswer::EarlierRefusal,
+        async |fleet: SoakFleet, worker: RawWorker| {
+            let stamp = call(CallKind::Stamp, TROUBLED_MODEL);
+            assert_eq!(send(&fleet, &stamp).await, CallOutcome::Status(502));
+            assert_eq!(worker.requests(), 1);
+        },
+    );
+}
+
+/// Guards against MIXED and ORDER: a worker stops in the middle of its head and closes. The caller
+/// gets a success with an empty body that is framed as whole.
+#[rstest]
+#[case::stream(WorkerKind::Engine, CallKind::Chat)]
+#[case::plain(WorkerKind::Plain, CallKind::Stamp)]
+fn a_head_that_is_cut_off_is_no_answer(#[case] worker_kind: WorkerKind, #[case] kind: CallKind) {
+    with_trouble(
+        worker_kind,
+        RawAnswer::PartialHead,
+        async |fleet: SoakFleet, worker: RawWorker| {
+            let request = call(kind, TROUBLED_MODEL);
+            assert_eq!(send(&fleet, &request).await, CallOutcome::Status(502));
+            assert_eq!(worker.requests(), 1);
+        },
+    );
+}
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -207,8 +207,12 @@
         let codec = &context.ports.header_codec;
         let (mut parts, incoming) = response.into_parts();
         let head = codec.read_answer(parts.status, &parts.headers);
-        context.record_notice(now, self.key, head.notice);
-        if head.is_not_run {
+        // An answer to another request says nothing of this one, nor of the upstream's present state.
+        let is_own_answer = !self.is_other_request(&head);
+        if is_own_answer {
+            context.record_notice(now, self.key, head.notice);
+        }
+        if head.is_not_run && is_own_answer {
             guard.set_outcome("not_run");
             let is_excluded = self.record_refusal(&head, parts.status);
             return AttemptOutcome::sent(AttemptEnd::NotRun, is_excluded);
@@ -268,13 +272,17 @@
 
     /// Whether the response cannot be the upstream's answer to this request.
     fn is_wrong_answer(&self, head: &AnswerHead, status: StatusCode) -> bool {
-        let is_other_request = head
-            .request
-            .as_ref()
-            .is_some_and(|id| *id != self.call.plan.request);
         // These statuses promise that the request did not run, which the upstream did not say.
         let is_reserved_status = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-        is_reserved_status || is_other_request || (status.is_success() && !head.is_sealed)
+        is_reserved_status
+            || self.is_other_request(head)
+            || (status.is_success() && !head.is_sealed)
+    }
+
+    /// Whether the response names another request.
+    fn is_other_request(&self, head: &AnswerHead) -> bool {
+        let request = head.request.as_ref();
+        request.is_some_and(|id| *id != self.call.plan.request)
     }
 
     /// Records why the upstream did not run the request. Returns whether the request should try
