Let a stream go on only with events of the same stream

A stream had begun and broke off; the next worker answered 500 with a text, or with events that have no id, and the caller got the text as part of a stream that ended as complete (ORDER, MIXED). A body was read as events whatever the status, and events without ids counted as a sequel. A failure is now read as a whole answer, which ends a resumed stream visibly and is passed on unchanged as a first answer; a resumed stream must begin with an id above the last one.

--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -258,6 +258,36 @@
     );
 }
 
+/// Guards against ORDER and MIXED: a stream has begun and broke off, and what the next worker answers
+/// is no part of it. The caller finds it in the stream, or the stream ends as if it were complete.
+#[rstest]
+#[case::a_failure(RawAnswer::ErrorText)]
+#[case::an_event_without_an_id(RawAnswer::EventWithoutId)]
+fn a_stream_does_not_go_on_with_what_is_no_part_of_it(#[case] next: RawAnswer) {
+    with_trouble(
+        WorkerKind::Engine,
+        RawAnswer::OneEvent,
+        async |fleet: SoakFleet, worker: RawWorker| {
+            let other = RawWorker::spawn("i-next", WorkerKind::Engine, next)
+                .await
+                .expect("a worker");
+            let mut entry = other.entry(&[TROUBLED_MODEL]);
+            // The near worker is chosen first.
+            entry["zone"] = "zone-far".into();
+            let store = &fleet.store.state;
+            store.put("servers", &other.id, encoded(&entry));
+            wait_until("the other worker", || {
+                let log = fleet.gateways[0].process.log();
+                log.contains("\"upstream joined\",\"upstream\":\"i-next\"")
+            })
+            .await;
+            let notes = call(CallKind::Notes, TROUBLED_MODEL);
+            assert_eq!(send(&fleet, &notes).await, CallOutcome::Cut);
+            assert_eq!((worker.requests(), other.requests()), (1, 1));
+        },
+    );
+}
+
 /// Guards against MIXED and ORDER: a worker stops in the middle of its head and closes. The caller
 /// gets a success with an empty body that is framed as whole.
 #[rstest]
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -230,7 +230,8 @@
             AttemptResult::Answered
         });
         context.record_answered(&self.call.plan, now);
-        if self.call.plan.is_stream() {
+        // A failure has a text instead of events.
+        if self.call.plan.is_stream() && parts.status.is_success() {
             let stream = UpstreamStream::open(incoming, guard, connection);
             return match StartedStream::open(parts, stream).await {
                 Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
@@ -242,7 +243,9 @@
         match read_body(incoming, MAX_BUFFERED_ANSWER_BYTES, left_ms).await {
             Ok(body) => {
                 guard.set_outcome("complete");
-                context.record_part_answer(&self.call.plan);
+                if parts.status.is_success() {
+                    context.record_part_answer(&self.call.plan);
+                }
                 let end = AttemptEnd::Answer(Response::from_parts(parts, full_body(body)));
                 AttemptOutcome::sent(end, false)
             }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -93,7 +93,7 @@
         let is_sequel = resumed
             .rest
             .event_ids()
-            .is_none_or(|(first_id, _)| first_id > after);
+            .is_some_and(|(first_id, _)| first_id > after);
         if !is_sequel {
             return Err(StreamFailure::NoEvents);
         }
