--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -280,6 +280,7 @@
             return Some(self.refuse(RefusalReason::Overloaded, Some(forecast_ms)));
         }
         if !std::mem::replace(&mut self.has_waited_for_token, true) {
+            self.context.metrics.token_waits.inc();
             log::info!(request:% = plan.request, forecast_ms, limit_ms = left_ms; "waiting for a token");
         }
         let registration = TokenWait::begin(&self.context, key, plan.wait_turn());
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -24,6 +24,8 @@
     pub refused: Family<RefusalLabels, Counter>,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
+    /// Requests that waited until an upstream accepted them.
+    pub token_waits: Counter,
     /// Bytes sent to and received from other regions.
     pub remote_bytes: Counter,
     /// Engine orders by outcome.
@@ -66,6 +68,7 @@
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
             retried: Counter::default(),
+            token_waits: Counter::default(),
             remote_bytes: Counter::default(),
             orders: Family::default(),
             table_calls: Family::default(),
@@ -109,6 +112,11 @@
         );
         registry.register("refused", "Refused requests", self.refused.clone());
         registry.register("retried", "Retried requests", self.retried.clone());
+        registry.register(
+            "token_waits",
+            "Requests that waited for a rate limit or a pause of an upstream",
+            self.token_waits.clone(),
+        );
         registry.register(
             "remote_bytes",
             "Bytes over links between regions",
