--- a/daemon/tests/upstream_notices.rs
+++ b/daemon/tests/upstream_notices.rs
@@ -61,6 +61,16 @@
     panic!("no request reached {}", worker.id);
 }
 
+/// Asserts that all requests are served, and none by the worker.
+async fn assert_others_serve(fleet: &SoakFleet, worker: &WorkerStandin) {
+    let known = worker.arrivals.borrow().len();
+    for number in 100..140 {
+        let outcome = lookup(fleet, number).await;
+        assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+    }
+    assert_eq!(worker.arrivals.borrow().len(), known);
+}
+
 fn arrivals(workers: &[&WorkerStandin]) -> usize {
     let counts = workers.iter().map(|worker| worker.arrivals.borrow().len());
     counts.sum()
@@ -73,12 +83,7 @@
     with_plain_workers(async |fleet, workers| {
         workers[0].is_leaving.set(true);
         reach(fleet, workers[0]).await;
-        let known = workers[0].arrivals.borrow().len();
-        for number in 100..140 {
-            let outcome = lookup(fleet, number).await;
-            assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
-        }
-        assert_eq!(workers[0].arrivals.borrow().len(), known);
+        assert_others_serve(fleet, workers[0]).await;
     });
 }
 
@@ -89,12 +94,7 @@
     with_plain_workers(async |fleet, workers| {
         workers[0].refuse_for_s.set(Some(REFUSE_FOR_S));
         reach(fleet, workers[0]).await;
-        let known = workers[0].arrivals.borrow().len();
-        for number in 100..140 {
-            let outcome = lookup(fleet, number).await;
-            assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
-        }
-        assert_eq!(workers[0].arrivals.borrow().len(), known);
+        assert_others_serve(fleet, workers[0]).await;
     });
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod crash_probe;
 mod feed_watch;
 mod fleet_follower;
+mod fleet_updates;
 mod front_server;
 mod gateway_context;
 mod gateway_handle;
