Look for a free lease when the planner answers but has lost its own

A planner that is cut off from the store when it comes back loses its lease, but still answers reports; the other gateways took it for responsive and read the lease only once in 20 s, so that nobody planned for that long. The same held for any planner whose lease had run out. Its answers say that it does not hold the lease: such a planner no longer counts as responsive, and the lease is read at once and polled. a_planner_that_is_cut_off_from_a_restored_store_has_a_successor failed after 20 s without a planner, and passes.

--- a/daemon/tests/store_restore.rs
+++ b/daemon/tests/store_restore.rs
@@ -15,6 +15,15 @@
     plain_workers: 2,
 };
 
+/// A fleet in which one gateway plans and another one can reach the store for it.
+const SIZE_WITH_PEER: FleetSize = FleetSize {
+    gateways: 2,
+    ..SIZE
+};
+
+/// Log line of a gateway that begins to plan.
+const PLANNING_BEGUN: &str = "\"planning begun\"";
+
 /// Longest time that a test waits for an event.
 const EVENT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -111,3 +120,32 @@
         }
     });
 }
+
+/// Guards against a fleet without a planner: the planner cannot reach the store when it comes back,
+/// loses its lease and still answers, so that no other gateway looks for a free lease.
+#[test]
+fn a_planner_that_is_cut_off_from_a_restored_store_has_a_successor() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE_WITH_PEER);
+        let fleet = spawning.await.expect("a ready fleet");
+        let plans = |number: usize| {
+            let log = fleet.gateways[number].process.log();
+            log.matches(PLANNING_BEGUN).count()
+        };
+        compio::time::sleep(READ_TIME).await;
+        let planner = usize::from(plans(1) > 0);
+        let copy = fleet.store.state.rows.borrow().clone();
+        let proxy = &fleet.gateways[planner].store_proxy;
+        proxy.set_refusing(true);
+        proxy.close_connections();
+        fleet.store.state.restore(copy);
+        fleet.rewrite_catalog();
+        let deadline = Instant::now() + EVENT_LIMIT;
+        while plans(0) + plans(1) < 2 {
+            assert!(Instant::now() < deadline, "nobody plans");
+            compio::time::sleep(POLL).await;
+        }
+    });
+}
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -52,8 +52,10 @@
     capacity_delay_ms: u64,
     /// Number of orders that were sent and not answered yet.
     pub orders_in_flight: Cell<u32>,
-    /// Time of the last answer from a planner in another process.
+    /// Time of the last answer from a planner in another process that held the lease.
     pub last_answer_at: Cell<MonoTime>,
+    /// Whether the planner in another process held the lease when it last answered a report.
+    is_remote_held: Cell<bool>,
     /// Wakes the loop that sends orders.
     pub order_wake: WakeSignal,
     /// Notified when the models held by engines change.
@@ -85,6 +87,7 @@
             capacity_delay_ms: capacity_delay_ms(config.processor_capacity()),
             orders_in_flight: Cell::new(0),
             last_answer_at: Cell::default(),
+            is_remote_held: Cell::new(false),
             order_wake: WakeSignal::default(),
             placement_changed: BroadcastSignal::default(),
         }
@@ -126,11 +129,12 @@
         (row.address != self.address).then_some(row.address)
     }
 
-    /// Whether a planner in another process has answered lately.
+    /// Whether a planner in another process that holds the lease has answered lately.
     #[must_use]
     pub fn is_planner_responsive(&self, now: MonoTime) -> bool {
         let silent_ms = now.millis_since(self.last_answer_at.get());
-        self.remote_address().is_some() && silent_ms < PLANNER_TIMEOUT_MS
+        let is_held = self.is_remote_held.get() && self.remote_address().is_some();
+        is_held && silent_ms < PLANNER_TIMEOUT_MS
     }
 
     /// Records the table's era. Orders stop at once if the table was restored, until the lease is
@@ -229,14 +233,25 @@
         self.lease.borrow_mut().release()
     }
 
-    /// Records an answer from the planner; `revision` is that of the lease row, or 0 if unknown.
-    pub fn record_answer(&self, now: MonoTime, revision: u64) {
-        self.last_answer_at.set(now);
+    /// Records the planner's answer to a report; `revision` is that of the lease row, or 0 if the
+    /// planner does not hold the lease. Returns whether it has lost the lease since its last answer.
+    pub fn record_answer(&self, now: MonoTime, revision: u64) -> bool {
+        let was_held = self.is_remote_held.replace(revision > 0);
+        self.record_contact(now);
         if revision > 0 {
             self.lease
                 .borrow_mut()
                 .observe_revision(now, RowRevision(revision));
         }
+        was_held && revision == 0
+    }
+
+    /// Records that the planner answered another call. A planner that has lost its lease does not
+    /// count as responsive, so that another process takes the lease.
+    pub fn record_contact(&self, now: MonoTime) {
+        if self.is_remote_held.get() {
+            self.last_answer_at.set(now);
+        }
     }
 
     /// Records an entry's report and builds the response; `None` if this process does not plan.
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -43,7 +43,7 @@
                     log::info!(planner:% = address, epoch = update.epoch; "planner reached");
                 }
                 was_connected = true;
-                context.host.record_answer(context.now(), 0);
+                context.host.record_contact(context.now());
                 apply_changes(&context, &mut mark, &update);
             }
             Err(error) => {
@@ -117,9 +117,11 @@
             }
             Some(address) => match context.rpc(address).demand(report).await {
                 Ok(response) => {
-                    context
-                        .host
-                        .record_answer(context.now(), response.lease_revision);
+                    let revision = response.lease_revision;
+                    if context.host.record_answer(context.now(), revision) {
+                        log::warn!(planner:% = address; "planner has lost its lease");
+                        context.lease_wake.notify();
+                    }
                     Some(response)
                 }
                 Err(error) => {
