Read the planner's lease by way of a peer, too

A planner that could not reach the store when it came back had lost its lease: it could have written it through a peer, but had first to read it, which only worked directly. For up to two terms nobody planned. It now reads the row through a peer as well, and takes the lease again while its old one would be valid.

--- a/daemon/tests/store_restore.rs
+++ b/daemon/tests/store_restore.rs
@@ -21,6 +21,9 @@
     ..SIZE
 };
 
+/// Term of the planner's lease in the fleet.
+const LEASE_TERM: Duration = Duration::from_secs(5);
+
 /// Log line of a gateway that begins to plan.
 const PLANNING_BEGUN: &str = "\"planning begun\"";
 
@@ -121,31 +124,71 @@
     });
 }
 
-/// Guards against a fleet without a planner: the planner cannot reach the store when it comes back,
-/// loses its lease and still answers, so that no other gateway looks for a free lease.
-#[test]
-fn a_planner_that_is_cut_off_from_a_restored_store_has_a_successor() {
+/// Runs a case on a fleet of two gateways, of which the first given one plans.
+fn with_planner(case: impl AsyncFnOnce(&SoakFleet, usize)) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
         let spawning = SoakFleet::spawn_ready(daemon, SIZE_WITH_PEER);
         let fleet = spawning.await.expect("a ready fleet");
-        let plans = |number: usize| {
-            let log = fleet.gateways[number].process.log();
-            log.matches(PLANNING_BEGUN).count()
-        };
         compio::time::sleep(READ_TIME).await;
-        let planner = usize::from(plans(1) > 0);
-        let copy = fleet.store.state.rows.borrow().clone();
-        let proxy = &fleet.gateways[planner].store_proxy;
-        proxy.set_refusing(true);
-        proxy.close_connections();
-        fleet.store.state.restore(copy);
-        fleet.rewrite_catalog();
-        let deadline = Instant::now() + EVENT_LIMIT;
-        while plans(0) + plans(1) < 2 {
-            assert!(Instant::now() < deadline, "nobody plans");
-            compio::time::sleep(POLL).await;
-        }
+        let planner = usize::from(plans(&fleet, 1) > 0);
+        case(&fleet, planner).await;
+    });
+}
+
+/// How often a gateway has begun to plan.
+fn plans(fleet: &SoakFleet, gateway: usize) -> usize {
+    let log = fleet.gateways[gateway].process.log();
+    log.matches(PLANNING_BEGUN).count()
+}
+
+fn cut_from_store(fleet: &SoakFleet, gateway: usize) {
+    let proxy = &fleet.gateways[gateway].store_proxy;
+    proxy.set_refusing(true);
+    proxy.close_connections();
+}
+
+/// Puts the store back to a copy that lacks nothing.
+fn restore_store(fleet: &SoakFleet) {
+    let store = &fleet.store.state;
+    let copy = store.rows.borrow().clone();
+    store.restore(copy);
+    fleet.rewrite_catalog();
+}
+
+/// Waits until a gateway plans after the restore.
+async fn wait_for_planner(fleet: &SoakFleet) {
+    let deadline = Instant::now() + EVENT_LIMIT;
+    while plans(fleet, 0) + plans(fleet, 1) < 2 {
+        assert!(Instant::now() < deadline, "nobody plans");
+        compio::time::sleep(POLL).await;
+    }
+}
+
+/// Guards against a fleet without a planner: the planner cannot reach the store when it comes back,
+/// loses its lease and still answers, so that no other gateway looks for a free lease.
+#[test]
+fn a_planner_that_lost_its_lease_to_a_restore_has_a_successor() {
+    with_planner(async |fleet, planner| {
+        cut_from_store(fleet, planner);
+        fleet.gateways[planner].process.pause();
+        restore_store(fleet);
+        // The planner is back after its lease has ended and before another gateway may take it.
+        compio::time::sleep(LEASE_TERM * 9 / 10).await;
+        fleet.gateways[planner].process.resume();
+        wait_for_planner(fleet).await;
+    });
+}
+
+/// Guards against a fleet without a planner for a term: the planner cannot reach the store when it
+/// comes back, and loses its lease although another gateway could read and write it.
+#[test]
+fn a_planner_that_is_cut_off_from_a_restored_store_goes_on_by_way_of_a_peer() {
+    with_planner(async |fleet, planner| {
+        cut_from_store(fleet, planner);
+        restore_store(fleet);
+        wait_for_planner(fleet).await;
+        assert_eq!(plans(fleet, planner), 2, "another gateway plans");
     });
 }
--- a/src/gateway/planner_lease.rs
+++ b/src/gateway/planner_lease.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::GatewayContext;
-use crate::lease::{LeaseIntent, LeaseRow};
-use crate::planner_rpc::PlannerApiClient;
+use crate::lease::LeaseIntent;
+use crate::planner_rpc::{LeaseSnapshot, PlannerApiClient};
 use crate::table::{RowRevision, TableError, TableTxn, TxnOutcome};
 
 /// Table key of the planner lease.
@@ -84,17 +84,45 @@
     }
 }
 
+/// Reads the lease row, through a peer if the table call fails.
 async fn read_lease(context: &Rc<GatewayContext>) -> Result<(), TableError> {
-    let row = context.ports.table.read(PLANNER_LEASE.to_owned()).await?;
-    let lease: Option<LeaseRow> = row.decode()?;
-    context.check_era();
-    context.host.observe(context.now(), row.revision, lease);
-    if context.host.stop_if_lease_lost() {
+    let snapshot = match fetch_lease(context).await {
+        Ok(snapshot) => snapshot,
+        Err(error) => relay_read(context).await.ok_or(error)?,
+    };
+    if let Some(era) = snapshot.era {
+        context.record_remote_era(era);
+    }
+    let host = &context.host;
+    host.observe(context.now(), snapshot.revision, snapshot.row);
+    if host.stop_if_lease_lost() {
         log::info!("planning ended: another process holds the lease");
     }
     Ok(())
 }
 
+/// Reads the lease row from the table.
+pub async fn fetch_lease(context: &GatewayContext) -> Result<LeaseSnapshot, TableError> {
+    let row = context.ports.table.read(PLANNER_LEASE.to_owned()).await?;
+    context.check_era();
+    Ok(LeaseSnapshot {
+        revision: row.revision,
+        era: context.ports.table.era(),
+        row: row.decode()?,
+    })
+}
+
+/// Asks peers to read the lease row because this process cannot reach the table.
+async fn relay_read(context: &GatewayContext) -> Option<LeaseSnapshot> {
+    for peer in context.host.relay_peers(RELAY_PEERS) {
+        match context.rpc(peer).read_lease().await {
+            Ok(snapshot) => return Some(snapshot),
+            Err(error) => log::warn!(peer:% = peer, error:% = error; "lease relay failed"),
+        }
+    }
+    None
+}
+
 /// Writes the lease row to the table. Returns its revision, or `None` on a conflict or if the table
 /// was restored meanwhile: the expected revision may then be that of another row.
 pub async fn commit_lease(
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -9,10 +9,13 @@
 use send_wrapper::SendWrapper;
 
 use super::GatewayContext;
-use super::planner_lease::commit_lease;
+use super::planner_lease::{commit_lease, fetch_lease};
 use crate::lease::LeaseIntent;
 use crate::orders::PlacementUpdate;
-use crate::planner_rpc::{DemandReport, DemandResponse, FollowMark, PlannerApiServer};
+use crate::planner_rpc::{
+    DemandReport, DemandResponse, FollowMark, LeaseSnapshot, PlannerApiServer,
+};
+use crate::table::TableError;
 
 /// Longest long-poll timeout of a `follow` call in milliseconds.
 const MAX_FOLLOW_WAIT_MS: u64 = 1_500;
@@ -36,6 +39,11 @@
     ErrorObjectOwned::from(ErrorCode::MethodNotFound)
 }
 
+fn table_failure(error: &TableError) -> ErrorObjectOwned {
+    let code = ErrorCode::InternalError.code();
+    ErrorObjectOwned::owned(code, error.to_string(), None::<()>)
+}
+
 #[async_trait]
 impl PlannerApiServer for PlannerServer {
     fn demand(&self, report: DemandReport) -> RpcResult<DemandResponse> {
@@ -61,12 +69,15 @@
     async fn relay_lease(&self, intent: LeaseIntent) -> RpcResult<Option<u64>> {
         let context = Rc::clone(&self.context);
         let writing = SendWrapper::new(async move { commit_lease(&context, &intent).await });
-        let outcome = writing.await.map_err(|error| {
-            let code = ErrorCode::InternalError.code();
-            ErrorObjectOwned::owned(code, error.to_string(), None::<()>)
-        })?;
+        let outcome = writing.await.map_err(|error| table_failure(&error))?;
         Ok(outcome.map(|revision| revision.0))
     }
+
+    async fn read_lease(&self) -> RpcResult<LeaseSnapshot> {
+        let context = Rc::clone(&self.context);
+        let reading = SendWrapper::new(async move { fetch_lease(&context).await });
+        reading.await.map_err(|error| table_failure(&error))
+    }
 }
 
 async fn wait_for_update(context: &GatewayContext, mark: FollowMark) -> Option<PlacementUpdate> {
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -5,11 +5,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::ModelNeed;
+use crate::lease::LeaseRow;
 use crate::orders::EntryDemand;
 use crate::prelude::*;
 use crate::quarantine::{PartRecord, RequestFingerprint};
 use crate::rate_limit::{TokenGrant, TokenRequest};
-use crate::table::TableEra;
+use crate::table::{RowRevision, TableEra};
 
 /// A request that was in flight at a crash, and the number of the crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -98,6 +99,17 @@
     pub tokens: Vec<TokenGrant>,
 }
 
+/// The planner's lease as a process reads it from the table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseSnapshot {
+    /// Revision of the row.
+    pub revision: RowRevision,
+    /// Era of the table; `None` if it names none.
+    pub era: Option<TableEra>,
+    /// The row; `None` if there is none.
+    pub row: Option<LeaseRow>,
+}
+
 /// Position up to which an entry has followed the planner's updates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct FollowMark {
--- a/src/planner_rpc/planner_api.rs
+++ b/src/planner_rpc/planner_api.rs
@@ -3,7 +3,7 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
-use super::{DemandReport, DemandResponse, FollowMark};
+use super::{DemandReport, DemandResponse, FollowMark, LeaseSnapshot};
 use crate::lease::LeaseIntent;
 use crate::orders::PlacementUpdate;
 
@@ -31,4 +31,11 @@
     /// A JSON-RPC error if the table does not respond to this process either.
     #[method(name = "relay_lease")]
     async fn relay_lease(&self, intent: LeaseIntent) -> RpcResult<Option<u64>>;
+
+    /// Reads the planner's lease for a planner that cannot reach the table itself.
+    ///
+    /// # Errors
+    /// A JSON-RPC error if the table does not respond to this process either.
+    #[method(name = "read_lease")]
+    async fn read_lease(&self) -> RpcResult<LeaseSnapshot>;
 }
