Let a stream that has begun wait for a token until its deadline

A stream that broke off after its first event and could go on only at a limited upstream was cut at once: the wait for a token counted against the time for the first event, which had long passed. It now counts against the deadline.

--- a/daemon/tests/upstream_limits.rs
+++ b/daemon/tests/upstream_limits.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use quetzalpin_platform_soak::{
     CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, WorkerKind, call_gateway,
+    expected_body,
 };
 
 const SIZE: FleetSize = FleetSize {
@@ -26,6 +27,9 @@
 /// Time after the first naming of a limit from which it counts.
 const LIMIT_DELAY: Duration = Duration::from_secs(4);
 
+/// Number of requests after which all upstreams have named their limits.
+const CALLS_TO_REACH_ALL: usize = 8;
+
 /// Length of the window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
@@ -95,3 +99,67 @@
         assert_eq!(dishonest, None);
     });
 }
+
+/// Events of a stream that lasts beyond the time that a request may wait for its first event.
+const LONG_STREAM_EVENTS: u32 = 250;
+
+/// Time after which the upstream of a long stream fails.
+const STREAM_TIME: Duration = Duration::from_millis(2_500);
+
+fn notes(number: usize, events: u32) -> SoakCall {
+    SoakCall {
+        id: format!("notes-{number:04}"),
+        kind: CallKind::Notes,
+        model: "m0".to_owned(),
+        events,
+        gateway: 0,
+        prompt: USUAL_PROMPT.to_owned(),
+    }
+}
+
+/// Guards against a stream that is cut although a limited upstream would go on with it in time: the
+/// wait for a token counted against the time for the first event, which had long arrived.
+#[test]
+fn a_stream_goes_on_at_a_limited_upstream_after_its_first_event() {
+    let size = FleetSize {
+        gateways: 1,
+        ..SIZE
+    };
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, size);
+        let mut fleet = spawning.await.expect("a ready fleet");
+        let address = fleet.gateways[0].process.address;
+        let spawning = fleet.spawn_worker(WorkerKind::Engine, vec!["m0".to_owned()]);
+        let second = spawning.await.expect("a second engine");
+        let second_id = second.worker.state.id.clone();
+        fleet.workers.push(second);
+        fleet.send_heartbeats();
+        let joined = format!("\"upstream joined\",\"upstream\":\"{second_id}\"");
+        while !fleet.gateways[0].process.log().contains(&joined) {
+            compio::time::sleep(CALL_INTERVAL).await;
+        }
+        let workers = fleet.workers.iter().map(|worker| &worker.worker.state);
+        let engines: Vec<_> = workers
+            .filter(|worker| worker.kind == WorkerKind::Engine)
+            .collect();
+        // Both engines name their limit in an answer.
+        for engine in &engines {
+            engine.rate_limit.set(Some(LIMIT_PER_S));
+        }
+        for number in 0..CALLS_TO_REACH_ALL {
+            call_gateway(address, &notes(number, 1)).await;
+        }
+        let long = notes(CALLS, LONG_STREAM_EVENTS);
+        let streaming = compio::runtime::spawn({
+            let long = long.clone();
+            async move { call_gateway(address, &long).await }
+        });
+        compio::time::sleep(STREAM_TIME).await;
+        let failing = engines.iter().find(|engine| engine.running() > 0);
+        failing.expect("a running stream").crash();
+        let outcome = streaming.await.expect("an ended call");
+        assert_eq!(outcome, CallOutcome::Answer(expected_body(&long).into()));
+    });
+}
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -273,7 +273,12 @@
         forecast_ms: u64,
     ) -> Option<Response<HttpBody>> {
         let plan = &self.call.plan;
-        let left_ms = self.context.wait_limit(plan).millis_since(now);
+        // A stream that has begun is past its wait for the first event.
+        let wait_until = match self.resume_after {
+            Some(_) => plan.ends_at,
+            None => self.context.wait_limit(plan),
+        };
+        let left_ms = wait_until.millis_since(now);
         if forecast_ms > left_ms {
             let mut limiter = self.context.rate_limiter.borrow_mut();
             limiter.record_refused(now, key);
