Count a copy at a limited engine as the part that its limit serves

The gain is now the rate over the copies and the new one, as before, where a copy at a limited engine counts as the part of a copy that its limit serves. The test passes; nothing in it was changed.

--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -345,8 +345,9 @@
             LoadPurpose::Interim if copies == 0 => rate.max(WANTED_GAIN_PER_S),
             LoadPurpose::Copy { .. } | LoadPurpose::Interim => {
                 let copy_per_s = self.policy.copy_rate_per_s(slots);
-                let excess_per_s = rate - self.index.total(model).rate_per_s(copy_per_s);
-                excess_per_s.max(rate / (copies as f64 + 1.0))
+                // A copy at a limited engine counts as the part of a copy that its limit serves.
+                let copies = self.index.total(model).rate_per_s(copy_per_s) / copy_per_s;
+                rate / (copies + 1.0)
             }
             LoadPurpose::Prefetch => PREFETCH_GAIN_PER_S,
         }
