Decode and log software versions and where callers take streams up

The software version of an entry is decoded, and Resumes and Last-Event-Id of a request are read. 'upstream joined' and 'attempt' tell the version, 'attempt' the event after which a stream goes on, 'attempt ended' the ids of its first and last event, and 'client takes a stream up again' the attempt that is resumed.

--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -210,6 +210,7 @@
         id: UpstreamId::from(format!("i-{number:08x}").as_str()),
         started_at_ms: 1,
         service: ServiceName::from("engines"),
+        software: None,
         address: ([127, 0, 0, 1], 1).into(),
         zone: ZoneName::from("zone"),
         slots: 12,
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -33,6 +33,9 @@
     pub started_at_ms: u64,
     /// The service that it runs.
     pub service: ServiceName,
+    /// Version of its software; `None` if its entry names none. Belongs to this start: a later one
+    /// may run another version.
+    pub software: Option<SoftwareVersion>,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -139,6 +139,8 @@
             route:% = plan.route,
             config = plan.catalog_version,
             upstream:% = entry.id,
+            software = entry.software.as_ref().map(SoftwareVersion::as_str),
+            resume_after = self.resume_after.or(plan.resume.as_ref().and_then(|resume| resume.after)),
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             load = self.load,
             load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
--- a/src/gateway/call_guard.rs
+++ b/src/gateway/call_guard.rs
@@ -22,6 +22,8 @@
     last_at: MonoTime,
     /// Longest gap between body frames in milliseconds.
     gap_ms: u64,
+    /// Ids of the first and the last event of a stream; `None` before an event with an id.
+    event_ids: Option<(u64, u64)>,
 }
 
 impl CallGuard {
@@ -49,6 +51,7 @@
             first_ms: None,
             last_at: plan.arrived_at,
             gap_ms: 0,
+            event_ids: None,
         }
     }
 
@@ -66,6 +69,11 @@
         self.last_at = now;
     }
 
+    /// Records the ids of the first and the last event that have arrived.
+    pub const fn record_event_ids(&mut self, event_ids: Option<(u64, u64)>) {
+        self.event_ids = event_ids;
+    }
+
     /// Records that the engine is no longer reading the prompt.
     fn end_prompt(&self) {
         let mut loads = self.context.loads.borrow_mut();
@@ -96,6 +104,8 @@
             bytes = self.body_bytes,
             first_ms = self.first_ms,
             gap_ms = self.gap_ms,
+            first_event = self.event_ids.map(|(first, _)| first),
+            last_event = self.event_ids.map(|(_, last)| last),
             ms = took_ms;
             "attempt ended"
         );
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use super::{CallHead, PromptPart};
+use super::{CallHead, PromptPart, ResumePoint};
 use crate::fleet::{ModelNeed, RouteKind, RouteRule};
 use crate::prelude::*;
 use crate::quarantine::PromptPartId;
@@ -47,6 +47,8 @@
     pub affinity: Option<CompactString>,
     /// Parts of the prompt that other requests may share: all but the last.
     pub parts: Vec<PromptPartId>,
+    /// Where the client takes up a stream; `None` for a request from the start.
+    pub resume: Option<ResumePoint>,
     /// Arrival time.
     pub arrived_at: MonoTime,
     /// Milliseconds within which the answer has its full worth.
@@ -88,6 +90,7 @@
             parts: shared_parts(&head.prompt),
             affinity: shared.map(|index| head.prompt[index].id.clone()),
             need: head.need,
+            resume: head.resume,
             request: head.request,
             arrived_at: now,
             target_ms: rule.target_ms,
--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -117,6 +117,8 @@
                     log::info!(
                         upstream:% = entry.id,
                         service:% = entry.service,
+                        software = entry.software.as_ref().map(SoftwareVersion::as_str),
+                        started_at_ms = entry.started_at_ms,
                         address:% = entry.address;
                         "upstream joined"
                     );
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -57,6 +57,7 @@
             Err(error) => return refuse_body(&plan, &error),
         };
         self.context.record_arrival(&plan);
+        log_resume(&plan);
         header_codec.strip_call(&mut parts.headers);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let fingerprint = RequestFingerprint::of_parts(&[path.as_bytes(), &body]);
@@ -87,6 +88,17 @@
     }
 }
 
+fn log_resume(plan: &CallPlan) {
+    let Some(resume) = &plan.resume else { return };
+    log::info!(
+        request:% = plan.request,
+        first_attempt = resume.first_attempt.as_deref(),
+        after = resume.after,
+        left_ms = plan.ends_at.millis_since(plan.arrived_at);
+        "client takes a stream up again"
+    );
+}
+
 fn refuse_body(plan: &CallPlan, error: &BodyError) -> Response<HttpBody> {
     let reason = match error {
         BodyError::TooLarge(_) => RefusalReason::OversizedBody,
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -16,6 +16,15 @@
     pub tokens: u32,
 }
 
+/// Where a client takes up a stream that was broken off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumePoint {
+    /// Id of the last event that the client has received; `None` if it is not a number.
+    pub after: Option<u64>,
+    /// Id of the client's attempt that brought the first event; `None` if the client names none.
+    pub first_attempt: Option<CompactString>,
+}
+
 /// Header contents of a client request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallHead {
@@ -29,6 +38,8 @@
     pub prompt: Vec<PromptPart>,
     /// Expected answer length in tokens; `None` if the client gave none.
     pub output_tokens: Option<u32>,
+    /// Where a stream goes on; `None` for a request from the start.
+    pub resume: Option<ResumePoint>,
 }
 
 /// Header contents that are added to a request for one attempt.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,7 +40,7 @@
 pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
-pub use header_codec::{AnswerHead, AttemptHead, CallHead, HeaderCodec, PromptPart};
+pub use header_codec::{AnswerHead, AttemptHead, CallHead, HeaderCodec, PromptPart, ResumePoint};
 pub use load_tracker::{AttemptResult, LoadTracker};
 pub use placement_view::PlacementView;
 pub use prompt_admission::PromptAdmission;
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -157,8 +157,9 @@
         Ok(())
     }
 
-    /// Clears the parts of the prompt with the first events.
+    /// Records the ids of events that arrived, and clears the parts of the prompt with the first ones.
     fn record_events(&mut self) {
+        self.guard.record_event_ids(self.event_ids());
         if !std::mem::replace(&mut self.has_events, true) {
             self.guard.context.record_part_answer(&self.guard.plan);
         }
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -6,5 +6,5 @@
 pub use attempt_id::{AttemptId, ParseAttemptError};
 pub use names::{
     AdapterName, InstanceName, KindName, ModelName, RankName, RegionName, ReplicaName, ServiceName,
-    TeamName, UpstreamId, ZoneName,
+    SoftwareVersion, TeamName, UpstreamId, ZoneName,
 };
--- a/src/ids/names.rs
+++ b/src/ids/names.rs
@@ -76,6 +76,10 @@
     /// Identity of an upstream in the platform's list.
     UpstreamId
 );
+text_name!(
+    /// Version of the software that an upstream runs, as opposed to the version of its weights.
+    SoftwareVersion
+);
 
 impl ReplicaName {
     /// Names the given version of a model.
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::ids::{
     AdapterName, AttemptId, InstanceName, KindName, ModelName, RankName, RegionName, ReplicaName,
-    ServiceName, TeamName, UpstreamId, ZoneName,
+    ServiceName, SoftwareVersion, TeamName, UpstreamId, ZoneName,
 };
 pub use crate::refusal::{RefusalOutcome, RefusalReason, RequestRefusal};
 pub use crate::time::MonoTime;
--- a/tests/call_plan.rs
+++ b/tests/call_plan.rs
@@ -27,8 +27,8 @@
         request: "r1".into(),
         deadline_ms: Some(DEADLINE_MS),
         need: Some(ModelNeed::parse("m1")),
-        prompt: Vec::new(),
         output_tokens,
+        ..CallHead::default()
     }
 }
 
--- a/tests/delayed_process.rs
+++ b/tests/delayed_process.rs
@@ -38,6 +38,7 @@
         id: id(),
         started_at_ms: 1,
         service: ServiceName::from("plain"),
+        software: None,
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         zone: ZoneName::from("zone"),
         slots: 4,
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -424,6 +424,7 @@
         id: id.clone(),
         started_at_ms: 1,
         service: service.clone(),
+        software: None,
         address: ([127, 0, 0, 1], 1).into(),
         zone: ZoneName::from("zone"),
         slots: 32,
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -84,6 +84,7 @@
         id: UpstreamId::from(format!("i-{number}").as_str()),
         started_at_ms: 5,
         service: ServiceName::from("engines"),
+        software: None,
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         zone: ZoneName::from(zone),
         slots: 32,
@@ -124,7 +125,7 @@
         deadline_ms: Some(12_000),
         need: Some(ModelNeed::parse(MODEL)),
         prompt: parts.collect(),
-        output_tokens: None,
+        ..CallHead::default()
     };
     CallPlan::open(MonoTime::from_millis(1_000), head, &rule, 1)
 }
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -24,6 +24,7 @@
         id: id(),
         started_at_ms,
         service: ServiceName::from("plain"),
+        software: None,
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         zone: ZoneName::from("zone"),
         slots: 4,
