--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -92,6 +92,7 @@
             events: 0,
             gateway: 0,
             prompt: USUAL_PROMPT.to_owned(),
+            resume: None,
         };
         let outcome = call_gateway(address, &lookup).await;
         assert_eq!(outcome, CallOutcome::Answer(expected_body(&lookup).into()));
--- a/daemon/tests/deadly_parts.rs
+++ b/daemon/tests/deadly_parts.rs
@@ -39,6 +39,7 @@
         events: 3,
         gateway,
         prompt: prompt.to_owned(),
+        resume: None,
     }
 }
 
--- a/daemon/tests/gateway_cases.rs
+++ b/daemon/tests/gateway_cases.rs
@@ -56,6 +56,7 @@
         events,
         gateway: 0,
         prompt: USUAL_PROMPT.to_owned(),
+        resume: None,
     }
 }
 
--- a/daemon/tests/store_restore.rs
+++ b/daemon/tests/store_restore.rs
@@ -76,6 +76,7 @@
         events: 0,
         gateway: 0,
         prompt: USUAL_PROMPT.to_owned(),
+        resume: None,
     };
     call_gateway(fleet.gateways[0].process.address, &call).await
 }
--- a/daemon/tests/upstream_limits.rs
+++ b/daemon/tests/upstream_limits.rs
@@ -80,6 +80,7 @@
                 events: 2,
                 gateway,
                 prompt: USUAL_PROMPT.to_owned(),
+                resume: None,
             };
             let start_after = CALL_INTERVAL * u32::try_from(number).unwrap_or(u32::MAX);
             async move {
@@ -114,6 +115,7 @@
         events,
         gateway: 0,
         prompt: USUAL_PROMPT.to_owned(),
+        resume: None,
     }
 }
 
--- a/daemon/tests/upstream_notices.rs
+++ b/daemon/tests/upstream_notices.rs
@@ -28,6 +28,7 @@
         events: 0,
         gateway: 0,
         prompt: USUAL_PROMPT.to_owned(),
+        resume: None,
     };
     call_gateway(fleet.gateways[0].process.address, &call).await
 }
--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -86,6 +86,7 @@
         events: 5,
         gateway: 0,
         prompt: USUAL_PROMPT.to_owned(),
+        resume: None,
     }
 }
 
