Let a stream go on only at the software version that began it

Callers could see a stream whose first events one software version wrote and whose rest another one did. Cause: the choice of an upstream for a stream that goes on was the choice for a new one; nothing read an entry's version. The flow of a request now keeps the version of the upstream whose events it has forwarded, as it stood when the request was sent, and the choice passes over all others. A stream whose version is not known does not go on.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -101,7 +101,7 @@
         }
         let left_ms = self.call.plan.ends_at.millis_since(context.now());
         self.log_start(&entry, left_ms);
-        let mut guard = CallGuard::begin(context, self.call, self.key, entry.id.clone());
+        let mut guard = CallGuard::begin(context, self.call, self.key, &entry);
         let request = self.build_request(&AttemptHead {
             deadline_ms: left_ms,
             upstream: entry.id.clone(),
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -47,6 +47,7 @@
         has_waited: false,
         has_waited_for_token: false,
         resume_after: None,
+        software: None,
         trial: None,
     };
     match flow.run().await {
@@ -82,6 +83,9 @@
     has_waited_for_token: bool,
     /// Id of the last event that the client has received; `None` before the first one.
     resume_after: Option<u64>,
+    /// Software version that wrote the events that the client has received; `None` before the first
+    /// one, or if it is not known.
+    software: Option<SoftwareVersion>,
     /// Set while this request tries an uncertain part of its prompt.
     trial: Option<TrialGuard>,
 }
@@ -94,12 +98,14 @@
     }
 
     /// Finds another upstream for a stream that failed after an event. `None` if there is none in
-    /// time; the client then sees that the stream is incomplete.
+    /// time, or if the software version that began the stream is not known; the client then sees that
+    /// the stream is incomplete.
     pub async fn resume(&mut self, failed: UpstreamKey, after: u64) -> Option<StartedStream> {
+        let software = self.software.as_ref()?;
         self.unknown_outcomes += 1;
         self.tried.push(failed);
         self.resume_after = Some(after);
-        log::info!(request:% = self.call.plan.request, after; "stream resumes at another upstream");
+        log::info!(request:% = self.call.plan.request, after, software:% = software; "stream resumes at another upstream");
         match self.run().await {
             FlowEnd::Stream(stream) => Some(*stream),
             FlowEnd::Response(_) => None,
@@ -128,7 +134,10 @@
                     }
                     match self.attempt(key, load, candidates).await {
                         AttemptEnd::Answer(response) => return FlowEnd::Response(response),
-                        AttemptEnd::Stream(stream) => return FlowEnd::Stream(stream),
+                        AttemptEnd::Stream(stream) => {
+                            self.software = stream.rest.software().cloned();
+                            return FlowEnd::Stream(stream);
+                        }
                         AttemptEnd::NotRun => {}
                         AttemptEnd::Crashed => {
                             self.unknown_outcomes += 1;
@@ -205,6 +214,7 @@
             placement: &context.placement.borrow(),
             loads: &context.loads.borrow(),
             limiter: &context.rate_limiter.borrow(),
+            software: self.software.as_ref(),
             tried: &self.tried,
             zone: &context.node.zone,
             is_near: &|zone| context.is_near(zone),
--- a/src/gateway/call_guard.rs
+++ b/src/gateway/call_guard.rs
@@ -4,7 +4,7 @@
 
 use super::buffered_call::BufferedCall;
 use super::{CallPlan, GatewayContext};
-use crate::fleet::UpstreamKey;
+use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
 
@@ -15,6 +15,8 @@
     pub(super) fingerprint: RequestFingerprint,
     pub(super) key: UpstreamKey,
     pub(super) upstream: UpstreamId,
+    /// Software version of the upstream when the request was sent; `None` if it names none.
+    pub(super) software: Option<SoftwareVersion>,
     outcome: &'static str,
     body_bytes: u64,
     /// Milliseconds from arrival to the first body frame; `None` before it.
@@ -32,7 +34,7 @@
         context: &Rc<GatewayContext>,
         call: &BufferedCall,
         key: UpstreamKey,
-        upstream: UpstreamId,
+        upstream: &UpstreamEntry,
     ) -> Self {
         let plan = &call.plan;
         let mut loads = context.loads.borrow_mut();
@@ -45,7 +47,8 @@
             plan: Rc::clone(plan),
             fingerprint: call.fingerprint,
             key,
-            upstream,
+            upstream: upstream.id.clone(),
+            software: upstream.software.clone(),
             outcome: "caller_left",
             body_bytes: 0,
             first_ms: None,
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -52,6 +52,8 @@
     pub loads: &'a LoadTracker,
     /// Request rate limits of upstreams.
     pub limiter: &'a RateLimiter,
+    /// The only software version that may serve the request; `None` if any may.
+    pub software: Option<&'a SoftwareVersion>,
     /// Upstreams that are excluded because this request has already tried them.
     pub tried: &'a [UpstreamKey],
     /// Availability zone of this process.
@@ -102,6 +104,9 @@
         entry.service == input.plan.service
             && entry.phase == UpstreamPhase::Ready
             && !input.tried.contains(key)
+            && input
+                .software
+                .is_none_or(|software| entry.software.as_ref() == Some(software))
     };
     let usable = input.roster.iter().filter(is_usable);
     let mut has_upstream = false;
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -91,6 +91,11 @@
         self.guard.key
     }
 
+    /// Software version of the upstream; `None` if it names none.
+    pub const fn software(&self) -> Option<&SoftwareVersion> {
+        self.guard.software.as_ref()
+    }
+
     /// The next whole events; `None` at the end of the stream.
     ///
     /// # Errors
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -65,6 +65,7 @@
             placement: &self.placement,
             loads: &self.loads,
             limiter: &self.limiter,
+            software: None,
             tried: &[],
             zone: &ZoneName::from(HOME_ZONE),
             is_near: &|zone| zone.as_str() == HOME_ZONE,
