Take a stream up only at the software version that began it

A caller that took a stream up got the rest from any upstream with the model: at another gateway, and after a restart of all. Cause: a request that takes a stream up was a new request; nobody kept which version had begun the stream, and the list of now does not tell: it may name one version when another has just left. If the table is away it is refused with a time. An id with two origins names neither. Weighed and left: memory of gateways alone (lost with a restart of all), a version derived from the list (says one version after the old one has left), the planner's memory (gone with it), what a caller brings back (nothing that a gateway sets). One test said 'refused' where an engine of the right version could serve; it now removes that engine, and still demands the refusal.

--- a/daemon/tests/software_versions.rs
+++ b/daemon/tests/software_versions.rs
@@ -75,6 +75,19 @@
     worker
 }
 
+/// Removes all engines but one for good, and waits until all gateways know that.
+async fn remove_other_engines(fleet: &SoakFleet, kept: &WorkerStandin) {
+    for worker in &fleet.workers {
+        let worker = &worker.worker.state;
+        if worker.kind == WorkerKind::Engine && worker.id != kept.id {
+            worker.is_down.set(true);
+            fleet.store.state.remove("servers", &worker.id);
+            let gone = format!("\"upstream gone\",\"upstream\":\"{}\"", worker.id);
+            wait_for_log(fleet, &gone).await;
+        }
+    }
+}
+
 /// Waits until all gateways have logged a text.
 async fn wait_for_log(fleet: &SoakFleet, text: &str) {
     wait_until(text, || {
@@ -256,18 +269,8 @@
         let begun = begin_streams(&fleet).await;
         compio::time::sleep(RECORD_TIME).await;
         let new = add_worker(&mut fleet, NEW_SOFTWARE, &[MODEL]).await;
-        for worker in &fleet.workers {
-            let worker = &worker.worker.state;
-            if worker.kind == WorkerKind::Engine && worker.id != new.id {
-                worker.is_down.set(true);
-                fleet.store.state.remove("servers", &worker.id);
-            }
-        }
-        wait_for_log(
-            &fleet,
-            &format!("\"upstream gone\",\"upstream\":\"{}\"", old.id),
-        )
-        .await;
+        remove_other_engines(&fleet, &new).await;
+        assert!(old.is_down.get());
         kill_and_start_gateways(&mut fleet).await;
         for first_attempt in begun {
             assert_refused_at_once(&fleet, &sequel(Some(first_attempt))).await;
@@ -320,6 +323,7 @@
         let worker = add_worker(&mut fleet, OLD_SOFTWARE, &[MODEL]).await;
         let begun = begin_streams(&fleet).await;
         compio::time::sleep(RECORD_TIME).await;
+        remove_other_engines(&fleet, &worker).await;
         worker.crash();
         NEW_SOFTWARE.clone_into(&mut worker.software.borrow_mut());
         worker.is_down.set(false);
--- a/src/fleet/route_rule.rs
+++ b/src/fleet/route_rule.rs
@@ -65,6 +65,13 @@
 }
 
 impl RouteRule {
+    /// Whether a service takes a share of the route's requests.
+    #[must_use]
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        let mut services = self.services.iter();
+        services.any(|service| service.weight > 0 && service.service == *name)
+    }
+
     /// Picks a service by weight; the same hash always picks the same service.
     #[must_use]
     pub fn service_for(&self, hash: u64) -> &ServiceName {
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -35,8 +35,13 @@
 /// Maximum number of times that one request is sent to an upstream, refusals included.
 const MAX_SENDS: usize = 4;
 
-/// Serves a request until it is answered or refused.
-pub async fn serve_call(context: &Rc<GatewayContext>, call: BufferedCall) -> Response<HttpBody> {
+/// Serves a request until it is answered or refused. A request that takes a stream up goes to the
+/// software version that began it.
+pub async fn serve_call(
+    context: &Rc<GatewayContext>,
+    call: BufferedCall,
+    software: Option<SoftwareVersion>,
+) -> Response<HttpBody> {
     let mut flow = CallFlow {
         context: Rc::clone(context),
         call,
@@ -47,7 +52,7 @@
         has_waited: false,
         has_waited_for_token: false,
         resume_after: None,
-        software: None,
+        software,
         trial: None,
     };
     match flow.run().await {
@@ -83,8 +88,8 @@
     has_waited_for_token: bool,
     /// Id of the last event that the client has received; `None` before the first one.
     resume_after: Option<u64>,
-    /// Software version that wrote the events that the client has received; `None` before the first
-    /// one, or if it is not known.
+    /// Software version that wrote the events that the client has received, in this answer or before;
+    /// `None` before the first one, or if it is not known.
     software: Option<SoftwareVersion>,
     /// Set while this request tries an uncertain part of its prompt.
     trial: Option<TrialGuard>,
@@ -135,7 +140,7 @@
                     match self.attempt(key, load, candidates).await {
                         AttemptEnd::Answer(response) => return FlowEnd::Response(response),
                         AttemptEnd::Stream(stream) => {
-                            self.software = stream.rest.software().cloned();
+                            self.begin_stream(stream.rest.software());
                             return FlowEnd::Stream(stream);
                         }
                         AttemptEnd::NotRun => {}
@@ -168,6 +173,15 @@
         }
     }
 
+    /// Remembers which software version has sent events to the client.
+    fn begin_stream(&mut self, software: Option<&SoftwareVersion>) {
+        self.software = software.cloned();
+        let plan = &self.call.plan;
+        if let Some(software) = software.filter(|_| plan.kind.may_retry()) {
+            self.context.record_origin(plan, software);
+        }
+    }
+
     /// Refuses a request that cannot be served whatever the upstreams do.
     fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
         if self.context.is_quarantined(self.call.fingerprint) {
@@ -231,6 +245,9 @@
         let plan = &self.call.plan;
         let need = plan.need.clone();
         let (Some(need), UpstreamChoice::NotLoaded) = (need, choice) else {
+            if self.software.is_some() && choice == UpstreamChoice::NoUpstream {
+                return Some(self.refuse(RefusalReason::StreamNotResumable, None));
+            }
             if !self.tried.is_empty() || now >= plan.arrived_at + NO_UPSTREAM_WAIT_MS {
                 return Some(self.refuse(RefusalReason::NoReplica, Some(DEFAULT_RETRY_MS)));
             }
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -11,7 +11,10 @@
 use super::buffered_call::BufferedCall;
 use super::call_flow::serve_call;
 use super::call_refusal::refusal_response;
+use super::origin_store::OriginMissing;
 use super::{CallPlan, GatewayContext};
+use crate::fleet::RouteRule;
+use crate::metrics::RefusalLabels;
 use crate::net::{BodyError, HttpBody, HttpHandler, read_body};
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
@@ -50,14 +53,17 @@
         };
         let header_codec = &self.context.ports.header_codec;
         let head = header_codec.read_call(&parts.headers);
-        let plan = CallPlan::open(arrived_at, head, rule, catalog.version);
+        let mut plan = CallPlan::open(arrived_at, head, rule, catalog.version);
         let body_ms = plan.ends_at.millis_since(arrived_at);
         let body = match read_body(incoming, catalog.limits.body_bytes, body_ms).await {
             Ok(body) => body,
             Err(error) => return refuse_body(&plan, &error),
         };
+        let software = match self.find_software(&mut plan, rule).await {
+            Ok(software) => software,
+            Err(refusal) => return refusal,
+        };
         self.context.record_arrival(&plan);
-        log_resume(&plan);
         header_codec.strip_call(&mut parts.headers);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let fingerprint = RequestFingerprint::of_parts(&[path.as_bytes(), &body]);
@@ -67,7 +73,36 @@
             plan: Rc::new(plan),
             fingerprint,
         };
-        serve_call(&self.context, call).await
+        serve_call(&self.context, call, software).await
+    }
+
+    /// Finds the only software version that may go on with the stream that a request takes up, and
+    /// sends the request to the service that began it. `None` for a request from the start.
+    async fn find_software(
+        &self,
+        plan: &mut CallPlan,
+        rule: &RouteRule,
+    ) -> Result<Option<SoftwareVersion>, Response<HttpBody>> {
+        let Some(resume) = plan.resume.clone().filter(|_| plan.is_stream()) else {
+            return Ok(None);
+        };
+        let origin = match self.context.find_origin(plan, &resume).await {
+            Ok(origin) => origin,
+            Err(OriginMissing { retry_ms }) => return Err(self.refuse_resume(plan, retry_ms)),
+        };
+        if !rule.has_service(&origin.service) {
+            return Err(self.refuse_resume(plan, None));
+        }
+        plan.service = origin.service;
+        Ok(Some(origin.software))
+    }
+
+    fn refuse_resume(&self, plan: &CallPlan, retry_ms: Option<u64>) -> Response<HttpBody> {
+        let refusal = RequestRefusal::not_run(RefusalReason::StreamNotResumable);
+        let labels = RefusalLabels::of(refusal);
+        self.context.metrics.refused.get_or_create(&labels).inc();
+        log::info!(request:% = plan.request, reason:? = refusal.reason, retry_ms; "refused");
+        refusal_response(refusal, retry_ms)
     }
 }
 
@@ -88,17 +123,6 @@
     }
 }
 
-fn log_resume(plan: &CallPlan) {
-    let Some(resume) = &plan.resume else { return };
-    log::info!(
-        request:% = plan.request,
-        first_attempt = resume.first_attempt.as_deref(),
-        after = resume.after,
-        left_ms = plan.ends_at.millis_since(plan.arrived_at);
-        "client takes a stream up again"
-    );
-}
-
 fn refuse_body(plan: &CallPlan, error: &BodyError) -> Response<HttpBody> {
     let reason = match error {
         BodyError::TooLarge(_) => RefusalReason::OversizedBody,
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -30,6 +30,7 @@
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
+use crate::stream_origin::OriginRegistry;
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
 
@@ -97,6 +98,8 @@
     pub resends: RefCell<ResendWindow>,
     /// Requests that were in flight at crashes.
     pub crashes: RefCell<QuarantineTracker>,
+    /// Software versions that began streams.
+    pub origins: RefCell<OriginRegistry>,
     /// Parts of prompts at crashes.
     pub parts: PartWatch,
     /// Planner lease and, while it is held, the planner.
@@ -150,6 +153,7 @@
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
+            origins: RefCell::new(OriginRegistry::open()),
             parts: PartWatch::default(),
             host,
             feeds: FeedWatch::default(),
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -9,6 +9,7 @@
 use super::control_server::ControlServer;
 use super::fleet_follower::{follow_catalog, follow_upstreams, watch_feeds};
 use super::front_server::FrontServer;
+use super::origin_store::{run_origin_store, run_origin_sweep};
 use super::part_store::run_part_store;
 use super::planner_lease::{release_lease, run_lease};
 use super::planner_link::{run_follow, run_report};
@@ -62,6 +63,8 @@
             compio::runtime::spawn(run_follow(Rc::clone(&context))),
             compio::runtime::spawn(run_report(Rc::clone(&context))),
             compio::runtime::spawn(run_part_store(Rc::clone(&context))),
+            compio::runtime::spawn(run_origin_store(Rc::clone(&context))),
+            compio::runtime::spawn(run_origin_sweep(Rc::clone(&context))),
             compio::runtime::spawn(run_orders(Rc::clone(&context))),
         ];
         let handler = ControlServer::open(Rc::clone(&context));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod gateway_handle;
 mod header_codec;
 mod load_tracker;
+mod origin_store;
 mod part_store;
 mod part_watch;
 mod placement_view;
--- /dev/null
+++ b/src/gateway/origin_store.rs
@@ -0,0 +1,195 @@
+//! Finds out which software version began a stream, and keeps that in the platform's table, so that
+//! it outlives the process that knows it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{CallPlan, GatewayContext, ResumePoint};
+use crate::decision::unix_ms;
+use crate::prelude::*;
+use crate::stream_origin::{
+    OriginBatch, OriginRow, StreamOrigin, origin_key, shard_prefixes, stream_id,
+};
+use crate::table::{RowRevision, TableError, TableTxn};
+
+/// Milliseconds for which origins of new streams are batched into one write.
+const BATCH_MS: u64 = 300;
+
+/// Milliseconds before a failed write is repeated.
+const RETRY_MS: u64 = 1_000;
+
+/// Milliseconds after which a row that is missing is read once more: the process that began the
+/// stream may be about to write it.
+const REREAD_MS: u64 = 2 * BATCH_MS;
+
+/// `Retry-After` in milliseconds if the table does not tell the origin of a stream now.
+const UNREADABLE_RETRY_MS: u64 = 1_000;
+
+/// Milliseconds between two searches for rows that ended processes left behind.
+const SWEEP_MS: u64 = 300_000;
+
+/// Milliseconds after it began to plan before a process searches for the first time.
+const FIRST_SWEEP_MS: u64 = 30_000;
+
+/// Rows that one transaction deletes at most.
+const MAX_SWEPT_ROWS: usize = 90;
+
+/// Why a stream cannot go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OriginMissing {
+    /// Milliseconds after which the client may try again; `None` if that is in vain.
+    pub retry_ms: Option<u64>,
+}
+
+impl GatewayContext {
+    /// Finds out where the stream began that a request takes up.
+    ///
+    /// # Errors
+    /// [`OriginMissing`] if nobody knows, or not now.
+    pub async fn find_origin(
+        &self,
+        plan: &CallPlan,
+        resume: &ResumePoint,
+    ) -> Result<StreamOrigin, OriginMissing> {
+        let found = match &resume.first_attempt {
+            Some(first_attempt) => self.look_up_origin(first_attempt).await,
+            None => Ok(None),
+        };
+        log::info!(
+            request:% = plan.request,
+            first_attempt = resume.first_attempt.as_deref(),
+            after = resume.after,
+            software = found.as_ref().ok().and_then(Option::as_ref).map(|origin| origin.software.as_str()),
+            is_table_away = found.is_err(),
+            left_ms = plan.ends_at.millis_since(self.now());
+            "client takes a stream up again"
+        );
+        match found {
+            Ok(Some(origin)) => Ok(origin),
+            Ok(None) => Err(OriginMissing { retry_ms: None }),
+            Err(error) => {
+                log::warn!(dependency = "table", error:% = error; "origin of a stream not read");
+                let retry_ms = Some(UNREADABLE_RETRY_MS);
+                Err(OriginMissing { retry_ms })
+            }
+        }
+    }
+
+    async fn look_up_origin(&self, request: &str) -> Result<Option<StreamOrigin>, TableError> {
+        if let Some(known) = self.origins.borrow().find(request) {
+            return Ok(known.cloned());
+        }
+        if let Some(origin) = self.read_origin(request).await? {
+            return Ok(Some(origin));
+        }
+        compio::time::sleep(Duration::from_millis(REREAD_MS)).await;
+        self.read_origin(request).await
+    }
+
+    async fn read_origin(&self, request: &str) -> Result<Option<StreamOrigin>, TableError> {
+        let row = self
+            .ports
+            .table
+            .read(origin_key(stream_id(request)))
+            .await?;
+        let row: Option<OriginRow> = row.decode()?;
+        let origin = row.map(|row| row.origin);
+        if let Some(origin) = &origin {
+            let mut origins = self.origins.borrow_mut();
+            origins.record_read(self.now(), request, origin.clone());
+        }
+        Ok(origin)
+    }
+
+    /// Records which software version began a stream that this process delivers.
+    pub fn record_origin(&self, plan: &CallPlan, software: &SoftwareVersion) {
+        let origin = StreamOrigin {
+            service: plan.service.clone(),
+            software: software.clone(),
+        };
+        let mut origins = self.origins.borrow_mut();
+        origins.record_begun(self.now(), &plan.request, origin);
+    }
+
+    /// Writes the origins of new streams to the table. Returns whether the table took them.
+    async fn save_origins(&self) -> bool {
+        let batches = {
+            let mut origins = self.origins.borrow_mut();
+            origins.expire(self.now());
+            origins.take_batches()
+        };
+        let mut is_saved = true;
+        for batch in batches {
+            let saving = self.save_batch(&batch).await;
+            if let Err(error) = saving {
+                log::warn!(
+                    dependency = "table",
+                    error:% = error,
+                    streams = batch.written_count();
+                    "origins of streams not stored"
+                );
+                self.origins.borrow_mut().put_back(batch);
+                is_saved = false;
+            }
+        }
+        is_saved
+    }
+
+    async fn save_batch(&self, batch: &OriginBatch) -> Result<(), TableError> {
+        let at_unix_ms = unix_ms();
+        let txn = batch.txn(|origin| OriginRow {
+            origin: origin.clone(),
+            at_unix_ms,
+        })?;
+        self.ports.table.commit(txn).await?;
+        Ok(())
+    }
+
+    /// Deletes rows that ended processes have left behind.
+    async fn sweep_origins(&self) -> Result<(), TableError> {
+        for prefix in shard_prefixes() {
+            let rows = self.ports.table.scan(prefix, RowRevision::ABSENT).await?;
+            let now_unix_ms = unix_ms();
+            let is_left_behind = |row: &OriginRow| row.is_left_behind(now_unix_ms);
+            let keys = rows.iter().filter(|row| {
+                let decoded = row.decode().ok().flatten();
+                decoded.as_ref().is_none_or(is_left_behind)
+            });
+            let mut txn = TableTxn::default();
+            for row in keys.take(MAX_SWEPT_ROWS) {
+                txn = txn.delete(&row.key);
+            }
+            let count = txn.writes.len();
+            if count > 0 {
+                self.ports.table.commit(txn).await?;
+                log::info!(count; "origins of streams deleted that were left behind");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Keeps the origins of streams in the table.
+pub async fn run_origin_store(context: Rc<GatewayContext>) {
+    loop {
+        let pause_ms = if context.save_origins().await {
+            BATCH_MS
+        } else {
+            RETRY_MS
+        };
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Deletes rows of ended processes while this process plans.
+pub async fn run_origin_sweep(context: Rc<GatewayContext>) {
+    compio::time::sleep(Duration::from_millis(FIRST_SWEEP_MS)).await;
+    loop {
+        if context.host.is_active()
+            && let Err(error) = context.sweep_origins().await
+        {
+            log::warn!(dependency = "table", error:% = error; "origins of streams not swept");
+        }
+        compio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod rpc;
 pub mod run_once;
 pub mod settings;
+pub mod stream_origin;
 pub mod table;
 pub mod time;
--- a/src/refusal/refusal_reason.rs
+++ b/src/refusal/refusal_reason.rs
@@ -51,6 +51,8 @@
     UpstreamFailed,
     /// The call was handed over and its result is not known
     ResultUnknown,
+    /// The stream cannot go on; it has to begin anew
+    StreamNotResumable,
     /// Settings have not been read yet
     NotReady,
     /// Too many requests wait in this process
@@ -76,6 +78,7 @@
             | Self::UpstreamLeaving
             | Self::CrashSuspect
             | Self::RecordUnavailable
+            | Self::StreamNotResumable
             | Self::NotReady
             | Self::Overloaded => 503,
             Self::DeadlinePassed => 504,
--- /dev/null
+++ b/src/stream_origin/origin_registry.rs
@@ -0,0 +1,183 @@
+//! The origins of streams that a process knows, and which of them the table lacks.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use super::origin_row::{ORIGIN_TTL_MS, shard};
+use super::{StreamOrigin, origin_key, stream_id};
+use crate::prelude::*;
+use crate::quarantine::RequestFingerprint;
+use crate::table::{TableError, TableTxn};
+
+/// Origins kept at most; the oldest are dropped first.
+const MAX_ORIGINS: usize = 16_384;
+
+/// Rows that one transaction changes at most.
+const MAX_BATCH_ROWS: usize = 90;
+
+/// Expired rows that wait at most before they are deleted without a new row to write.
+const MAX_EXPIRED_ROWS: usize = 32;
+
+/// What is known of one stream.
+#[derive(Debug, Clone)]
+struct KnownOrigin {
+    /// `None` if streams of several origins have the same id.
+    origin: Option<StreamOrigin>,
+    at: MonoTime,
+}
+
+/// Changes of rows of one shard.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginBatch {
+    written: Vec<(RequestFingerprint, StreamOrigin)>,
+    deleted: Vec<RequestFingerprint>,
+}
+
+impl OriginBatch {
+    /// The transaction that makes the changes; `row` adds the time to an origin.
+    ///
+    /// # Errors
+    /// [`TableError::Decode`] if a row cannot be encoded.
+    pub fn txn<R: serde::Serialize>(
+        &self,
+        row: impl Fn(&StreamOrigin) -> R,
+    ) -> Result<TableTxn, TableError> {
+        let mut txn = TableTxn::default();
+        for (stream, origin) in &self.written {
+            txn = txn.write(&origin_key(*stream), &row(origin))?;
+        }
+        for stream in &self.deleted {
+            txn = txn.delete(&origin_key(*stream));
+        }
+        Ok(txn)
+    }
+
+    /// Number of origins that the batch writes.
+    #[must_use]
+    pub const fn written_count(&self) -> usize {
+        self.written.len()
+    }
+}
+
+/// The origins of the streams that this process began or looked up.
+#[derive(Debug, Default)]
+pub struct OriginRegistry {
+    known: HashMap<RequestFingerprint, KnownOrigin>,
+    /// All of `known`, the oldest first.
+    order: VecDeque<RequestFingerprint>,
+    /// Streams that this process began and the table may lack, the oldest first.
+    unsaved: VecDeque<RequestFingerprint>,
+    /// Streams whose rows this process has to delete.
+    expired: VecDeque<RequestFingerprint>,
+}
+
+impl OriginRegistry {
+    /// Creates an empty registry.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Records a stream that this process has begun to deliver, under the id of the client's attempt.
+    pub fn record_begun(&mut self, now: MonoTime, request: &str, origin: StreamOrigin) {
+        let stream = stream_id(request);
+        if let Some(known) = self.known.get_mut(&stream) {
+            if known.origin.as_ref() != Some(&origin) {
+                known.origin = None;
+            }
+            return;
+        }
+        self.insert(now, stream, origin);
+        self.unsaved.push_back(stream);
+    }
+
+    /// Records an origin that was read from the table.
+    pub fn record_read(&mut self, now: MonoTime, request: &str, origin: StreamOrigin) {
+        let stream = stream_id(request);
+        if !self.known.contains_key(&stream) {
+            self.insert(now, stream, origin);
+        }
+    }
+
+    /// Whether this process knows the stream. `Some(None)` if its origin is ambiguous.
+    #[must_use]
+    pub fn find(&self, request: &str) -> Option<Option<&StreamOrigin>> {
+        let known = self.known.get(&stream_id(request))?;
+        Some(known.origin.as_ref())
+    }
+
+    /// Forgets streams that are too old to be taken up.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.expire_known(now);
+        let is_known = |stream: &RequestFingerprint| self.known.contains_key(stream);
+        while self.unsaved.front().is_some_and(|stream| !is_known(stream)) {
+            self.unsaved.pop_front();
+        }
+    }
+
+    fn expire_known(&mut self, now: MonoTime) {
+        while let Some(stream) = self.order.front().copied() {
+            let is_due = self
+                .known
+                .get(&stream)
+                .is_none_or(|known| now.millis_since(known.at) >= ORIGIN_TTL_MS);
+            if !is_due && self.known.len() <= MAX_ORIGINS {
+                return;
+            }
+            self.order.pop_front();
+            self.known.remove(&stream);
+            self.expired.push_back(stream);
+            if self.expired.len() > MAX_ORIGINS {
+                self.expired.pop_front();
+            }
+        }
+    }
+
+    /// The next changes of the table, of one shard each. They are due once streams have begun, or
+    /// many rows have expired.
+    #[must_use]
+    pub fn take_batches(&mut self) -> Vec<OriginBatch> {
+        if self.unsaved.is_empty() && self.expired.len() < MAX_EXPIRED_ROWS {
+            return Vec::new();
+        }
+        let mut batches: BTreeMap<u64, OriginBatch> = BTreeMap::new();
+        for stream in self.unsaved.drain(..self.unsaved.len().min(MAX_BATCH_ROWS)) {
+            let known = self.known.get(&stream);
+            if let Some(origin) = known.and_then(|known| known.origin.clone()) {
+                let batch = batches.entry(shard(stream)).or_default();
+                batch.written.push((stream, origin));
+            }
+        }
+        let may_add_shards = batches.is_empty();
+        let expired = std::mem::take(&mut self.expired);
+        for stream in expired {
+            let rows = batches
+                .get(&shard(stream))
+                .map(|batch| batch.written.len() + batch.deleted.len());
+            let has_room = rows.map_or(may_add_shards, |rows| rows < MAX_BATCH_ROWS);
+            if has_room {
+                let batch = batches.entry(shard(stream)).or_default();
+                batch.deleted.push(stream);
+            } else {
+                self.expired.push_back(stream);
+            }
+        }
+        batches.into_values().collect()
+    }
+
+    /// Keeps the changes of a batch that may not have reached the table.
+    pub fn put_back(&mut self, batch: OriginBatch) {
+        for (stream, _) in batch.written.into_iter().rev() {
+            self.unsaved.push_front(stream);
+        }
+        self.expired.extend(batch.deleted);
+    }
+
+    fn insert(&mut self, now: MonoTime, stream: RequestFingerprint, origin: StreamOrigin) {
+        let known = KnownOrigin {
+            origin: Some(origin),
+            at: now,
+        };
+        self.known.insert(stream, known);
+        self.order.push_back(stream);
+    }
+}
--- /dev/null
+++ b/tests/stream_origin.rs
@@ -0,0 +1,133 @@
+//! The registry of software versions that began streams.
+
+use quetzalpin::prelude::*;
+use quetzalpin::stream_origin::{
+    ORIGIN_TTL_MS, OriginBatch, OriginRegistry, OriginRow, StreamOrigin, origin_key,
+    shard_prefixes, stream_id,
+};
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn origin(software: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: ServiceName::from("engines"),
+        software: SoftwareVersion::from(software),
+    }
+}
+
+/// Keys that the batches write, and keys that they delete.
+fn keys_of(batches: &[OriginBatch]) -> (Vec<String>, Vec<String>) {
+    let txns = batches.iter().map(|batch| {
+        let row = |origin: &StreamOrigin| OriginRow {
+            origin: origin.clone(),
+            at_unix_ms: 1,
+        };
+        batch.txn(row).expect("a transaction")
+    });
+    let rows = txns.flat_map(|txn| txn.writes);
+    let (written, deleted): (Vec<_>, Vec<_>) = rows.partition(|row| row.value.is_some());
+    let keys = |rows: Vec<quetzalpin::table::RowWrite>| {
+        let mut keys: Vec<String> = rows.into_iter().map(|row| row.key).collect();
+        keys.sort();
+        keys
+    };
+    (keys(written), keys(deleted))
+}
+
+fn key(request: &str) -> String {
+    origin_key(stream_id(request))
+}
+
+#[test]
+fn an_origin_is_found_under_the_id_of_the_attempt() {
+    let mut registry = OriginRegistry::open();
+    registry.record_begun(at(0), "r1", origin("1"));
+    assert_eq!(registry.find("r1"), Some(Some(&origin("1"))));
+    assert_eq!(registry.find("r2"), None);
+}
+
+/// Guards against ORDER: an id that two clients use names the stream of either.
+#[test]
+fn an_id_with_two_origins_names_neither() {
+    let mut registry = OriginRegistry::open();
+    registry.record_begun(at(0), "r1", origin("1"));
+    registry.record_begun(at(1), "r1", origin("2"));
+    assert_eq!(registry.find("r1"), Some(None));
+    assert!(keys_of(&registry.take_batches()).0.is_empty());
+}
+
+#[test]
+fn an_origin_is_written_once() {
+    let mut registry = OriginRegistry::open();
+    registry.record_begun(at(0), "r1", origin("1"));
+    registry.record_begun(at(1), "r1", origin("1"));
+    registry.record_read(at(1), "r2", origin("1"));
+    assert_eq!(keys_of(&registry.take_batches()).0, vec![key("r1")]);
+    assert!(registry.take_batches().is_empty());
+}
+
+/// Guards against LOST: origins that the table did not take while it was away are never written.
+#[test]
+fn a_batch_that_failed_is_written_again() {
+    let mut registry = OriginRegistry::open();
+    registry.record_begun(at(0), "r1", origin("1"));
+    for batch in registry.take_batches() {
+        registry.put_back(batch);
+    }
+    registry.expire(at(ORIGIN_TTL_MS - 1));
+    assert_eq!(keys_of(&registry.take_batches()).0, vec![key("r1")]);
+}
+
+/// Guards against memory that grows while the table is away.
+#[test]
+fn origins_expire_although_the_table_is_away() {
+    let mut registry = OriginRegistry::open();
+    for number in 0..10 {
+        registry.record_begun(at(0), &format!("r{number}"), origin("1"));
+        for batch in registry.take_batches() {
+            registry.put_back(batch);
+        }
+    }
+    registry.expire(at(ORIGIN_TTL_MS));
+    assert_eq!(registry.find("r1"), None);
+    assert!(registry.take_batches().is_empty());
+}
+
+#[test]
+fn expired_rows_are_deleted_with_later_writes_of_their_shard() {
+    let mut registry = OriginRegistry::open();
+    for number in 0..20 {
+        registry.record_begun(at(0), &format!("r{number}"), origin("1"));
+    }
+    assert_eq!(keys_of(&registry.take_batches()).0.len(), 20);
+    registry.expire(at(ORIGIN_TTL_MS));
+    registry.record_begun(at(ORIGIN_TTL_MS), "new", origin("1"));
+    let (written, deleted) = keys_of(&registry.take_batches());
+    assert_eq!(written, vec![key("new")]);
+    let shard = |key: &str| key.rsplit_once('/').map(|(shard, _)| shard.to_owned());
+    assert!(!deleted.is_empty());
+    assert!(deleted.iter().all(|row| shard(row) == shard(&key("new"))));
+}
+
+#[test]
+fn many_expired_rows_are_deleted_without_a_write() {
+    let mut registry = OriginRegistry::open();
+    for number in 0..60 {
+        registry.record_begun(at(0), &format!("r{number}"), origin("1"));
+    }
+    let _ = registry.take_batches();
+    registry.expire(at(ORIGIN_TTL_MS));
+    assert_eq!(keys_of(&registry.take_batches()).1.len(), 60);
+}
+
+#[test]
+fn each_key_lies_in_a_shard() {
+    let prefixes: Vec<String> = shard_prefixes().collect();
+    for number in 0..100 {
+        let key = key(&format!("r{number}"));
+        let holders = prefixes.iter().filter(|prefix| key.starts_with(*prefix));
+        assert_eq!(holders.count(), 1);
+    }
+}
