Load a model at the software version that a stream goes on at

A caller that took a stream up was refused, or cut while it waited, where only upstreams of another software version had the model loaded. Cause: requests that wait for a model were reported to the planner without a version, so that a copy at any version ended the wait, and loads went to any engine. A need now names the version that it allows; the planner counts, loads and forecasts for it at engines of that version only. Wire between gateways: waiting requests may carry 'o'; older gateways ignore it.

--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -159,10 +159,7 @@
         for _ in 0..2 {
             let model = self.models[self.models.len() - 1 - self.random.usize(..wants)].clone();
             demand.wants.push(WaitingRequests {
-                need: ModelNeed {
-                    model,
-                    adapter: None,
-                },
+                need: ModelNeed::whole(model),
                 service: ServiceName::from("engines"),
                 count: 1,
                 rank: self.random.u8(..3),
--- a/src/fleet/model_need.rs
+++ b/src/fleet/model_need.rs
@@ -15,6 +15,9 @@
     /// The adapter on top of it.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<AdapterName>,
+    /// The only software version of upstreams that may serve the request; `None` if any may.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl ModelNeed {
@@ -25,11 +28,34 @@
             Some((model, adapter)) => Self {
                 model: ModelName::from(model),
                 adapter: Some(AdapterName::from(adapter)),
+                software: None,
             },
-            None => Self {
-                model: ModelName::from(text),
-                adapter: None,
-            },
+            None => Self::whole(ModelName::from(text)),
+        }
+    }
+
+    /// A whole model without an adapter, at any software version.
+    #[must_use]
+    pub const fn whole(model: ModelName) -> Self {
+        Self {
+            model,
+            adapter: None,
+            software: None,
+        }
+    }
+
+    /// The same model and adapter at one software version; at any without one.
+    #[must_use]
+    pub fn at_software(&self, software: Option<&SoftwareVersion>) -> Self {
+        Self {
+            software: software.cloned(),
+            ..self.clone()
         }
     }
+
+    /// Whether upstreams of a software version may serve the request.
+    #[must_use]
+    pub fn allows(&self, software: Option<&SoftwareVersion>) -> bool {
+        self.software.is_none() || self.software.as_ref() == software
+    }
 }
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -243,7 +243,8 @@
         choice: UpstreamChoice,
     ) -> Option<Response<HttpBody>> {
         let plan = &self.call.plan;
-        let need = plan.need.clone();
+        let need = plan.need.as_ref();
+        let need = need.map(|need| need.at_software(self.software.as_ref()));
         let (Some(need), UpstreamChoice::NotLoaded) = (need, choice) else {
             if self.software.is_some() && choice == UpstreamChoice::NoUpstream {
                 return Some(self.refuse(RefusalReason::StreamNotResumable, None));
@@ -268,6 +269,7 @@
             log::info!(
                 request:% = plan.request,
                 need:% = need,
+                software = self.software.as_ref().map(SoftwareVersion::as_str),
                 forecast_ms = self.context.waits.forecast_ms(&need),
                 limit_ms = wait_until.millis_since(now);
                 "waiting"
--- a/src/orders/adapter_orders.rs
+++ b/src/orders/adapter_orders.rs
@@ -16,10 +16,12 @@
                 state.can_serve_need(need) && !self.demand.is_unreachable(&state.target.id)
             });
             let is_ordered = self.upstreams.values().any(|state| {
-                matches!(
-                    &state.order_state,
-                    OrderState::Sent { need: sent, verb: OrderVerb::Load, .. } if sent == need
-                )
+                need.allows(state.software.as_ref())
+                    && matches!(
+                        &state.order_state,
+                        OrderState::Sent { need: sent, verb: OrderVerb::Load, .. }
+                            if *sent == need.at_software(None)
+                    )
             });
             if is_usable || is_ordered {
                 continue;
@@ -29,7 +31,7 @@
                 .iter()
                 .filter(|(_, state)| state.is_free() && state.running.is_none())
                 .filter(|(_, state)| !self.demand.is_unreachable(&state.target.id))
-                .filter(|(_, state)| state.can_serve(&need.model));
+                .filter(|(_, state)| state.can_serve_model_of(need));
             let best = hosts.min_by_key(|(_, state)| {
                 let running = self.demand.running(&state.target.id, &need.model);
                 (state.adapter_count(), running)
@@ -52,7 +54,7 @@
         let has_slot = state.adapter_count() < config.adapter_slots;
         let has_room = state.used_mb(config) + adapter_mb <= config.memory_mb;
         if has_slot && has_room {
-            let order = NextOrder::load(need.clone(), LoadSource::Local);
+            let order = NextOrder::load(need.at_software(None), LoadSource::Local);
             self.issue_order(view.now, key, order, "wanted");
         } else if let Some(victim) = oldest_adapter(view, state) {
             self.issue_order(view.now, key, NextOrder::unload(victim), "make room");
@@ -68,12 +70,15 @@
             let need = ModelNeed {
                 model: model.clone(),
                 adapter: Some(adapter.clone()),
+                software: None,
             };
             (*at, need)
         })
     });
     let idle = adapters.filter(|(at, need)| {
-        view.now.millis_since(*at) >= ADAPTER_HOLD_MS && !view.wants.contains_key(need)
+        let mut wanted = view.wants.keys();
+        view.now.millis_since(*at) >= ADAPTER_HOLD_MS
+            && !wanted.any(|wanted| wanted.at_software(None) == *need)
     });
     idle.min().map(|(_, need)| need)
 }
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -76,7 +76,7 @@
         missing.sort_by_key(|(_, total)| (total.rank, total.since));
         for (need, total) in missing {
             let is_held = self.copies(&need.model) > 0
-                && self.reachable().any(|state| state.can_serve(&need.model));
+                && self.reachable().any(|state| state.can_serve_model_of(need));
             if !is_held {
                 let waited_ms = view.now.millis_since(total.since);
                 let purpose = LoadPurpose::Wanted {
@@ -84,7 +84,7 @@
                     may_evict_busy: total.rank == MOST_URGENT_RANK
                         || waited_ms >= EVICT_BUSY_AFTER_MS,
                 };
-                self.load_unless_pending(view, &total.service, &need.model, purpose);
+                self.load_unless_pending(view, &total.service, need, purpose);
             }
         }
     }
@@ -95,13 +95,16 @@
         &mut self,
         view: TickView<'_>,
         service: &ServiceName,
-        model: &ModelName,
+        need: &ModelNeed,
         purpose: LoadPurpose,
     ) {
-        let is_local_load_pending = self
-            .reachable()
-            .any(|state| state.has_pending_local_load(model));
-        let is_load_pending = self.reachable().any(|state| state.has_pending_load(model));
+        let allowed = || {
+            let engines = self.reachable();
+            engines.filter(|state| need.allows(state.software.as_ref()))
+        };
+        let is_local_load_pending =
+            allowed().any(|state| state.has_pending_local_load(&need.model));
+        let is_load_pending = allowed().any(|state| state.has_pending_load(&need.model));
         if is_local_load_pending {
             return;
         }
@@ -110,7 +113,7 @@
         } else {
             purpose
         };
-        self.load_at_cheapest_engine(view, service, model, purpose);
+        self.load_at_cheapest_engine(view, service, need, purpose);
     }
 
     /// Engines that entries can reach.
@@ -135,7 +138,7 @@
         }
         for (service, model, is_urgent) in crowded {
             let purpose = LoadPurpose::Copy { is_urgent };
-            self.load_unless_pending(view, &service, &model, purpose);
+            self.load_unless_pending(view, &service, &ModelNeed::whole(model), purpose);
         }
     }
 
@@ -169,7 +172,8 @@
             if !self.may_load_from_store(view, LoadPurpose::Prefetch) {
                 return;
             }
-            self.load_at_cheapest_engine(view, &service, &model, LoadPurpose::Prefetch);
+            let need = ModelNeed::whole(model);
+            self.load_at_cheapest_engine(view, &service, &need, LoadPurpose::Prefetch);
         }
     }
 
@@ -199,13 +203,15 @@
         view: TickView<'_>,
         cost_view: &CostView<'_>,
         service: &ServiceName,
-        model: &ModelName,
+        need: &ModelNeed,
         store: &LoadOption,
     ) -> bool {
+        let model = &need.model;
         let holders = self.index.local_holders(model).iter();
         let holders = holders.filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
         let busy = holders.filter(|(_, state)| {
             state.service == *service
+                && need.allows(state.software.as_ref())
                 && state.is_ready
                 && !self.demand.is_unreachable(&state.target.id)
                 && !state.models.contains_key(model)
@@ -225,9 +231,10 @@
         &mut self,
         view: TickView<'_>,
         service: &ServiceName,
-        model: &ModelName,
+        need: &ModelNeed,
         purpose: LoadPurpose,
     ) {
+        let model = &need.model;
         let config = view
             .catalog
             .service(service)
@@ -245,6 +252,7 @@
                 && state.running.is_none()
                 && state.planned_model.is_none()
                 && state.service == *service
+                && need.allows(state.software.as_ref())
                 && !state.models.contains_key(model)
                 && !self.demand.is_unreachable(&state.target.id)
         };
@@ -258,7 +266,7 @@
         let best = options.min_by(|left, right| left.1.cost_ms.total_cmp(&right.1.cost_ms));
         let Some((key, option)) = best else { return };
         let is_better_later = option.source == LoadSource::Store
-            && self.is_local_copy_sooner(view, &cost_view, service, model, &option);
+            && self.is_local_copy_sooner(view, &cost_view, service, need, &option);
         if !is_better_later {
             self.advance_load(view, key, model, &option, purpose);
         }
@@ -370,8 +378,8 @@
             state.planned_purpose = purpose;
         }
         let order = match option.victims.first() {
-            Some(victim) => NextOrder::unload(without_adapter(victim)),
-            None => NextOrder::load(without_adapter(model), option.source),
+            Some(victim) => NextOrder::unload(ModelNeed::whole(victim.clone())),
+            None => NextOrder::load(ModelNeed::whole(model.clone()), option.source),
         };
         if option.victims.is_empty() && option.source == LoadSource::Store {
             self.store_load_starts.push_back(view.now);
@@ -404,11 +412,3 @@
         loading < purpose.store_load_limit(&self.policy) && is_within_rate
     }
 }
-
-/// The need for a whole model, without an adapter.
-fn without_adapter(model: &ModelName) -> ModelNeed {
-    ModelNeed {
-        model: model.clone(),
-        adapter: None,
-    }
-}
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -43,6 +43,8 @@
     pub(super) target: UpstreamTarget,
     pub(super) service: ServiceName,
     pub(super) started_at_ms: u64,
+    /// Version of the engine's software; `None` if its entry names none.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) is_ready: bool,
     /// Request rate that the engine accepts; `None` without a limit.
     pub(super) rate_limit: Option<RequestRate>,
@@ -80,6 +82,7 @@
             },
             service: entry.service.clone(),
             started_at_ms: entry.started_at_ms,
+            software: entry.software.clone(),
             is_ready: true,
             rate_limit: None,
             order_count: 0,
@@ -139,6 +142,12 @@
         self.is_ready && self.models.contains_key(model) && !self.is_unloading(model)
     }
 
+    /// Whether requests that need the model, with or without its adapter, can be sent to this engine.
+    #[must_use]
+    pub fn can_serve_model_of(&self, need: &ModelNeed) -> bool {
+        need.allows(self.software.as_ref()) && self.can_serve(&need.model)
+    }
+
     /// Whether requests that need the model and adapter can be sent to this engine.
     #[must_use]
     pub fn can_serve_need(&self, need: &ModelNeed) -> bool {
@@ -146,7 +155,7 @@
             let held = self.models.get(&need.model);
             held.is_some_and(|held| held.adapters.contains_key(name))
         };
-        self.can_serve(&need.model) && need.adapter.as_ref().is_none_or(has_adapter)
+        self.can_serve_model_of(need) && need.adapter.as_ref().is_none_or(has_adapter)
     }
 
     /// Whether a load of the model is in progress, in flight or planned.
--- a/tests/demand_aggregator.rs
+++ b/tests/demand_aggregator.rs
@@ -13,10 +13,7 @@
 const MODELS: usize = 3;
 
 fn need(model: usize) -> ModelNeed {
-    ModelNeed {
-        model: ModelName::from(format!("m{model}").as_str()),
-        adapter: None,
-    }
+    ModelNeed::whole(ModelName::from(format!("m{model}").as_str()))
 }
 
 fn upstream(number: usize) -> UpstreamId {
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -243,10 +243,7 @@
 
     /// Milliseconds until the planner expects a model to be usable.
     pub fn forecast_ms(&self, model: &ModelName) -> u64 {
-        let need = ModelNeed {
-            model: model.clone(),
-            adapter: None,
-        };
+        let need = ModelNeed::whole(model.clone());
         self.planner
             .forecast_ms(MonoTime::from_millis(self.now_ms), &need)
     }
@@ -322,6 +319,7 @@
         let need = ModelNeed {
             model: model.clone(),
             adapter,
+            software: None,
         };
         let is_loaded = self.engines.iter().any(|(_, _, engine)| {
             let adapters = engine.models.get(model);
