Do not send events again that a caller has when it takes a stream up

Within an answer, the first event of an upstream that goes on had to come after the last one forwarded; nothing checked that for a caller that takes a stream up. An upstream that begins anew there doubled events (ORDER). The check now stands once, where the first events of any stream arrive, and such an answer is a failure of the upstream: 502, or another upstream. The new test got a 200 with the first event again, and now gets 502.

--- a/daemon/tests/software_versions.rs
+++ b/daemon/tests/software_versions.rs
@@ -6,8 +6,8 @@
 
 use compio::runtime::JoinHandle;
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, SoakResume, USUAL_PROMPT, WorkerKind,
-    WorkerStandin, call_gateway, expected_body,
+    CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, SoakResume,
+    USUAL_PROMPT, WorkerKind, WorkerStandin, call_gateway, encoded, expected_body,
 };
 
 const SIZE: FleetSize = FleetSize {
@@ -337,3 +337,24 @@
         assert_eq!(worker.resumed.get(), 0);
     });
 }
+
+/// Guards against ORDER: an upstream that begins anew where a caller takes a stream up sends events
+/// that the caller has already.
+#[test]
+fn events_that_the_caller_has_are_not_sent_again() {
+    with_fleet(async |fleet: SoakFleet| {
+        let raw = RawWorker::spawn("i-raw", WorkerKind::Engine, RawAnswer::OneEvent);
+        let raw = raw.await.expect("a worker");
+        let entry = encoded(&raw.entry(&[MODEL]));
+        fleet.store.state.put("servers", &raw.id, entry);
+        wait_for_log(&fleet, "\"upstream joined\",\"upstream\":\"i-raw\"").await;
+        let begun = notes(SHORT_STREAM, None);
+        assert_eq!(send(&fleet, 0, &begun).await, CallOutcome::Cut);
+        let resume = SoakResume {
+            first_attempt: Some(begun.id),
+            after: 1,
+        };
+        let sequel = notes(SHORT_STREAM, Some(resume));
+        assert_eq!(send(&fleet, 0, &sequel).await, CallOutcome::Status(502));
+    });
+}
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -79,7 +79,7 @@
     pub load: u32,
     /// Number of upstreams that could serve the request.
     pub candidates: usize,
-    /// Id of the last event that the client has received; `None` before the first one.
+    /// Id of the last event that this answer has brought to the client; `None` before the first one.
     pub resume_after: Option<u64>,
 }
 
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Id of the last event that the client has received, in this answer or before.
+    fn last_received(&self) -> Option<u64> {
+        let resume = self.call.plan.resume.as_ref();
+        self.resume_after.or(resume.and_then(|resume| resume.after))
+    }
+
     fn log_start(&self, entry: &UpstreamEntry, left_ms: u64) {
         let plan = &self.call.plan;
         let now = self.context.now();
@@ -140,7 +146,7 @@
             config = plan.catalog_version,
             upstream:% = entry.id,
             software = entry.software.as_ref().map(SoftwareVersion::as_str),
-            resume_after = self.resume_after.or(plan.resume.as_ref().and_then(|resume| resume.after)),
+            resume_after = self.last_received(),
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             load = self.load,
             load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
@@ -235,7 +241,7 @@
         // A failure has a text instead of events.
         if self.call.plan.is_stream() && parts.status.is_success() {
             let stream = UpstreamStream::open(incoming, guard, connection);
-            return match StartedStream::open(parts, stream).await {
+            return match StartedStream::open(parts, stream, self.last_received()).await {
                 Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
                 Err(StreamFailure::Lost) => self.judge_loss().await,
                 Err(failure) => AttemptOutcome::sent(AttemptEnd::Unknown(failure.reason()), true),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -23,12 +23,23 @@
 }
 
 impl StartedStream {
-    /// Waits for the first events.
+    /// Waits for the first events, which must come after the last one that the client has received.
     ///
     /// # Errors
     /// [`StreamFailure`] if the stream fails before them; nothing has been sent to the client then.
-    pub async fn open(parts: Parts, mut rest: UpstreamStream) -> Result<Self, StreamFailure> {
+    pub async fn open(
+        parts: Parts,
+        mut rest: UpstreamStream,
+        after: Option<u64>,
+    ) -> Result<Self, StreamFailure> {
         let first = rest.next().await?;
+        let is_sequel = |after| {
+            rest.event_ids()
+                .is_some_and(|(first_id, _)| first_id > after)
+        };
+        if !after.is_none_or(is_sequel) {
+            return Err(rest.reject());
+        }
         Ok(Self { parts, first, rest })
     }
 
@@ -90,13 +101,6 @@
             return Err(failure);
         }
         let resumed = self.flow.resume(key, after).await.ok_or(failure)?;
-        let is_sequel = resumed
-            .rest
-            .event_ids()
-            .is_some_and(|(first_id, _)| first_id > after);
-        if !is_sequel {
-            return Err(StreamFailure::NoEvents);
-        }
         self.last_id = Some(after);
         self.first = resumed.first;
         self.source = Some(resumed.rest);
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -27,7 +27,7 @@
 pub enum StreamFailure {
     /// the upstream broke the stream off
     Lost,
-    /// the upstream sends bytes that are no events
+    /// the upstream sends bytes that are no events, or not the events that were asked for
     NoEvents,
     /// the deadline passed
     TimedOut,
@@ -108,6 +108,13 @@
         next
     }
 
+    /// Records that the upstream sent other events than those that were asked for.
+    pub fn reject(&mut self) -> StreamFailure {
+        let failure = StreamFailure::NoEvents;
+        self.record_failure(failure);
+        failure
+    }
+
     async fn next_events(&mut self) -> Result<Option<Bytes>, StreamFailure> {
         while !self.is_ended {
             let Some(chunk) = poll_fn(|context| self.poll_chunk(context)).await? else {
