Write the origin of a stream within a tenth of a second, and again soon after a failure

A stream that begins now wakes the writer, which batches for 60 ms; a failed write is repeated after 0.1 s, then up to 1 s. The new test was refused, and passes.

--- a/daemon/tests/software_versions.rs
+++ b/daemon/tests/software_versions.rs
@@ -7,7 +7,7 @@
 use compio::runtime::JoinHandle;
 use quetzalpin_platform_soak::{
     CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, SoakResume,
-    USUAL_PROMPT, WorkerKind, WorkerStandin, call_gateway, encoded, expected_body,
+    StoreFault, USUAL_PROMPT, WorkerKind, WorkerStandin, call_gateway, encoded, expected_body,
 };
 
 const SIZE: FleetSize = FleetSize {
@@ -358,3 +358,24 @@
         assert_eq!(send(&fleet, 0, &sequel).await, CallOutcome::Status(502));
     });
 }
+
+/// Guards against LOST: the origin of a stream stays unknown for a second after a connection to the
+/// table broke, while its caller takes it up again at another gateway.
+#[test]
+fn a_stream_is_taken_up_although_the_table_refused_its_origin_once() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let old = add_worker(&mut fleet, OLD_SOFTWARE, &[MODEL]).await;
+        let store = &fleet.store.state;
+        store.fault.set(StoreFault::Reset);
+        let begun = notes(SHORT_STREAM, None);
+        assert_answered(&fleet, 0, &begun).await;
+        wait_until("a refused write", || {
+            let log = fleet.gateways[0].process.log();
+            log.contains("\"origins of streams not stored\"")
+        })
+        .await;
+        store.fault.set(StoreFault::None);
+        assert_answered(&fleet, 1, &sequel(Some(begun.id))).await;
+        assert_eq!(old.resumed.get(), 1);
+    });
+}
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -100,6 +100,8 @@
     pub crashes: RefCell<QuarantineTracker>,
     /// Software versions that began streams.
     pub origins: RefCell<OriginRegistry>,
+    /// Notified when the origin of a stream has to be written to the table.
+    pub origin_wake: WakeSignal,
     /// Parts of prompts at crashes.
     pub parts: PartWatch,
     /// Planner lease and, while it is held, the planner.
@@ -154,6 +156,7 @@
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
             origins: RefCell::new(OriginRegistry::open()),
+            origin_wake: WakeSignal::default(),
             parts: PartWatch::default(),
             host,
             feeds: FeedWatch::default(),
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -13,14 +13,20 @@
 use crate::table::{RowRevision, TableError, TableTxn};
 
 /// Milliseconds for which origins of new streams are batched into one write.
-const BATCH_MS: u64 = 300;
+const BATCH_MS: u64 = 60;
 
-/// Milliseconds before a failed write is repeated.
-const RETRY_MS: u64 = 1_000;
+/// Milliseconds before a failed write is repeated for the first time; doubles up to the longest.
+const FIRST_RETRY_MS: u64 = 100;
+
+/// Longest time in milliseconds before a failed write is repeated.
+const MAX_RETRY_MS: u64 = 1_000;
+
+/// Milliseconds between two checks for expired origins while no stream begins.
+const EXPIRY_CHECK_MS: u64 = 5_000;
 
 /// Milliseconds after which a row that is missing is read once more: the process that began the
 /// stream may be about to write it.
-const REREAD_MS: u64 = 2 * BATCH_MS;
+const REREAD_MS: u64 = 5 * BATCH_MS;
 
 /// `Retry-After` in milliseconds if the table does not tell the origin of a stream now.
 const UNREADABLE_RETRY_MS: u64 = 1_000;
@@ -109,6 +115,7 @@
         };
         let mut origins = self.origins.borrow_mut();
         origins.record_begun(self.now(), &plan.request, origin);
+        self.origin_wake.notify();
     }
 
     /// Writes the origins of new streams to the table. Returns whether the table took them.
@@ -171,13 +178,19 @@
 
 /// Keeps the origins of streams in the table.
 pub async fn run_origin_store(context: Rc<GatewayContext>) {
+    let mut retry_ms = FIRST_RETRY_MS;
     loop {
-        let pause_ms = if context.save_origins().await {
-            BATCH_MS
+        context.origin_wake.wait(EXPIRY_CHECK_MS).await;
+        compio::time::sleep(Duration::from_millis(BATCH_MS)).await;
+        if context.save_origins().await {
+            retry_ms = FIRST_RETRY_MS;
         } else {
-            RETRY_MS
-        };
-        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+            compio::time::sleep(Duration::from_millis(retry_ms)).await;
+            retry_ms = (retry_ms * 2).min(MAX_RETRY_MS);
+        }
+        if context.origins.borrow().has_unsaved() {
+            context.origin_wake.notify();
+        }
     }
 }
 
--- a/src/stream_origin/origin_registry.rs
+++ b/src/stream_origin/origin_registry.rs
@@ -105,6 +105,12 @@
         Some(known.origin.as_ref())
     }
 
+    /// Whether the table may lack a stream that this process began.
+    #[must_use]
+    pub fn has_unsaved(&self) -> bool {
+        !self.unsaved.is_empty()
+    }
+
     /// Forgets streams that are too old to be taken up.
     pub fn expire(&mut self, now: MonoTime) {
         self.expire_known(now);
