Use no start of an engine that the list of upstreams does not name yet

An engine that starts again under its ID may run other software, and only the list tells which. While the list lagged behind, the planner took the report of the new start for the old one, loaded models there, and gateways sent streams of the old version. Now a report that names another start than the list suspends the engine at the planner, and a gateway that hears of a later start from the planner than its own list names uses none of its models, until the list names it.

--- a/cli/src/bench/planner_bench.rs
+++ b/cli/src/bench/planner_bench.rs
@@ -177,6 +177,7 @@
                 PlannerAction::Read { key, target } => {
                     let listed = self.upstreams.iter().find(|entry| entry.id == target.id);
                     let report = listed.map(|entry| EngineReport {
+                        started_at_ms: None,
                         order_count: 0,
                         is_busy: false,
                         models: entry.models.clone(),
--- a/src/gateway/placement_view.rs
+++ b/src/gateway/placement_view.rs
@@ -1,5 +1,6 @@
 //! Models that each engine can serve, as seen by this process.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 use slotmap::SecondaryMap;
@@ -46,22 +47,23 @@
         }
     }
 
-    /// Applies changes from the planner; ignores those of an earlier start of an engine.
+    /// Applies changes from the planner; ignores those of an earlier start of an engine. A start that
+    /// the list does not name yet is not used: only the list tells its software version.
     pub fn apply_changes(&mut self, roster: &UpstreamRoster, update: &PlacementUpdate) {
         for holdings in &update.holdings {
             let Some(key) = roster.key_of(&holdings.id) else {
                 continue;
             };
-            let is_same_start = roster
-                .get(key)
-                .is_some_and(|entry| entry.started_at_ms == holdings.started_at_ms);
-            if !is_same_start {
-                continue;
-            }
+            let listed_at_ms = roster.get(key).map(|entry| entry.started_at_ms);
+            let models = match listed_at_ms.cmp(&Some(holdings.started_at_ms)) {
+                Ordering::Less => Vec::new(),
+                Ordering::Equal => holdings.models.clone(),
+                Ordering::Greater => continue,
+            };
             self.missing.retain(|(upstream, _), _| *upstream != key);
             let known = KnownHoldings {
                 is_from_planner: true,
-                models: holdings.models.clone(),
+                models,
             };
             self.known.insert(key, known);
         }
--- a/src/orders/engine_control.rs
+++ b/src/orders/engine_control.rs
@@ -73,6 +73,8 @@
 /// An engine's report of its own state; a few hundred milliseconds old.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Start of the engine in Unix milliseconds; `None` if the report names none.
+    pub started_at_ms: Option<u64>,
     /// Number of orders that the engine has accepted.
     pub order_count: u64,
     /// Whether a model is being loaded or unloaded.
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -328,6 +328,9 @@
 
     /// Applies the engine's report. Returns whether the usable models or adapters changed.
     pub(super) fn apply_report(&mut self, now: MonoTime, report: &EngineReport) -> bool {
+        if self.is_other_start(report) {
+            return self.suspend(now);
+        }
         self.local_copies
             .extend(report.local_copies.iter().cloned());
         self.order_state = OrderState::Idle;
@@ -357,6 +360,25 @@
         before != self.holdings()
     }
 
+    /// Whether the report is of a start that the upstream list does not name yet.
+    fn is_other_start(&self, report: &EngineReport) -> bool {
+        let reported = report.started_at_ms;
+        self.started_at_ms != 0 && reported.is_some_and(|at| at != self.started_at_ms)
+    }
+
+    /// Uses the engine for nothing until the upstream list names its start. Returns whether usable
+    /// models were forgotten.
+    fn suspend(&mut self, now: MonoTime) -> bool {
+        self.order_state = OrderState::Stale {
+            read_at: now + 2 * REPORT_LAG_MS,
+        };
+        self.running = None;
+        self.planned_model = None;
+        let had_models = !self.models.is_empty();
+        self.models.clear();
+        had_models
+    }
+
     /// Applies the engine's entry in the upstream list. The entry states neither its age nor how
     /// many orders it reflects, so a change only leads to a read of the engine's report.
     pub(super) fn apply_entry(&mut self, now: MonoTime, entry: &UpstreamEntry) {
--- a/tests/planner_sim/sim_engine.rs
+++ b/tests/planner_sim/sim_engine.rs
@@ -133,6 +133,7 @@
             adapters: adapters.iter().cloned().collect(),
         });
         EngineReport {
+            started_at_ms: None,
             order_count: self.order_count,
             is_busy: self.running.is_some(),
             models: models.collect(),
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -232,6 +232,25 @@
     assert!(fixture.placement.can_serve(fixture.now, key, &need));
 }
 
+/// Guards against ORDER: a start of an engine that the list does not name yet, perhaps with other
+/// software, gets streams of the start before.
+#[test]
+fn an_engine_is_not_used_once_the_planner_knows_a_later_start() {
+    let mut fixture = ChoiceFixture::open(&[HOME_ZONE]);
+    let model = ModelName::from(MODEL);
+    let update = PlacementUpdate {
+        epoch: 1,
+        version: 1,
+        holdings: vec![UpstreamHoldings {
+            id: UpstreamId::from("i-0"),
+            started_at_ms: 6,
+            models: vec![(model, Vec::new())],
+        }],
+    };
+    fixture.placement.apply_changes(&fixture.roster, &update);
+    assert_eq!(fixture.choose(&plan("r1", &[])), UpstreamChoice::NotLoaded);
+}
+
 /// An engine's report of a missing model expires shortly after.
 #[test]
 fn an_engine_without_the_model_is_skipped_briefly() {
