Keep the time for which an upstream wants no requests while its entry lapses

An upstream that had answered 503 with Retry-After got requests again before the time was over, if its entry was removed and came back meanwhile, as after an outage of the list. Cause: the end of the time was kept beside the load of the upstream, by the key of its row; a row that is listed again has another key. The time is now kept by the upstream's ID and start, until its end. The new test got a request through, and passes.

--- a/daemon/tests/upstream_notices.rs
+++ b/daemon/tests/upstream_notices.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
     CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, WorkerKind, WorkerStandin,
@@ -17,6 +18,12 @@
 /// Largest number of requests after which each of the workers has got one.
 const CALLS_TO_REACH_ALL: usize = 60;
 
+/// Longest time that a test waits for an event.
+const EVENT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two checks of a condition.
+const POLL: Duration = Duration::from_millis(20);
+
 /// Seconds for which a worker wants no requests.
 const REFUSE_FOR_S: f64 = 120.0;
 
@@ -113,3 +120,29 @@
         assert_eq!(arrivals(workers), known);
     });
 }
+
+/// Guards against BUDGET: an upstream whose entry in the list lapses and comes back gets requests
+/// before the time has passed that its refusal named.
+#[test]
+fn a_refusal_with_a_time_outlives_a_lapse_of_the_entry() {
+    with_plain_workers(async |fleet, workers| {
+        workers[0].refuse_for_s.set(Some(REFUSE_FOR_S));
+        reach(fleet, workers[0]).await;
+        let gone = format!("\"upstream gone\",\"upstream\":\"{}\"", workers[0].id);
+        let joined = format!("\"upstream joined\",\"upstream\":\"{}\"", workers[0].id);
+        fleet.store.state.remove("servers", &workers[0].id);
+        wait_for_log(fleet, &gone, 1).await;
+        fleet.send_heartbeats();
+        wait_for_log(fleet, &joined, 2).await;
+        assert_others_serve(fleet, workers[0]).await;
+    });
+}
+
+/// Waits until the gateway has logged a text that often.
+async fn wait_for_log(fleet: &SoakFleet, text: &str, count: usize) {
+    let deadline = Instant::now() + EVENT_LIMIT;
+    while fleet.gateways[0].process.log().matches(text).count() < count {
+        assert!(Instant::now() < deadline, "{text} is not in the log");
+        compio::time::sleep(POLL).await;
+    }
+}
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -227,6 +227,7 @@
             roster: &context.roster.borrow(),
             placement: &context.placement.borrow(),
             loads: &context.loads.borrow(),
+            pauses: &context.pauses.borrow(),
             limiter: &context.rate_limiter.borrow(),
             software: self.software.as_ref(),
             tried: &self.tried,
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -14,7 +14,7 @@
 use super::fleet_follower::FEED_CHECK_MS;
 use super::part_watch::PartWatch;
 use super::planner_host::PlannerHost;
-use super::{CallPlan, HeaderCodec, LoadTracker, PlacementView, WaitRegistry};
+use super::{CallPlan, HeaderCodec, LoadTracker, PauseRegistry, PlacementView, WaitRegistry};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::decision::unix_ms;
@@ -88,6 +88,8 @@
     pub placement: RefCell<PlacementView>,
     /// Load and health of upstreams.
     pub loads: RefCell<LoadTracker>,
+    /// Upstreams that want no requests for a while.
+    pub pauses: RefCell<PauseRegistry>,
     /// Request rate limits that upstreams name.
     pub rate_limiter: RefCell<RateLimiter>,
     /// Requests that wait for a model.
@@ -151,6 +153,7 @@
             knows_roster: Cell::new(false),
             placement: RefCell::new(PlacementView::open()),
             loads: RefCell::new(LoadTracker::open()),
+            pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
--- a/src/gateway/load_tracker.rs
+++ b/src/gateway/load_tracker.rs
@@ -46,8 +46,6 @@
     failures_at: MonoTime,
     ejections: u32,
     ejected_until: Option<MonoTime>,
-    /// Time until which the upstream wants no requests; `None` if it never said so.
-    paused_until: Option<MonoTime>,
 }
 
 /// Tracks this process's requests at each upstream and the load that upstreams report.
@@ -104,20 +102,6 @@
         }
     }
 
-    /// Records that the upstream wants no requests for a time in milliseconds.
-    pub fn record_pause(&mut self, now: MonoTime, key: UpstreamKey, pause_ms: u64) {
-        if let Some(load) = self.load(key) {
-            load.paused_until = load.paused_until.max(Some(now + pause_ms));
-        }
-    }
-
-    /// Milliseconds for which the upstream still wants no requests.
-    #[must_use]
-    pub fn pause_left_ms(&self, now: MonoTime, key: UpstreamKey) -> u64 {
-        let until = self.loads.get(key).and_then(|load| load.paused_until);
-        until.map_or(0, |until| until.millis_since(now))
-    }
-
     /// Records the result of an attempt in the failure average and the ejection state.
     pub fn record_result(&mut self, now: MonoTime, key: UpstreamKey, result: AttemptResult) {
         let Some(load) = self.load(key) else {
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream for a request by lowest cost.
 
-use super::{CallPlan, LoadTracker, PlacementView};
+use super::{CallPlan, LoadTracker, PauseRegistry, PlacementView};
 use crate::fleet::{UpstreamEntry, UpstreamKey, UpstreamPhase, UpstreamRoster};
 use crate::prelude::*;
 use crate::rate_limit::RateLimiter;
@@ -50,6 +50,8 @@
     pub placement: &'a PlacementView,
     /// Load and health of upstreams.
     pub loads: &'a LoadTracker,
+    /// Upstreams that want no requests for a while.
+    pub pauses: &'a PauseRegistry,
     /// Request rate limits of upstreams.
     pub limiter: &'a RateLimiter,
     /// The only software version that may serve the request; `None` if any may.
@@ -155,7 +157,7 @@
     } else {
         input.limiter.forecast_ms(key, turn).max(1)
     };
-    let wait_ms = limit_wait_ms.max(input.loads.pause_left_ms(input.now, key));
+    let wait_ms = limit_wait_ms.max(input.pauses.left_ms(input.now, entry));
     UpstreamCandidate {
         key,
         entry,
--- a/src/gateway/upstream_notice.rs
+++ b/src/gateway/upstream_notice.rs
@@ -53,8 +53,8 @@
     }
 
     fn record_pause(&self, now: MonoTime, key: UpstreamKey, pause_ms: u64) {
-        self.loads.borrow_mut().record_pause(now, key, pause_ms);
         if let Some(entry) = self.roster.borrow().get(key) {
+            self.pauses.borrow_mut().record(now, entry, pause_ms);
             log::info!(upstream:% = entry.id, pause_ms; "upstream wants no requests");
         }
     }
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -7,8 +7,8 @@
     UpstreamKey, UpstreamPhase, UpstreamRoster, UpstreamUpdate, WeightedService,
 };
 use quetzalpin::gateway::{
-    AttemptResult, CallHead, CallPlan, ChoiceInput, LoadTracker, PlacementView, PromptPart,
-    UpstreamChoice, choose_upstream,
+    AttemptResult, CallHead, CallPlan, ChoiceInput, LoadTracker, PauseRegistry, PlacementView,
+    PromptPart, UpstreamChoice, choose_upstream,
 };
 use quetzalpin::orders::{PlacementUpdate, UpstreamHoldings};
 use quetzalpin::prelude::*;
@@ -64,6 +64,7 @@
             roster: &self.roster,
             placement: &self.placement,
             loads: &self.loads,
+            pauses: &PauseRegistry::open(),
             limiter: &self.limiter,
             software: None,
             tried: &[],
