--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -68,8 +68,8 @@
         let limit_ms = head.deadline_ms.unwrap_or(u64::MAX).min(rule.timeout_ms);
         let first_event_ms = match rule.kind {
             RouteKind::Stream { gap_ms, .. } => MIN_FIRST_EVENT_MS
-                .max(rule.target_ms * FIRST_EVENT_TARGET_FACTOR)
-                .max(gap_ms * FIRST_EVENT_GAP_FACTOR),
+                .max(rule.target_ms.saturating_mul(FIRST_EVENT_TARGET_FACTOR))
+                .max(gap_ms.saturating_mul(FIRST_EVENT_GAP_FACTOR)),
             _ => limit_ms,
         };
         let answer_ms = u64::from(head.output_tokens.unwrap_or(0)) * TOKEN_MS;
@@ -86,7 +86,7 @@
             kind: rule.kind,
             rank: rule.rank,
             max_attempts: rule.max_attempts,
-            prompt_tokens: head.prompt.iter().map(|part| part.tokens).sum(),
+            prompt_tokens: token_sum(&head.prompt),
             parts: shared_parts(&head.prompt),
             affinity: shared.map(|index| head.prompt[index].id.clone()),
             need: head.need,
@@ -116,6 +116,12 @@
     }
 }
 
+/// Length of a prompt in tokens; callers may name any numbers.
+fn token_sum(prompt: &[PromptPart]) -> u32 {
+    let tokens = prompt.iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 fn shared_parts(prompt: &[PromptPart]) -> Vec<PromptPartId> {
     let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
     shared
--- a/src/gateway/load_tracker.rs
+++ b/src/gateway/load_tracker.rs
@@ -78,7 +78,7 @@
     /// Adds the tokens of a prompt that the upstream has yet to read.
     pub fn begin_prompt(&mut self, key: UpstreamKey, tokens: u32) {
         if let Some(load) = self.load(key) {
-            load.unread_tokens += tokens;
+            load.unread_tokens = load.unread_tokens.saturating_add(tokens);
         }
     }
 
@@ -136,8 +136,8 @@
             return 0;
         };
         match load.reported {
-            Some((at, count, own)) if now.millis_since(at) < REPORTED_LOAD_TTL_MS => (count
-                + load.in_flight)
+            Some((at, count, own)) if now.millis_since(at) < REPORTED_LOAD_TTL_MS => count
+                .saturating_add(load.in_flight)
                 .saturating_sub(own)
                 .max(load.in_flight),
             _ => load.in_flight,
--- a/src/lease/lease_holder.rs
+++ b/src/lease/lease_holder.rs
@@ -200,7 +200,8 @@
         if !is_own && !is_predecessor && !is_free && !is_carried {
             return None;
         }
-        let epoch = self.highest_epoch.max(self.era.0 * EPOCHS_PER_ERA) + 1;
+        let first_of_era = self.era.0.saturating_mul(EPOCHS_PER_ERA);
+        let epoch = self.highest_epoch.max(first_of_era).saturating_add(1);
         Some(LeaseIntent {
             expected: *revision,
             row: self.row(epoch, 0),
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -241,7 +241,7 @@
         };
         match answer {
             Some(OrderAnswer::Accepted) => {
-                self.order_count += 1;
+                self.order_count = self.order_count.saturating_add(1);
                 self.start_order(now, verb, need, source, load_ms, is_used);
                 true
             }
