Refuse requests that arrive late in a shutdown

It happens here: a request that arrived 3.3 s after SIGTERM, on a connection that was open before, was passed on with its whole timeout. A stream was cut when the process exited; a call that may not be repeated was answered 502 with an unknown result at the end, or closed. Cause: only waiting was shortened during a shutdown, not the admission of new requests. A request whose last byte arrives later than 2.6 s after the signal, when the load balancer sends callers elsewhere, is now refused at once, not run.

--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -22,6 +22,9 @@
 /// `Retry-After` in milliseconds while the process has no configuration.
 const NOT_READY_RETRY_MS: u64 = 500;
 
+/// `Retry-After` in milliseconds while the process shuts down; other entries serve the caller at once.
+const LEAVING_RETRY_MS: u64 = 100;
+
 /// Routes client requests and serves them.
 pub struct FrontServer {
     context: Rc<GatewayContext>,
@@ -59,6 +62,13 @@
             Ok(body) => body,
             Err(error) => return refuse_body(&plan, &error),
         };
+        if self.context.refuses_arrivals() {
+            return self.refuse(
+                &plan,
+                RefusalReason::UpstreamLeaving,
+                Some(LEAVING_RETRY_MS),
+            );
+        }
         let software = match self.find_software(&mut plan, rule).await {
             Ok(software) => software,
             Err(refusal) => return refusal,
@@ -88,17 +98,25 @@
         };
         let origin = match self.context.find_origin(plan, &resume).await {
             Ok(origin) => origin,
-            Err(OriginMissing { retry_ms }) => return Err(self.refuse_resume(plan, retry_ms)),
+            Err(OriginMissing { retry_ms }) => {
+                return Err(self.refuse(plan, RefusalReason::StreamNotResumable, retry_ms));
+            }
         };
         if !rule.has_service(&origin.service) {
-            return Err(self.refuse_resume(plan, None));
+            return Err(self.refuse(plan, RefusalReason::StreamNotResumable, None));
         }
         plan.service = origin.service;
         Ok(Some(origin.software))
     }
 
-    fn refuse_resume(&self, plan: &CallPlan, retry_ms: Option<u64>) -> Response<HttpBody> {
-        let refusal = RequestRefusal::not_run(RefusalReason::StreamNotResumable);
+    /// Refuses a request that has not been sent to any upstream.
+    fn refuse(
+        &self,
+        plan: &CallPlan,
+        reason: RefusalReason,
+        retry_ms: Option<u64>,
+    ) -> Response<HttpBody> {
+        let refusal = RequestRefusal::not_run(reason);
         let labels = RefusalLabels::of(refusal);
         self.context.metrics.refused.get_or_create(&labels).inc();
         log::info!(request:% = plan.request, reason:? = refusal.reason, retry_ms; "refused");
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -43,6 +43,10 @@
 /// Fraction of the drain time for which requests may still wait, as a divisor.
 const DRAIN_WAIT_DIVISOR: u64 = 3;
 
+/// Milliseconds for which new connections and requests are still accepted after the shutdown began;
+/// the load balancer checks readiness once a second and removes a gateway after two failures.
+pub const BALANCER_REMOVAL_MS: u64 = 2_600;
+
 /// Milliseconds before the end of the drain time at which requests without an answer are refused,
 /// so that the refusal still reaches the client.
 const EXIT_REFUSAL_MS: u64 = 900;
@@ -216,6 +220,14 @@
         self.stopped_at.get().is_some()
     }
 
+    /// Whether the shutdown is so far that requests which arrive now are refused: the load balancer
+    /// sends their callers elsewhere, and some would not end before the exit.
+    #[must_use]
+    pub fn refuses_arrivals(&self) -> bool {
+        let stopped_at = self.stopped_at.get();
+        stopped_at.is_some_and(|at| self.now() >= at + BALANCER_REMOVAL_MS)
+    }
+
     /// Time until which a request may wait. During shutdown it is refused early enough to be served
     /// elsewhere.
     #[must_use]
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -9,6 +9,7 @@
 use super::control_server::ControlServer;
 use super::fleet_follower::{follow_catalog, follow_upstreams, watch_feeds};
 use super::front_server::FrontServer;
+use super::gateway_context::BALANCER_REMOVAL_MS;
 use super::origin_store::{run_origin_store, run_origin_sweep};
 use super::part_store::run_part_store;
 use super::planner_lease::{release_lease, run_lease};
@@ -19,10 +20,6 @@
 use crate::daemon::DaemonError;
 use crate::net::{HttpServer, ServerHandle, ServerLimits};
 
-/// Milliseconds for which new connections are still accepted after the shutdown began; the load
-/// balancer checks readiness once a second and removes a gateway after two failures.
-const BALANCER_REMOVAL_MS: u64 = 2_600;
-
 /// Milliseconds reserved at the end of the drain time for the exit.
 const EXIT_RESERVE_MS: u64 = 400;
 
