Heed what an upstream says of itself while its entry has lapsed

An answer that came after the list had dropped the upstream was looked up by the key of its row; without a row, that it leaves, or wants no requests, was forgotten, and it got requests when its entry was back. Both are now recorded for the ID and start to which the request was sent. The new test of the roster failed (ready again) and passes; a second one holds the other way: a later start stays ready.

--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -147,13 +147,20 @@
         changes
     }
 
-    /// Marks an upstream as draining because it said so itself. Returns whether it was ready.
-    pub fn mark_draining(&mut self, key: UpstreamKey) -> bool {
-        let Some(row) = self.rows.get_mut(key) else {
-            return false;
-        };
-        let phase = std::mem::replace(&mut row.entry.phase, UpstreamPhase::Draining);
-        phase == UpstreamPhase::Ready
+    /// Marks a start of an upstream as draining because it said so itself. Returns whether it was
+    /// ready.
+    pub fn mark_draining(&mut self, id: &UpstreamId, started_at_ms: u64) -> bool {
+        let key = self.by_id.get(id).copied();
+        let row = key.and_then(|key| self.rows.get_mut(key));
+        if let Some(row) = row.filter(|row| row.entry.started_at_ms == started_at_ms) {
+            let phase = std::mem::replace(&mut row.entry.phase, UpstreamPhase::Draining);
+            return phase == UpstreamPhase::Ready;
+        }
+        let departed = self.departed.get_mut(id);
+        if let Some(departed) = departed.filter(|it| it.started_at_ms == started_at_ms) {
+            departed.phase = UpstreamPhase::Draining;
+        }
+        false
     }
 
     /// Drops the upstreams whose grace period has expired, and uses the entries that were held back
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -116,7 +116,7 @@
         let connect_ms = CONNECT_TIMEOUT_MS.min(left_ms);
         let exchange = async {
             match call_upstream(entry.address, request, connect_ms, left_ms).await {
-                Ok((response, connection)) => self.judge(response, connection, guard).await,
+                Ok((response, connection)) => self.judge(&entry, response, connection, guard).await,
                 Err(failure) => self.fail(&failure, &mut guard),
             }
         };
@@ -206,6 +206,7 @@
     /// Decides from the response head whether the request ran, and reads the answer.
     async fn judge(
         &self,
+        upstream: &UpstreamEntry,
         response: Response<Incoming>,
         connection: UpstreamConnection,
         mut guard: CallGuard,
@@ -218,7 +219,7 @@
         // An answer to another request says nothing of this one, nor of the upstream's present state.
         let is_own_answer = !self.is_other_request(&head);
         if is_own_answer {
-            context.record_notice(now, self.key, head.notice);
+            context.record_notice(now, self.key, upstream, head.notice);
         }
         if head.is_not_run && is_own_answer {
             guard.set_outcome("not_run");
--- a/src/gateway/upstream_notice.rs
+++ b/src/gateway/upstream_notice.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of their own state in responses.
 
 use super::GatewayContext;
-use crate::fleet::UpstreamKey;
+use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
 use crate::rate_limit::{RequestRate, TokenGrant, TokenRequest};
 
@@ -21,15 +21,25 @@
 
 impl GatewayContext {
     /// Records what an upstream says of its state in a response.
-    pub fn record_notice(&self, now: MonoTime, key: UpstreamKey, notice: UpstreamNotice) {
+    ///
+    /// `upstream` is its entry as it stood when the request was sent; the list may have dropped it
+    /// since.
+    pub fn record_notice(
+        &self,
+        now: MonoTime,
+        key: UpstreamKey,
+        upstream: &UpstreamEntry,
+        notice: UpstreamNotice,
+    ) {
         if notice.is_leaving {
-            self.record_leaving(key);
+            self.record_leaving(upstream);
         }
         if let Some(count) = notice.load {
             self.loads.borrow_mut().record_load(now, key, count);
         }
         if let Some(pause_ms) = notice.pause_ms {
-            self.record_pause(now, key, pause_ms);
+            self.pauses.borrow_mut().record(now, upstream, pause_ms);
+            log::info!(upstream:% = upstream.id, pause_ms; "upstream wants no requests");
         }
         let mut limiter = self.rate_limiter.borrow_mut();
         let is_changed = limiter.record_answer(now, key, notice.rate_limit);
@@ -41,21 +51,13 @@
         }
     }
 
-    fn record_leaving(&self, key: UpstreamKey) {
-        let is_news = self.roster.borrow_mut().mark_draining(key);
-        if !is_news {
-            return;
-        }
-        if let Some(entry) = self.roster.borrow().get(key) {
-            log::info!(upstream:% = entry.id, source = "answer"; "upstream leaving");
-        }
-        self.propagate_roster();
-    }
-
-    fn record_pause(&self, now: MonoTime, key: UpstreamKey, pause_ms: u64) {
-        if let Some(entry) = self.roster.borrow().get(key) {
-            self.pauses.borrow_mut().record(now, entry, pause_ms);
-            log::info!(upstream:% = entry.id, pause_ms; "upstream wants no requests");
+    fn record_leaving(&self, upstream: &UpstreamEntry) {
+        let mut roster = self.roster.borrow_mut();
+        let is_news = roster.mark_draining(&upstream.id, upstream.started_at_ms);
+        drop(roster);
+        if is_news {
+            log::info!(upstream:% = upstream.id, source = "answer"; "upstream leaving");
+            self.propagate_roster();
         }
     }
 
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -147,13 +147,38 @@
 fn an_upstream_that_said_that_it_leaves_is_not_ready_by_its_entry() {
     let mut roster = roster_with_start(1);
     let key = roster.key_of(&id()).expect("an upstream");
-    assert!(roster.mark_draining(key));
-    assert!(!roster.mark_draining(key));
+    assert!(roster.mark_draining(&id(), 1));
+    assert!(!roster.mark_draining(&id(), 1));
     roster.apply(at(10), update(entry(1, UpstreamPhase::Ready)));
     let phase = roster.get(key).map(|entry| entry.phase);
     assert_eq!(phase, Some(UpstreamPhase::Draining));
 }
 
+/// Guards against DRAIN: an upstream says in an answer that it leaves while its entry has lapsed, and
+/// gets requests when the entry is back.
+#[test]
+fn an_upstream_that_said_that_it_leaves_while_it_was_not_listed_is_not_ready_again() {
+    let mut roster = roster_with_start(1);
+    roster.apply(at(10), update(UpstreamChange::Removed(id())));
+    assert!(roster.key_of(&id()).is_none());
+    roster.mark_draining(&id(), 1);
+    roster.apply(at(20), update(entry(1, UpstreamPhase::Ready)));
+    let listed = roster.key_of(&id()).and_then(|key| roster.get(key));
+    let phase = listed.map(|entry| entry.phase);
+    assert_eq!(phase, Some(UpstreamPhase::Draining));
+}
+
+/// Guards against an upstream that nobody uses, because an earlier start said that it leaves.
+#[test]
+fn a_later_start_is_ready_although_an_earlier_one_said_that_it_leaves() {
+    let mut roster = roster_with_start(1);
+    roster.apply(at(10), update(entry(2, UpstreamPhase::Ready)));
+    roster.mark_draining(&id(), 1);
+    let listed = roster.key_of(&id()).and_then(|key| roster.get(key));
+    let phase = listed.map(|entry| entry.phase);
+    assert_eq!(phase, Some(UpstreamPhase::Ready));
+}
+
 /// A snapshot of the list in a later era, as it is read after a restore.
 fn restored_list(change: UpstreamChange) -> UpstreamUpdate {
     let position = FeedVersion {
