--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -52,7 +52,7 @@
     ///
     /// # Errors
     /// [`OriginMissing`] if nobody knows, or not now.
-    pub async fn find_origin(
+    pub(super) async fn find_origin(
         &self,
         plan: &CallPlan,
         resume: &ResumePoint,
@@ -108,7 +108,7 @@
     }
 
     /// Records which software version began a stream that this process delivers.
-    pub fn record_origin(&self, plan: &CallPlan, software: &SoftwareVersion) {
+    pub(super) fn record_origin(&self, plan: &CallPlan, software: &SoftwareVersion) {
         let origin = StreamOrigin {
             service: plan.service.clone(),
             software: software.clone(),
