--- a/daemon/tests/upstream_trouble.rs
+++ b/daemon/tests/upstream_trouble.rs
@@ -97,7 +97,10 @@
 async fn assert_sound_requests_are_served(fleet: &SoakFleet) {
     let chat = call(CallKind::Chat, SOUND_MODEL);
     let outcome = send(fleet, &chat).await;
-    assert_eq!(outcome, CallOutcome::Answer(expected_body(&chat).into()));
+    let log = fleet.gateways[0].process.log();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains(&chat.id)).collect();
+    let expected = CallOutcome::Answer(expected_body(&chat).into());
+    assert_eq!(outcome, expected, "{lines:#?}");
 }
 
 #[test]
