--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -34,7 +34,7 @@
 /// Milliseconds between two searches for rows that ended processes left behind.
 const SWEEP_MS: u64 = 300_000;
 
-/// Milliseconds after it began to plan before a process searches for the first time.
+/// Milliseconds after its start before a process searches for the first time.
 const FIRST_SWEEP_MS: u64 = 30_000;
 
 /// Rows that one transaction deletes at most.
