Test the software version of an engine in one place, without copying needs

Found by reading the change once more; no behaviour changes. The planner tested the version in six places and copied a need for each engine, and for each adapter and waiting need, in each tick; the copies only dropped the version. One method tests the version, another compares model and adapter.

--- a/src/fleet/model_need.rs
+++ b/src/fleet/model_need.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Whether the other need is for the same model and adapter, at whatever software version.
+    #[must_use]
+    pub fn is_same_load(&self, other: &Self) -> bool {
+        self.model == other.model && self.adapter == other.adapter
+    }
+
     /// Whether upstreams of a software version may serve the request.
     #[must_use]
     pub fn allows(&self, software: Option<&SoftwareVersion>) -> bool {
--- a/src/orders/adapter_orders.rs
+++ b/src/orders/adapter_orders.rs
@@ -16,11 +16,11 @@
                 state.can_serve_need(need) && !self.demand.is_unreachable(&state.target.id)
             });
             let is_ordered = self.upstreams.values().any(|state| {
-                need.allows(state.software.as_ref())
+                state.is_allowed_for(need)
                     && matches!(
                         &state.order_state,
                         OrderState::Sent { need: sent, verb: OrderVerb::Load, .. }
-                            if *sent == need.at_software(None)
+                            if sent.is_same_load(need)
                     )
             });
             if is_usable || is_ordered {
@@ -78,7 +78,7 @@
     let idle = adapters.filter(|(at, need)| {
         let mut wanted = view.wants.keys();
         view.now.millis_since(*at) >= ADAPTER_HOLD_MS
-            && !wanted.any(|wanted| wanted.at_software(None) == *need)
+            && !wanted.any(|wanted| wanted.is_same_load(need))
     });
     idle.min().map(|(_, need)| need)
 }
--- a/src/orders/load_forecast.rs
+++ b/src/orders/load_forecast.rs
@@ -15,7 +15,7 @@
     #[must_use]
     pub fn forecast_ms(&self, now: MonoTime, need: &ModelNeed) -> u64 {
         let is_reachable = |state: &&UpstreamState| !self.demand.is_unreachable(&state.target.id);
-        let is_allowed = |state: &&UpstreamState| need.allows(state.software.as_ref());
+        let is_allowed = |state: &&UpstreamState| state.is_allowed_for(need);
         let upstreams = || {
             let reachable = self.upstreams.values().filter(is_reachable);
             reachable.filter(is_allowed)
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -100,7 +100,7 @@
     ) {
         let allowed = || {
             let engines = self.reachable();
-            engines.filter(|state| need.allows(state.software.as_ref()))
+            engines.filter(|state| state.is_allowed_for(need))
         };
         let is_local_load_pending =
             allowed().any(|state| state.has_pending_local_load(&need.model));
@@ -211,7 +211,7 @@
         let holders = holders.filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
         let busy = holders.filter(|(_, state)| {
             state.service == *service
-                && need.allows(state.software.as_ref())
+                && state.is_allowed_for(need)
                 && state.is_ready
                 && !self.demand.is_unreachable(&state.target.id)
                 && !state.models.contains_key(model)
@@ -252,7 +252,7 @@
                 && state.running.is_none()
                 && state.planned_model.is_none()
                 && state.service == *service
-                && need.allows(state.software.as_ref())
+                && state.is_allowed_for(need)
                 && !state.models.contains_key(model)
                 && !self.demand.is_unreachable(&state.target.id)
         };
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -142,10 +142,16 @@
         self.is_ready && self.models.contains_key(model) && !self.is_unloading(model)
     }
 
+    /// Whether the engine runs a software version that the need allows.
+    #[must_use]
+    pub fn is_allowed_for(&self, need: &ModelNeed) -> bool {
+        need.allows(self.software.as_ref())
+    }
+
     /// Whether requests that need the model, with or without its adapter, can be sent to this engine.
     #[must_use]
     pub fn can_serve_model_of(&self, need: &ModelNeed) -> bool {
-        need.allows(self.software.as_ref()) && self.can_serve(&need.model)
+        self.is_allowed_for(need) && self.can_serve(&need.model)
     }
 
     /// Whether requests that need the model and adapter can be sent to this engine.
