--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -14,6 +14,7 @@
 mod planner_action;
 mod planner_policy;
 mod tick_index;
+mod upstream_report;
 mod upstream_state;
 
 pub use demand_aggregator::{
