--- a/daemon/tests/odd_entries.rs
+++ b/daemon/tests/odd_entries.rs
@@ -1,7 +1,6 @@
 //! Entries of other writers in the list of upstreams, through a real gateway.
 
 use std::path::Path;
-use std::time::{Duration, Instant};
 
 use quetzalpin::decision::unix_ms;
 use quetzalpin_platform_soak::{
@@ -25,12 +24,6 @@
 /// Number of requests that must all be served.
 const CALLS: usize = 20;
 
-/// Longest time that a test waits for an event.
-const EVENT_LIMIT: Duration = Duration::from_secs(20);
-
-/// Time between two checks of a condition.
-const POLL: Duration = Duration::from_millis(20);
-
 /// Milliseconds of a month.
 const MONTH_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
 
@@ -72,14 +65,6 @@
     });
 }
 
-async fn wait_for_log(fleet: &SoakFleet, text: &str, count: usize) {
-    let deadline = Instant::now() + EVENT_LIMIT;
-    while fleet.gateways[0].process.log().matches(text).count() < count {
-        assert!(Instant::now() < deadline, "{text} is not in the log");
-        compio::time::sleep(POLL).await;
-    }
-}
-
 /// Adds a sound worker, and checks that the gateway learns of it and serves all requests.
 async fn assert_list_is_followed(fleet: &mut SoakFleet) {
     let spawning = fleet.spawn_worker(WorkerKind::Plain, Vec::new());
@@ -88,7 +73,7 @@
     fleet.workers.push(added);
     fleet.send_heartbeats();
     let joined = format!("\"upstream joined\",\"upstream\":\"{id}\"");
-    wait_for_log(fleet, &joined, 1).await;
+    fleet.wait_for_log(&joined, 1).await;
     for number in 0..CALLS {
         let call = SoakCall {
             id: format!("odd-{number:04}-{:08x}", fastrand::u32(..)),
@@ -130,7 +115,9 @@
     with_fleet(async |mut fleet: SoakFleet| {
         let store = &fleet.store.state;
         store.put("servers", ODD_ID, base64(text));
-        wait_for_log(&fleet, &format!("\"upstream\":\"{ODD_ID}\""), 1).await;
+        fleet
+            .wait_for_log(&format!("\"upstream\":\"{ODD_ID}\""), 1)
+            .await;
         assert_list_is_followed(&mut fleet).await;
         let log = fleet.gateways[0].process.log();
         let joined = format!("\"upstream joined\",\"upstream\":\"{ODD_ID}\"");
@@ -152,7 +139,9 @@
             .store
             .state
             .put("servers", ODD_ID, base64(&entry(&nested)));
-        wait_for_log(&fleet, &format!("\"upstream\":\"{ODD_ID}\""), 1).await;
+        fleet
+            .wait_for_log(&format!("\"upstream\":\"{ODD_ID}\""), 1)
+            .await;
         assert_list_is_followed(&mut fleet).await;
     });
 }
@@ -163,7 +152,9 @@
     with_fleet(async |mut fleet: SoakFleet| {
         let store = &fleet.store.state;
         store.put("servers", ODD_ID, "%%%".to_owned());
-        wait_for_log(&fleet, &format!("\"upstream\":\"{ODD_ID}\""), 1).await;
+        fleet
+            .wait_for_log(&format!("\"upstream\":\"{ODD_ID}\""), 1)
+            .await;
         assert_list_is_followed(&mut fleet).await;
     });
 }
@@ -185,10 +176,10 @@
             .state
             .put("servers", &id, base64(&entry(changed)));
         let ignored = format!("\"entry ignored\",\"upstream\":\"{id}\"");
-        wait_for_log(&fleet, &ignored, 1).await;
+        fleet.wait_for_log(&ignored, 1).await;
         fleet.send_heartbeats();
         let joined = format!("\"upstream joined\",\"upstream\":\"{id}\"");
-        wait_for_log(&fleet, &joined, 2).await;
+        fleet.wait_for_log(&joined, 2).await;
         assert_list_is_followed(&mut fleet).await;
     });
 }
--- a/daemon/tests/software_versions.rs
+++ b/daemon/tests/software_versions.rs
@@ -71,7 +71,7 @@
     fleet.workers.push(added);
     fleet.send_heartbeats();
     let joined = format!("\"upstream joined\",\"upstream\":\"{}\"", worker.id);
-    wait_for_log(fleet, &joined).await;
+    fleet.wait_for_log(&joined, 1).await;
     worker
 }
 
@@ -83,20 +83,11 @@
             worker.is_down.set(true);
             fleet.store.state.remove("servers", &worker.id);
             let gone = format!("\"upstream gone\",\"upstream\":\"{}\"", worker.id);
-            wait_for_log(fleet, &gone).await;
+            fleet.wait_for_log(&gone, 1).await;
         }
     }
 }
 
-/// Waits until all gateways have logged a text.
-async fn wait_for_log(fleet: &SoakFleet, text: &str) {
-    wait_until(text, || {
-        let mut gateways = fleet.gateways.iter();
-        gateways.all(|gateway| gateway.process.log().contains(text))
-    })
-    .await;
-}
-
 async fn wait_until(event: &str, mut has_happened: impl FnMut() -> bool) {
     let deadline = Instant::now() + EVENT_LIMIT;
     while !has_happened() {
@@ -305,11 +296,12 @@
         let second = add_worker(&mut fleet, OLD_SOFTWARE, &[]).await;
         first.crash();
         fleet.store.state.remove("servers", &first.id);
-        wait_for_log(
-            &fleet,
-            &format!("\"upstream gone\",\"upstream\":\"{}\"", first.id),
-        )
-        .await;
+        fleet
+            .wait_for_log(
+                &format!("\"upstream gone\",\"upstream\":\"{}\"", first.id),
+                1,
+            )
+            .await;
         assert_answered(&fleet, 1, &sequel(Some(begun[0].clone()))).await;
         assert_eq!((second.resumed.get(), new.resumed.get()), (1, 0));
     });
@@ -329,7 +321,7 @@
         worker.is_down.set(false);
         fleet.send_heartbeats();
         let joined = format!("\"service\":\"engines\",\"software\":\"{NEW_SOFTWARE}\"");
-        wait_for_log(&fleet, &joined).await;
+        fleet.wait_for_log(&joined, 1).await;
         for first_attempt in begun {
             let outcome = send(&fleet, 1, &sequel(Some(first_attempt))).await;
             assert_eq!(outcome, CallOutcome::Status(503));
@@ -347,7 +339,9 @@
         let raw = raw.await.expect("a worker");
         let entry = encoded(&raw.entry(&[MODEL]));
         fleet.store.state.put("servers", &raw.id, entry);
-        wait_for_log(&fleet, "\"upstream joined\",\"upstream\":\"i-raw\"").await;
+        fleet
+            .wait_for_log("\"upstream joined\",\"upstream\":\"i-raw\"", 1)
+            .await;
         let begun = notes(SHORT_STREAM, None);
         assert_eq!(send(&fleet, 0, &begun).await, CallOutcome::Cut);
         let resume = SoakResume {
--- a/daemon/tests/upstream_notices.rs
+++ b/daemon/tests/upstream_notices.rs
@@ -2,7 +2,6 @@
 //! requests.
 
 use std::path::Path;
-use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
     CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, WorkerKind, WorkerStandin,
@@ -18,12 +17,6 @@
 /// Largest number of requests after which each of the workers has got one.
 const CALLS_TO_REACH_ALL: usize = 60;
 
-/// Longest time that a test waits for an event.
-const EVENT_LIMIT: Duration = Duration::from_secs(20);
-
-/// Time between two checks of a condition.
-const POLL: Duration = Duration::from_millis(20);
-
 /// Seconds for which a worker wants no requests.
 const REFUSE_FOR_S: f64 = 120.0;
 
@@ -131,18 +124,9 @@
         let gone = format!("\"upstream gone\",\"upstream\":\"{}\"", workers[0].id);
         let joined = format!("\"upstream joined\",\"upstream\":\"{}\"", workers[0].id);
         fleet.store.state.remove("servers", &workers[0].id);
-        wait_for_log(fleet, &gone, 1).await;
+        fleet.wait_for_log(&gone, 1).await;
         fleet.send_heartbeats();
-        wait_for_log(fleet, &joined, 2).await;
+        fleet.wait_for_log(&joined, 2).await;
         assert_others_serve(fleet, workers[0]).await;
     });
 }
-
-/// Waits until the gateway has logged a text that often.
-async fn wait_for_log(fleet: &SoakFleet, text: &str, count: usize) {
-    let deadline = Instant::now() + EVENT_LIMIT;
-    while fleet.gateways[0].process.log().matches(text).count() < count {
-        assert!(Instant::now() < deadline, "{text} is not in the log");
-        compio::time::sleep(POLL).await;
-    }
-}
