Take up a stream without a named first attempt while there is one software version

Cause: no named attempt was taken for an unknown origin, although only one origin is possible while the route has one service and all its upstreams run one version. The versions that a gateway has seen listed count for two minutes after they left, as long as a stream may be taken up; with two of them, or with upstreams that name none, it is refused as before, as is an attempt that is named and not known.

--- a/daemon/tests/software_versions.rs
+++ b/daemon/tests/software_versions.rs
@@ -284,6 +284,32 @@
     });
 }
 
+/// Guards against callers whose streams are refused in vain: one that names no first attempt takes a
+/// stream up while all upstreams run one software version.
+#[test]
+fn a_stream_without_a_known_first_attempt_goes_on_if_there_is_one_software_version() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let old = add_worker(&mut fleet, OLD_SOFTWARE, &[MODEL]).await;
+        assert_answered(&fleet, 1, &sequel(None)).await;
+        assert_eq!(old.resumed.get(), 1);
+        let unknown = sequel(Some("unknown".to_owned()));
+        assert_refused_at_once(&fleet, &unknown).await;
+    });
+}
+
+/// Guards against ORDER: a stream without a known first attempt goes on at the software version that
+/// is left, when another one has just left.
+#[test]
+fn a_software_version_that_has_just_left_still_counts() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let old = add_worker(&mut fleet, OLD_SOFTWARE, &[MODEL]).await;
+        let new = add_worker(&mut fleet, NEW_SOFTWARE, &[MODEL]).await;
+        remove_other_engines(&fleet, &new).await;
+        assert_refused_at_once(&fleet, &sequel(None)).await;
+        assert_eq!((old.resumed.get(), new.resumed.get()), (0, 0));
+    });
+}
+
 /// Guards against LOST: a stream that is taken up again is refused, or goes on at another software
 /// version, because only that one has the model loaded.
 #[test]
--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -31,7 +31,10 @@
         let now = self.now();
         self.feeds
             .record_roster_read(now, update.newest_change, update.version);
+        // Versions that leave with this update count as listed until now.
+        self.observe_software();
         let changes = self.roster.borrow_mut().apply(now, update);
+        self.observe_software();
         self.knows_roster.set(true);
         for change in changes {
             self.log_change(&change);
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -96,7 +96,7 @@
         let Some(resume) = plan.resume.clone().filter(|_| plan.is_stream()) else {
             return Ok(None);
         };
-        let origin = match self.context.find_origin(plan, &resume).await {
+        let origin = match self.context.find_origin(plan, rule, &resume).await {
             Ok(origin) => origin,
             Err(OriginMissing { retry_ms }) => {
                 return Err(self.refuse(plan, RefusalReason::StreamNotResumable, retry_ms));
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -30,7 +30,7 @@
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
-use crate::stream_origin::OriginRegistry;
+use crate::stream_origin::{OriginRegistry, SoftwareHistory};
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
 
@@ -106,6 +106,8 @@
     pub crashes: RefCell<QuarantineTracker>,
     /// Software versions that began streams.
     pub origins: RefCell<OriginRegistry>,
+    /// Software versions that were listed lately.
+    pub software_history: RefCell<SoftwareHistory>,
     /// Notified when the origin of a stream has to be written to the table.
     pub origin_wake: WakeSignal,
     /// Parts of prompts at crashes.
@@ -163,6 +165,7 @@
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
             origins: RefCell::new(OriginRegistry::open()),
+            software_history: RefCell::new(SoftwareHistory::open()),
             origin_wake: WakeSignal::default(),
             parts: PartWatch::default(),
             host,
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -6,6 +6,7 @@
 
 use super::{CallPlan, GatewayContext, ResumePoint};
 use crate::decision::unix_ms;
+use crate::fleet::RouteRule;
 use crate::prelude::*;
 use crate::stream_origin::{
     OriginBatch, OriginRow, StreamOrigin, origin_key, shard_prefixes, stream_id,
@@ -55,11 +56,12 @@
     pub(super) async fn find_origin(
         &self,
         plan: &CallPlan,
+        rule: &RouteRule,
         resume: &ResumePoint,
     ) -> Result<StreamOrigin, OriginMissing> {
         let found = match &resume.first_attempt {
             Some(first_attempt) => self.look_up_origin(first_attempt).await,
-            None => Ok(None),
+            None => Ok(self.derive_origin(rule)),
         };
         log::info!(
             request:% = plan.request,
@@ -81,6 +83,26 @@
         }
     }
 
+    /// The only origin that a stream of a route can have, whichever attempt began it. `None` if there
+    /// are several.
+    fn derive_origin(&self, rule: &RouteRule) -> Option<StreamOrigin> {
+        let [only] = rule.services.as_slice() else {
+            return None;
+        };
+        self.observe_software();
+        let history = self.software_history.borrow();
+        Some(StreamOrigin {
+            service: only.service.clone(),
+            software: history.only_version(&only.service)?.clone(),
+        })
+    }
+
+    /// Records the software versions that are listed now.
+    pub(super) fn observe_software(&self) {
+        let mut history = self.software_history.borrow_mut();
+        history.observe(self.now(), &self.roster.borrow());
+    }
+
     async fn look_up_origin(&self, request: &str) -> Result<Option<StreamOrigin>, TableError> {
         if let Some(known) = self.origins.borrow().find(request) {
             return Ok(known.cloned());
--- a/tests/stream_origin.rs
+++ b/tests/stream_origin.rs
@@ -1,9 +1,14 @@
-//! The registry of software versions that began streams.
+//! Software versions that began streams, and those that were listed lately.
 
+use std::net::SocketAddr;
+
+use quetzalpin::fleet::{
+    FeedVersion, UpstreamChange, UpstreamEntry, UpstreamPhase, UpstreamRoster, UpstreamUpdate,
+};
 use quetzalpin::prelude::*;
 use quetzalpin::stream_origin::{
-    ORIGIN_TTL_MS, OriginBatch, OriginRegistry, OriginRow, StreamOrigin, origin_key,
-    shard_prefixes, stream_id,
+    ORIGIN_TTL_MS, OriginBatch, OriginRegistry, OriginRow, SoftwareHistory, StreamOrigin,
+    origin_key, shard_prefixes, stream_id,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -133,3 +138,54 @@
         assert_eq!(holders.count(), 1);
     }
 }
+
+/// The roster with one upstream of each software version.
+fn roster(versions: &[Option<&str>]) -> UpstreamRoster {
+    let entries = versions.iter().enumerate().map(|(number, software)| {
+        UpstreamChange::Listed(UpstreamEntry {
+            id: UpstreamId::from(format!("i-{number}").as_str()),
+            started_at_ms: 1,
+            service: ServiceName::from("engines"),
+            software: software.map(SoftwareVersion::from),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            zone: ZoneName::from("zone"),
+            slots: 4,
+            phase: UpstreamPhase::Ready,
+            models: Vec::new(),
+            local_copies: Vec::new(),
+        })
+    });
+    let mut roster = UpstreamRoster::open();
+    let update = UpstreamUpdate {
+        version: FeedVersion::in_first_era(1),
+        newest_change: FeedVersion::in_first_era(1),
+        is_snapshot: true,
+        changes: entries.collect(),
+    };
+    roster.apply(at(0), update);
+    roster
+}
+
+/// The only version of the service after the rosters were listed at these times.
+fn only_version(listed: &[(u64, &[Option<&str>])]) -> Option<SoftwareVersion> {
+    let mut history = SoftwareHistory::open();
+    for (millis, versions) in listed {
+        history.observe(at(*millis), &roster(versions));
+    }
+    history.only_version(&ServiceName::from("engines")).cloned()
+}
+
+/// Guards against ORDER: a version that has left, or that an upstream does not name, is forgotten
+/// while its streams may be taken up.
+#[test]
+fn a_version_counts_until_its_streams_are_too_old_to_be_taken_up() {
+    let (one, two) = ([Some("1")], [Some("1"), Some("2")]);
+    let only = Some(SoftwareVersion::from("1"));
+    assert_eq!(only_version(&[]), None);
+    assert_eq!(only_version(&[(0, &one)]), only);
+    assert_eq!(only_version(&[(0, &two)]), None);
+    assert_eq!(only_version(&[(0, &two), (ORIGIN_TTL_MS - 1, &one)]), None);
+    assert_eq!(only_version(&[(0, &two), (ORIGIN_TTL_MS, &one)]), only);
+    assert_eq!(only_version(&[(0, &[Some("1"), None])]), None);
+    assert_eq!(only_version(&[(0, &[None])]), None);
+}
