Review case 2: streams can't be taken up after the store came back from a copy

Cause: the row that says which software version began a stream is written once. When the table's era rises, nothing writes the rows again that the copy lacks, though the gateway still knows them.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -141,6 +141,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        """A copy from which the store can be restored."""
+        return dict(self.rows), self.ver
+
+    async def restore(self, copy, away_s=0.3):
+        """A drill: the store is away for a moment, and comes back from an older copy."""
+        self.record.log("store", "away")
+        self.mode = "reset"
+        self.era += 1
+        self.wake()
+        await asyncio.sleep(away_s)
+        self.rows, self.ver = dict(copy[0]), copy[1]
+        self.mode = "ok"
+        self.record.log("store", "back from a copy", era=self.era, ver=self.ver)
+
     def wire(self, key):
         value, ver, deleted = self.rows[key]
         row = {"table": key[0], "part": key[1], "key": key[2], "ver": ver}
@@ -205,6 +220,9 @@
                 if self.mode == "silent":
                     await asyncio.sleep(30)
                     return
+                if self.mode == "reset":
+                    reset(writer)
+                    return
                 if self.mode == "busy":
                     writer.write(response(503, "Service Unavailable"))
                     continue
