--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-exec python3 -B "$(dirname "$0")/case.py"
+# Writes record.txt in this folder: what was sent, answered and run.
+here=$(dirname "$0")
+exec python3 -B "$here/case.py" "$here/record.txt"
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -40,10 +40,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
 
     def log(self, who, what, **fields):
         text = " ".join(f"{name}={value}" for name, value in fields.items())
@@ -540,9 +540,8 @@
 class Fleet:
     """A small deployment. Everything that it started ends with it."""
 
-    def __init__(self, folder):
-        self.folder = folder
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.temp = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.record)
         self.workers, self.gateways = [], []
@@ -581,15 +580,18 @@
 
 
 def run_case(case):
-    """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case cannot run."""
-    folder = pathlib.Path(sys.argv[0]).resolve().parent
+    """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case cannot run.
+
+    The first argument of the program is the path of its record.
+    """
+    record_path = pathlib.Path(sys.argv[1]).resolve()
 
     # Connections that are still open at the end are dropped without a word.
     sys.unraisablehook = lambda _: None
 
     async def main():
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        async with Fleet(folder) as fleet:
+        async with Fleet(record_path) as fleet:
             broken = await asyncio.wait_for(case(fleet), 110)
             fleet.record.log("check", "broken" if broken else "held", detail=broken or "")
             return broken
