--- a/src/fleet/fleet_catalog.rs
+++ b/src/fleet/fleet_catalog.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use super::{RouteRule, ServiceConfig};
+use crate::account::AccountDirectory;
 use crate::prelude::*;
 
 /// Limits on what callers may send.
@@ -21,6 +22,7 @@
     pub version: u64,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    accounts: AccountDirectory,
     services: BTreeMap<ServiceName, ServiceConfig>,
     /// The routes of each host, longest prefix first.
     routes: HashMap<CompactString, Vec<RouteRule>>,
@@ -46,6 +48,7 @@
         Self {
             version,
             limits,
+            accounts: AccountDirectory::default(),
             services: services
                 .map(|service| (service.name.clone(), service))
                 .collect(),
@@ -53,6 +56,19 @@
         }
     }
 
+    /// Replaces the client accounts.
+    #[must_use]
+    pub fn with_accounts(mut self, accounts: AccountDirectory) -> Self {
+        self.accounts = accounts;
+        self
+    }
+
+    /// The client accounts; without any, requests need no key.
+    #[must_use]
+    pub const fn accounts(&self) -> &AccountDirectory {
+        &self.accounts
+    }
+
     /// Finds the route of a request: the longest matching path prefix among the routes of its
     /// host. Ignores the port and the case of the host.
     #[must_use]
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -6,7 +6,7 @@
 
 pub use attempt_id::{AttemptId, ParseAttemptError};
 pub use names::{
-    AdapterName, InstanceName, KindName, ModelName, RankName, RegionName, ReplicaName, ServiceName,
-    SoftwareVersion, TeamName, UpstreamId, ZoneName,
+    AccountName, AdapterName, InstanceName, KindName, ModelName, RankName, RegionName, ReplicaName,
+    ServiceName, SoftwareVersion, TeamName, UpstreamId, ZoneName,
 };
 pub use random_bits::{new_start_id, random_bits};
--- a/src/ids/names.rs
+++ b/src/ids/names.rs
@@ -35,6 +35,10 @@
     /// A customer whose settings form one subtree.
     TeamName
 );
+text_name!(
+    /// A client account of the fleet's configuration.
+    AccountName
+);
 text_name!(
     /// A model as operators name it, without a version.
     ModelName
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`time::MonoTime`] and return actions. Sockets and clocks stay in [`entry`], [`agent`],
 //! [`gateway`] and [`net`].
 
+pub mod account;
 pub mod admission;
 pub mod agent;
 pub mod config;
