Keep a call for changes that is overdue, and begin another one beside it

Change: a call that is overdue stays, a second one begins beside it, the first answer counts. The pauses between calls double (1, 2, 4 s), at most three calls are kept, and a timeout that falls into a delay of this process ends no call beside it. A list that was doubted after the answered call began is read again without a pause. Tests: with at most one call, which is the former behaviour, three of four tests of feed_calls fail; all pass now.

--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Gives up calls that hang. `has_planner` says whether a planner answers that would tell of changes
+    /// Asks for another call of each feed whose call is overdue. `has_planner` says whether a planner answers that would tell of changes
     /// that this process misses.
     pub fn repeat_overdue_calls(&self, now: MonoTime, has_planner: bool) {
         self.catalog.repeat_overdue_call(now, has_planner);
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -3,11 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
-use futures_util::pin_mut;
-
-use super::{GatewayContext, WatchedFeed};
+use super::GatewayContext;
+use super::feed_calls::first_answer;
 use crate::fleet::{FeedVersion, SourceError};
+use crate::prelude::*;
 
 /// Long-poll timeout in milliseconds of a call for changes while a planner tells of changes that
 /// this process misses.
@@ -17,9 +16,6 @@
 /// call whose answer is lost looks like a call without changes.
 const NO_PLANNER_WAIT_MS: u64 = 1_000;
 
-/// Milliseconds after which a call is repeated even without a signal; longer than any call takes.
-const MAX_CALL_MS: u64 = 60_000;
-
 /// Milliseconds between two reads of the upstream list, so that one answer batches many changes. A
 /// leaving upstream must be known within 3 s.
 const ROSTER_PAUSE_MS: u64 = 1_500;
@@ -44,15 +40,14 @@
 pub async fn follow_catalog(context: Rc<GatewayContext>) {
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("configuration");
+    let feed = &context.feeds.catalog;
     loop {
-        let started_at = context.now();
-        let reading = context
-            .ports
-            .fleet
-            .catalog(after, retry.wait_ms(has_planner(&context)));
-        let Some(read) = unless_repeated(&context, reading, &context.feeds.catalog).await else {
-            continue;
+        let call = || {
+            let wait_ms = retry.wait_ms(has_planner(&context));
+            context.ports.fleet.catalog(after, wait_ms)
         };
+        let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
+        let (began_at, read) = first_answer(feed, || context.now(), call, is_delay).await;
         match read {
             Ok(update) => {
                 retry.succeeded();
@@ -67,7 +62,7 @@
                     Some(Err(reason)) => log::error!(reason:% = reason; "configuration rejected"),
                     None => {}
                 }
-                context.feeds.catalog.record_read(started_at, context.now());
+                feed.record_read(began_at, context.now());
                 sleep_ms(CATALOG_PAUSE_MS).await;
             }
             Err(error) => {
@@ -84,15 +79,14 @@
 pub async fn follow_upstreams(context: Rc<GatewayContext>) {
     let mut after: Option<FeedVersion> = None;
     let mut retry = RetryBackoff::open("list of upstreams");
+    let feed = &context.feeds.roster;
     loop {
-        let started_at = context.now();
-        let reading = context
-            .ports
-            .fleet
-            .upstreams(after, list_wait_ms(&context, &retry));
-        let Some(read) = unless_repeated(&context, reading, &context.feeds.roster).await else {
-            continue;
+        let call = || {
+            let wait_ms = list_wait_ms(&context, &retry);
+            context.ports.fleet.upstreams(after, wait_ms)
         };
+        let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
+        let (began_at, read) = first_answer(feed, || context.now(), call, is_delay).await;
         match read {
             Ok(update) => {
                 if retry.succeeded() == Some(OutageKind::Refusing) {
@@ -102,26 +96,28 @@
                 }
                 after = Some(update.version);
                 context.apply_upstreams(update);
-                context.feeds.roster.record_read(started_at, context.now());
-                // A doubt ends the pause.
-                context.feeds.roster.repeat.wait(ROSTER_PAUSE_MS).await;
+                feed.record_read(began_at, context.now());
+                // A doubt ends the pause, also one that arose after this call began.
+                if !feed.is_doubted() {
+                    feed.repeat.wait(ROSTER_PAUSE_MS).await;
+                }
             }
             Err(error) => {
                 if error.is_position_lost() {
                     after = None;
                 }
-                context.feeds.roster.doubt(context.now());
+                feed.doubt(context.now());
                 // A restored list lacks what was written since its copy, like one after an outage.
                 let is_outage = !matches!(error, SourceError::HistoryLost)
-                    && context.record_failed_list_read(started_at, &error);
+                    && context.record_failed_list_read(began_at, &error);
                 retry.failed(&error, is_outage).await;
             }
         }
     }
 }
 
-/// Removes upstreams that stayed missing after an outage, gives up calls for changes that hang, and
-/// notices that no planner issues tokens.
+/// Removes upstreams that stayed missing after an outage, asks for another call for changes where one is
+/// overdue, and notices that no planner issues tokens.
 pub async fn watch_feeds(context: Rc<GatewayContext>) {
     loop {
         sleep_ms(FEED_CHECK_MS).await;
@@ -147,28 +143,21 @@
     }
 }
 
+/// Whether a call that began at `began_at` timed out while this process got too little processor time.
+fn is_own_delay<T>(
+    context: &GatewayContext,
+    began_at: MonoTime,
+    read: &Result<T, SourceError>,
+) -> bool {
+    read.as_ref().is_err_and(SourceError::is_timeout)
+        && context.delay.was_delayed(began_at, context.now())
+}
+
 /// Whether another process would tell this one of a change that it misses.
 fn has_planner(context: &GatewayContext) -> bool {
     context.host.is_planner_responsive(context.now())
 }
 
-/// Waits for a call; cancels it and returns `None` when a signal asks for a new one.
-async fn unless_repeated<T>(
-    context: &GatewayContext,
-    reading: impl Future<Output = T>,
-    feed: &WatchedFeed,
-) -> Option<T> {
-    feed.begin_call(context.now());
-    let repeated = feed.repeat.wait(MAX_CALL_MS);
-    pin_mut!(reading, repeated);
-    let read = match select(reading, repeated).await {
-        Either::Left((read, _)) => Some(read),
-        Either::Right(((), _)) => None,
-    };
-    feed.end_call();
-    read
-}
-
 async fn sleep_ms(millis: u64) {
     compio::time::sleep(Duration::from_millis(millis)).await;
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod call_refusal;
 mod control_server;
 mod crash_probe;
+mod feed_calls;
 mod feed_watch;
 mod fleet_follower;
 mod fleet_updates;
@@ -42,6 +43,7 @@
 mod watched_feed;
 
 pub use call_plan::CallPlan;
+pub use feed_calls::{FeedCall, first_answer};
 pub use feed_watch::FeedWatch;
 pub use gateway_context::{GatewayContext, GatewayPorts};
 pub use gateway_handle::GatewayHandle;
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -5,11 +5,12 @@
 use crate::daemon::WakeSignal;
 use crate::prelude::*;
 
-/// Milliseconds after which a call hangs that has not brought a change which another process has
-/// read; a slow platform answers within this time.
+/// Milliseconds after which a call is overdue that has not brought a change which another process has
+/// read; doubles with each further call.
 const HANG_MS: u64 = 1_000;
 
-/// Longest time in milliseconds of a call while no other process would tell of a change.
+/// Milliseconds after which a call is overdue while no other process would tell of a change; doubles
+/// with each further call.
 const NO_PLANNER_CALL_MS: u64 = 2_600;
 
 /// Milliseconds after which a change that another process has read, and this one has not, is no longer
@@ -32,8 +33,10 @@
     position: Cell<u64>,
     /// Version of the newest change that this process has read; at most `position`.
     newest_change: Cell<u64>,
-    /// When the call in progress began; `None` between calls.
+    /// When the newest call in progress began; `None` between calls.
     call_started_at: Cell<Option<MonoTime>>,
+    /// Number of calls that were begun since the last answer beside one that was overdue.
+    further_calls: Cell<u32>,
     /// When the latest call completed.
     read_at: Cell<MonoTime>,
     /// When this process last had a reason to think that it misses changes; `None` once a call that
@@ -41,7 +44,7 @@
     doubted_at: Cell<Option<MonoTime>>,
     /// Set while another process is ahead of `position`.
     missed: Cell<Option<MissedVersion>>,
-    /// Notified to give up the call in progress and make another one.
+    /// Notified to begin another call beside the one in progress.
     pub repeat: WakeSignal,
 }
 
@@ -54,6 +57,7 @@
             position: Cell::new(0),
             newest_change: Cell::new(0),
             call_started_at: Cell::default(),
+            further_calls: Cell::new(0),
             read_at: Cell::default(),
             doubted_at: Cell::default(),
             missed: Cell::new(None),
@@ -85,7 +89,7 @@
         now.millis_since(self.read_at.get())
     }
 
-    /// Milliseconds for which the call in progress has been running; 0 between calls.
+    /// Milliseconds for which the newest call in progress has been running; 0 between calls.
     #[must_use]
     pub fn call_ms(&self, now: MonoTime) -> u64 {
         self.call_started_at
@@ -96,9 +100,16 @@
     /// Records the start of a call.
     pub fn begin_call(&self, now: MonoTime) {
         self.call_started_at.set(Some(now));
+        self.further_calls.set(0);
     }
 
-    /// Records that the call in progress ended, with or without an answer.
+    /// Records the start of a call beside one that is overdue.
+    pub fn begin_further_call(&self, now: MonoTime) {
+        self.call_started_at.set(Some(now));
+        self.further_calls.set(self.further_calls.get() + 1);
+    }
+
+    /// Records that the calls in progress ended, with or without an answer.
     pub fn end_call(&self) {
         self.call_started_at.set(None);
     }
@@ -115,6 +126,13 @@
         self.doubted_at.set(Some(now));
     }
 
+    /// Whether this process had a reason to think that it misses changes when the answered call had
+    /// begun already.
+    #[must_use]
+    pub const fn is_doubted(&self) -> bool {
+        self.doubted_at.get().is_some()
+    }
+
     /// Whether nothing hints that this process misses changes.
     #[must_use]
     pub fn is_trusted(&self, now: MonoTime) -> bool {
@@ -162,11 +180,11 @@
         self.missed.set(Some(missed));
     }
 
-    /// Whether the call in progress should be given up and repeated. `has_planner` says whether a planner
-    /// answers that would tell of changes that this process misses.
+    /// Whether another call should be begun beside the one in progress. `has_planner` says whether a
+    /// planner answers that would tell of changes that this process misses.
     #[must_use]
     pub fn is_overdue(&self, now: MonoTime, has_planner: bool) -> bool {
-        let call_ms = self.call_ms(now);
+        let call_ms = self.call_ms(now) >> self.further_calls.get().min(u64::BITS - 1);
         let has_missed = self
             .missed
             .get()
@@ -174,7 +192,7 @@
         (has_missed && call_ms >= HANG_MS) || (!has_planner && call_ms >= NO_PLANNER_CALL_MS)
     }
 
-    /// Gives up the call in progress if it is overdue.
+    /// Asks for another call if the one in progress is overdue.
     pub fn repeat_overdue_call(&self, now: MonoTime, has_planner: bool) {
         if !self.is_overdue(now, has_planner) {
             return;
@@ -186,7 +204,7 @@
             has_planner,
             call_ms = self.call_ms(now),
             age_ms = self.age_ms(now);
-            "call for changes hangs and is repeated"
+            "call for changes is overdue, another one is begun"
         );
         self.doubt(now);
         self.repeat.notify();
