Leave out time without a processor in the limit of a call for changes

A read of the configuration or the list without a wait has a limit of 1 s. The limit now counts time in which this process's timers are punctual, up to four times the limit; orders, reports and lease calls keep the plain limit, because their time decides what may still arrive.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod http_body;
 mod http_server;
 mod peer_client;
+mod scheduled_timeout;
 mod socket_options;
 mod tcp_dial;
 mod unpooled_call;
@@ -22,5 +23,6 @@
 };
 pub use http_server::{AbortConnection, HttpHandler, HttpServer, ServerHandle, ServerLimits};
 pub use peer_client::PeerClient;
+pub use scheduled_timeout::scheduled_timeout;
 pub use tcp_dial::dial;
 pub use unpooled_call::{ExchangeGuard, OpenExchange, send_guarded, send_unpooled};
