Lease the limits of client accounts to the gateways

An account's rate and burst hold for all gateways together, and a fixed share of them is often less than one request.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`gateway`] and [`net`].
 
 pub mod account;
+pub mod account_limit;
 pub mod admission;
 pub mod agent;
 pub mod config;
