Keys: identify the account of a request, and refuse one without a known key

Accounts of the configuration were not read, so every caller was served. The gateway identifies the account before it reads the body, answers 401 without a known key (also on a path without a route), removes the caller's credential and names the account to the upstream. The account's rank replaces the route's; the plan carries the account and what its limit counts. Without accounts nothing changes.

--- a/src/account/account_directory.rs
+++ b/src/account/account_directory.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
 
-use super::{AccountError, ClientAccount, KeyDigest};
+use super::{AccountError, CallerCredential, ClientAccount, KeyDigest, KeyFault};
 use crate::prelude::*;
 
 /// Position of an account in the [`AccountDirectory`] that returned it.
@@ -20,7 +20,7 @@
 }
 
 impl AccountDirectory {
-    /// Adds an account and its keys.
+    /// Adds an account and its keys. A directory that has refused an account must not be used.
     ///
     /// # Errors
     /// [`AccountError`] if the name is known, or a key belongs to another account.
@@ -54,6 +54,33 @@
         self.accounts.is_empty()
     }
 
+    /// Number of accounts.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Number of keys of all accounts.
+    #[must_use]
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// The account that a request belongs to.
+    ///
+    /// # Errors
+    /// [`KeyFault`] if the request has no key that an account holds.
+    pub fn identify(&self, credential: CallerCredential) -> Result<&ClientAccount, KeyFault> {
+        let digest = match credential {
+            CallerCredential::Missing => return Err(KeyFault::Missing),
+            CallerCredential::Unreadable => return Err(KeyFault::Unreadable),
+            CallerCredential::Digest(digest) => digest,
+        };
+        let key = self.find(&digest);
+        key.and_then(|key| self.account(key))
+            .ok_or(KeyFault::Unknown)
+    }
+
     /// The account that a key belongs to.
     #[must_use]
     pub fn find(&self, digest: &KeyDigest) -> Option<AccountKey> {
--- a/src/fleet/route_rule.rs
+++ b/src/fleet/route_rule.rs
@@ -62,6 +62,8 @@
     pub services: Vec<WeightedService>,
     /// Largest number of upstreams that may run one attempt of the caller.
     pub max_attempts: u32,
+    /// Whether requests without a key of an account are served, too.
+    pub is_key_exempt: bool,
 }
 
 impl RouteRule {
--- /dev/null
+++ b/src/gateway/account_check.rs
@@ -0,0 +1,89 @@
+//! Finds the account of a request, or refuses the request with 401.
+
+use http_body_util::Limited;
+use hyper::Response;
+use hyper::body::{Body, Incoming};
+use hyper::header::{EXPECT, HeaderMap};
+
+use super::call_refusal::refusal_response;
+use super::{CallHead, GatewayContext};
+use crate::account::{ClientAccount, KeyFault};
+use crate::fleet::{FleetCatalog, RouteRule};
+use crate::metrics::{AccountOutcome, RefusalLabels};
+use crate::net::{HttpBody, discard_body};
+use crate::prelude::*;
+
+/// Longest time in milliseconds for which the body of a refused request is discarded.
+const DISCARD_MS: u64 = 1_000;
+
+impl GatewayContext {
+    /// The account that a request belongs to. `None` if the configuration has no accounts, or if the
+    /// route is exempt and the request has no known key. `rule` is the request's route, if any.
+    ///
+    /// # Errors
+    /// The response to a request that needs a key and has none that is known.
+    pub(super) fn identify<'a>(
+        &self,
+        catalog: &'a FleetCatalog,
+        rule: Option<&RouteRule>,
+        head: &CallHead,
+    ) -> Result<Option<&'a ClientAccount>, Response<HttpBody>> {
+        let accounts = catalog.accounts();
+        if accounts.is_empty() {
+            return Ok(None);
+        }
+        let metrics = &self.metrics.accounts;
+        let is_exempt = rule.is_some_and(|rule| rule.is_key_exempt);
+        let found = accounts.identify(head.credential);
+        metrics.count_check(found.as_ref().err().copied(), is_exempt);
+        match found {
+            Ok(account) => {
+                metrics.count_request(Some(&account.name), AccountOutcome::Arrived);
+                Ok(Some(account))
+            }
+            Err(_) if is_exempt => Ok(None),
+            Err(fault) => Err(self.refuse_key(catalog, rule, head, fault)),
+        }
+    }
+
+    fn refuse_key(
+        &self,
+        catalog: &FleetCatalog,
+        rule: Option<&RouteRule>,
+        head: &CallHead,
+        fault: KeyFault,
+    ) -> Response<HttpBody> {
+        let refusal = RequestRefusal::not_run(RefusalReason::WrongCredential);
+        self.count_refusal(None, refusal);
+        log::info!(
+            request:% = head.request,
+            route = rule.map(|rule| rule.name.as_str()),
+            config = catalog.version,
+            age_ms = self.feeds.catalog.age_ms(self.now()),
+            reason = fault.reason(),
+            detail:% = fault;
+            "refused"
+        );
+        let mut response = refusal_response(refusal, None);
+        let codec = &self.ports.header_codec;
+        codec.write_challenge(response.headers_mut());
+        response
+    }
+
+    /// Counts a refusal by this process, also for the account of the request.
+    pub(super) fn count_refusal(&self, account: Option<&AccountName>, refusal: RequestRefusal) {
+        let labels = RefusalLabels::of(refusal);
+        self.metrics.refused.get_or_create(&labels).inc();
+        let accounts = &self.metrics.accounts;
+        accounts.count_request(account, AccountOutcome::Refused);
+    }
+}
+
+/// Discards the body of a refused request in the background, up to `limit` bytes. If the connection
+/// closed at once while the caller still sends, the caller would see a reset instead of the refusal.
+/// A caller that waits for a go-ahead sends no body, and must not be told to.
+pub fn discard_refused(headers: &HeaderMap, incoming: Incoming, limit: usize) {
+    if !incoming.is_end_stream() && !headers.contains_key(EXPECT) {
+        discard_body(Limited::new(incoming, limit), DISCARD_MS);
+    }
+}
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -114,6 +114,7 @@
                 .as_ref()
                 .map(|_| engine_priority(self.call.plan.rank)),
             resume_after: self.resume_after,
+            account: self.call.plan.account.clone(),
         });
         let connect_ms = CONNECT_TIMEOUT_MS.min(left_ms);
         let exchange = async {
@@ -146,6 +147,7 @@
             request:% = plan.request,
             route:% = plan.route,
             config = plan.catalog_version,
+            account = plan.account.as_ref().map(AccountName::as_str),
             upstream:% = entry.id,
             software = entry.software.as_ref().map(SoftwareVersion::as_str),
             resume_after = self.last_received(),
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -12,7 +12,6 @@
 use super::token_wait::TokenWait;
 use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
 use crate::fleet::UpstreamKey;
-use crate::metrics::RefusalLabels;
 use crate::net::HttpBody;
 use crate::prelude::*;
 use crate::quarantine::{PartVerdict, TrialGuard, TrialPermit};
@@ -435,8 +434,7 @@
             RequestRefusal::not_run(reason)
         };
         let left_ms = plan.ends_at.millis_since(now);
-        let labels = RefusalLabels::of(refusal);
-        self.context.metrics.refused.get_or_create(&labels).inc();
+        self.context.count_refusal(plan.account.as_ref(), refusal);
         log::info!(
             request:% = plan.request,
             route:% = plan.route,
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 
 use super::{CallHead, PromptPart, ResumePoint};
+use crate::account::ClientAccount;
 use crate::fleet::{ModelNeed, RouteKind, RouteRule};
 use crate::prelude::*;
 use crate::quarantine::PromptPartId;
@@ -35,7 +36,7 @@
     pub kind: RouteKind,
     /// The service that serves it.
     pub service: ServiceName,
-    /// Rank; 0 is the most urgent.
+    /// Rank, of the account if it has one, else of the route; 0 is the most urgent.
     pub rank: u8,
     /// Maximum number of attempts that may have run.
     pub max_attempts: u32,
@@ -59,6 +60,10 @@
     pub wait_until: MonoTime,
     /// Version of the configuration that the plan was made from.
     pub catalog_version: u64,
+    /// Account that the request belongs to; `None` without one.
+    pub account: Option<AccountName>,
+    /// Units that the account's limit counts for the request; 0 without a limit.
+    pub cost: u32,
 }
 
 impl CallPlan {
@@ -97,9 +102,20 @@
             ends_at: now + limit_ms,
             wait_until: now + wait_ms,
             catalog_version,
+            account: None,
+            cost: 0,
         }
     }
 
+    /// Records the account that the request belongs to. Its rank replaces the route's.
+    /// `token_count` is what the request states, `None` if it states nothing.
+    pub fn assign(&mut self, account: &ClientAccount, token_count: Option<u32>) {
+        self.account = Some(account.name.clone());
+        self.rank = account.rank.unwrap_or(self.rank);
+        let limit = account.limit.as_ref();
+        self.cost = limit.map_or(0, |limit| limit.cost(token_count));
+    }
+
     /// Position among requests that wait for the same upstream.
     #[must_use]
     pub const fn wait_turn(&self) -> WaitTurn {
--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -13,7 +13,9 @@
         let (now, version) = (self.now(), catalog.version);
         log::info!(
             version,
-            age_ms = self.feeds.catalog.age_ms(now);
+            age_ms = self.feeds.catalog.age_ms(now),
+            accounts = catalog.accounts().len(),
+            keys = catalog.accounts().key_count();
             "configuration in force"
         );
         self.feeds.catalog.record_change(now, version, version);
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -8,13 +8,13 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 
+use super::account_check::discard_refused;
 use super::buffered_call::{BodyMemory, BufferedCall};
 use super::call_flow::serve_call;
 use super::call_refusal::refusal_response;
 use super::origin_store::OriginMissing;
 use super::{CallPlan, GatewayContext};
 use crate::fleet::RouteRule;
-use crate::metrics::RefusalLabels;
 use crate::net::{
     BodyError, BufferPurpose, HttpBody, HttpHandler, SMALL_MESSAGE_BYTES, discard_body, read_leased,
 };
@@ -52,15 +52,27 @@
             .get(HOST)
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
-        let Some(rule) = catalog.route(host, parts.uri.path()) else {
+        let route = catalog.route(host, parts.uri.path());
+        let limit = catalog.limits.body_bytes;
+        let header_codec = &self.context.ports.header_codec;
+        let head = header_codec.read_call(&parts.headers);
+        let account = match self.context.identify(&catalog, route, &head) {
+            Ok(account) => account,
+            Err(refusal) => {
+                discard_refused(&parts.headers, incoming, limit);
+                return refusal;
+            }
+        };
+        let Some(rule) = route else {
             log::info!(path = parts.uri.path(), config = catalog.version, age_ms = self.context.feeds.catalog.age_ms(arrived_at), reason = "no route"; "refused");
             return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
         };
-        let header_codec = &self.context.ports.header_codec;
-        let head = header_codec.read_call(&parts.headers);
+        let token_count = head.token_count;
         let mut plan = CallPlan::open(arrived_at, head, rule, catalog.version);
+        if let Some(account) = account {
+            plan.assign(account, token_count);
+        }
         let body_ms = plan.ends_at.millis_since(arrived_at);
-        let limit = catalog.limits.body_bytes;
         let mut lease = self.context.buffers.lease(BufferPurpose::Call);
         let body = match read_leased(&mut incoming, limit, body_ms, &mut lease).await {
             Ok(body) => body,
@@ -96,6 +108,9 @@
         };
         self.context.record_arrival(&plan);
         header_codec.strip_call(&mut parts.headers);
+        if !catalog.accounts().is_empty() {
+            header_codec.strip_credential(&mut parts.headers);
+        }
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let fingerprint = RequestFingerprint::of_parts(&[path.as_bytes(), &body]);
         let call = BufferedCall {
@@ -139,8 +154,7 @@
         retry_ms: Option<u64>,
     ) -> Response<HttpBody> {
         let refusal = RequestRefusal::not_run(reason);
-        let labels = RefusalLabels::of(refusal);
-        self.context.metrics.refused.get_or_create(&labels).inc();
+        self.context.count_refusal(plan.account.as_ref(), refusal);
         log::info!(request:% = plan.request, reason:? = refusal.reason, retry_ms; "refused");
         refusal_response(refusal, retry_ms)
     }
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -23,7 +23,7 @@
     FleetCatalog, FleetSource, ModelNeed, UpstreamEntry, UpstreamKey, UpstreamRoster,
 };
 use crate::ids::new_start_id;
-use crate::metrics::{NodeMetrics, RequestLabels};
+use crate::metrics::{AccountOutcome, NodeMetrics, RequestLabels};
 use crate::net::{BufferBudget, PeerClient};
 use crate::orders::{ArrivedRequests, EngineControl, EntryDemand, RunningRequests};
 use crate::planner_rpc::CrashRecord;
@@ -295,6 +295,8 @@
             rank: plan.rank.to_string(),
         };
         self.metrics.answered.get_or_create(&labels).inc();
+        let accounts = &self.metrics.accounts;
+        accounts.count_request(plan.account.as_ref(), AccountOutcome::Answered);
         #[allow(clippy::cast_precision_loss)]
         let seconds = now.millis_since(plan.arrived_at) as f64 / 1_000.0;
         self.metrics
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -4,6 +4,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use super::UpstreamNotice;
+use crate::account::CallerCredential;
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
 
@@ -40,6 +41,10 @@
     pub output_tokens: Option<u32>,
     /// Where a stream goes on; `None` for a request from the start.
     pub resume: Option<ResumePoint>,
+    /// What the request shows for its caller's account.
+    pub credential: CallerCredential,
+    /// Tokens of the prompt and the most of the answer together; `None` if the client stated none.
+    pub token_count: Option<u32>,
 }
 
 /// Header contents that are added to a request for one attempt.
@@ -54,6 +59,8 @@
     /// Id of the last event that the client has received; the stream goes on after it. `None` if
     /// this gateway has forwarded no event yet.
     pub resume_after: Option<u64>,
+    /// Account that the request belongs to; `None` without one.
+    pub account: Option<AccountName>,
 }
 
 /// Header contents of an upstream's response.
@@ -79,12 +86,18 @@
     /// Removes headers that only the system may set, and hop-by-hop headers.
     fn strip_call(&self, headers: &mut HeaderMap);
 
+    /// Removes the caller's credential, and the name of an account that the caller set itself.
+    fn strip_credential(&self, headers: &mut HeaderMap);
+
     /// Adds the headers for one attempt.
     fn write_attempt(&self, headers: &mut HeaderMap, head: &AttemptHead);
 
     /// Reads the headers of an upstream's response.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
+    /// Names the credential that a request needs, in the response that refuses it.
+    fn write_challenge(&self, headers: &mut HeaderMap);
+
     /// Removes hop-by-hop headers and the length of the body from a response.
     fn strip_answer(&self, headers: &mut HeaderMap);
 }
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+use super::{AccountMetrics, OrderLabels, RefusalLabels, RequestLabels, TableLabels};
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -22,6 +22,8 @@
     pub first_byte_s: LatencyFamily,
     /// Refusals by reason and outcome.
     pub refused: Family<RefusalLabels, Counter>,
+    /// Keys and requests of client accounts.
+    pub accounts: AccountMetrics,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
     /// Requests that waited until an upstream accepted them.
@@ -71,6 +73,7 @@
             answered: Family::default(),
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
+            accounts: AccountMetrics::default(),
             retried: Counter::default(),
             token_waits: Counter::default(),
             remote_bytes: Counter::default(),
@@ -117,6 +120,7 @@
             self.first_byte_s.clone(),
         );
         registry.register("refused", "Refused requests", self.refused.clone());
+        self.accounts.register(registry);
         registry.register("retried", "Retried requests", self.retried.clone());
         registry.register(
             "token_waits",
--- a/src/refusal/refusal_reason.rs
+++ b/src/refusal/refusal_reason.rs
@@ -15,7 +15,7 @@
     SlowBody,
     /// A request header is not valid
     MalformedHeader,
-    /// The team credential is missing or wrong
+    /// The credential is missing or wrong
     WrongCredential,
     /// No such route
     UnknownRoute,
--- a/tests/call_plan.rs
+++ b/tests/call_plan.rs
@@ -49,5 +49,6 @@
             weight: 1,
         }],
         max_attempts: 2,
+        is_key_exempt: false,
     }
 }
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -117,6 +117,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_key_exempt: false,
     };
     let parts = prompt.iter().map(|(id, tokens)| PromptPart {
         id: (*id).into(),
