Refuse requests beyond their account's limit with 429

The gateway takes a request's allowance before it waits for a model or a slot, and gives it back if the request has to wait for these or did not run. Reports to the planner carry what the gateway needs, and the answers carry allowance; a planner that does not hold the lease grants none. A request that gets no allowance in time is refused as account_limit, with the forecast as Retry-After.

--- a/src/account/account_limit.rs
+++ b/src/account/account_limit.rs
@@ -32,4 +32,14 @@
             LimitUnit::Tokens { plain_tokens } => tokens.unwrap_or(plain_tokens),
         }
     }
+
+    /// Milliseconds in which the limit allows a number of units; at most a day.
+    // The time is not negative and small.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    #[must_use]
+    pub fn refill_ms(&self, units: u32) -> u64 {
+        (f64::from(units) * 1_000.0 / self.per_s)
+            .clamp(1.0, 86_400_000.0)
+            .ceil() as u64
+    }
 }
--- a/src/account_limit/account_issuer.rs
+++ b/src/account_limit/account_issuer.rs
@@ -4,8 +4,8 @@
 
 use super::account_row::AccountRow;
 use super::{
-    AccountBounds, AllowanceGrant, AllowanceReport, AllowanceRequest, PLANNER_SILENCE_MS,
-    RESERVE_END_MS, least_rate_per_s, seconds_between,
+    AccountBounds, AllowanceGrant, AllowanceReport, AllowanceRequest, ExhaustedAccount,
+    PLANNER_SILENCE_MS, RESERVE_END_MS, least_rate_per_s, seconds_between,
 };
 use crate::account::{AccountDirectory, AccountLimit};
 use crate::prelude::*;
@@ -44,6 +44,8 @@
     gateways: HashMap<InstanceName, KnownGateway>,
     /// Accounts that were active lately.
     rows: HashMap<AccountName, AccountRow>,
+    /// Accounts that became exhausted since they were asked for.
+    exhausted: Vec<ExhaustedAccount>,
 }
 
 impl AccountIssuer {
@@ -56,6 +58,7 @@
             checked_at: now,
             gateways: HashMap::new(),
             rows: HashMap::new(),
+            exhausted: Vec::new(),
         }
     }
 
@@ -88,6 +91,11 @@
             .collect()
     }
 
+    /// Accounts whose requests wait for their limits; each one at most once in some seconds.
+    pub fn take_exhausted(&mut self) -> Vec<ExhaustedAccount> {
+        std::mem::take(&mut self.exhausted)
+    }
+
     /// Number of accounts that were active lately.
     #[must_use]
     pub fn active_accounts(&self) -> usize {
@@ -113,7 +121,9 @@
         match self.rows.get_mut(&request.account) {
             Some(row) => {
                 row.bucket.set_limit(limit);
-                row.exchange(now, gateway, request, is_first)
+                let grant = row.exchange(now, gateway, request, is_first);
+                self.exhausted.extend(row.note_exhausted(now, &grant));
+                grant
             }
             None => unlimited(request),
         }
--- a/src/account_limit/account_limiter.rs
+++ b/src/account_limit/account_limiter.rs
@@ -61,6 +61,8 @@
     is_paced: bool,
     /// Whether the process shuts down; it then admits nothing without a planner.
     is_stopping: bool,
+    /// Number of the last request.
+    last_number: u64,
 }
 
 impl AccountLimiter {
@@ -73,9 +75,16 @@
             gateway_count: ASSUMED_GATEWAYS,
             is_paced: false,
             is_stopping: false,
+            last_number: 0,
         }
     }
 
+    /// Number for the next request.
+    pub const fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
     /// Takes the allowance of a request; `limit` is that of its account. `None` if it has to wait.
     pub fn take(
         &mut self,
--- a/src/account_limit/account_row.rs
+++ b/src/account_limit/account_row.rs
@@ -19,6 +19,26 @@
 /// Milliseconds after its last report about the account for which a gateway's use is kept.
 const SHARE_TTL_MS: u64 = 12_000;
 
+/// Milliseconds between two notes that an account is exhausted.
+const NOTE_MS: u64 = 5_000;
+
+/// An account whose requests wait for its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExhaustedAccount {
+    /// The account.
+    pub account: AccountName,
+    /// Its limit in units per second.
+    pub limit_per_s: f64,
+    /// Units per second that were granted lately.
+    pub granted_per_s: f64,
+    /// Units per second that are left to gateways which do not report.
+    pub reserved_per_s: f64,
+    /// Units that requests at all gateways wait for.
+    pub waiting_units: f64,
+    /// Milliseconds until the requests of the gateway that reported last are served.
+    pub wait_ms: u64,
+}
+
 /// State of one account at the planner.
 #[derive(Debug)]
 pub(super) struct AccountRow {
@@ -28,6 +48,8 @@
     /// Number of the last turn in which a gateway was served.
     turn: u64,
     pub reported_at: MonoTime,
+    /// When it was last noted as exhausted; `None` if it never was.
+    noted_at: Option<MonoTime>,
 }
 
 impl AccountRow {
@@ -38,7 +60,31 @@
             granted: RateMeter::open(GRANT_WINDOW_MS),
             turn: 0,
             reported_at: now,
+            noted_at: None,
+        }
+    }
+
+    /// A note that requests wait for the limit; `None` if there was one a short while ago.
+    pub fn note_exhausted(
+        &mut self,
+        now: MonoTime,
+        grant: &AllowanceGrant,
+    ) -> Option<ExhaustedAccount> {
+        let is_noted = |at: MonoTime| now.millis_since(at) < NOTE_MS;
+        if grant.wait_ms == 0 || self.noted_at.is_some_and(is_noted) {
+            return None;
         }
+        self.noted_at = Some(now);
+        let limit_per_s = self.bucket.limit().per_s;
+        let shares = self.shares.values();
+        Some(ExhaustedAccount {
+            account: grant.account.clone(),
+            limit_per_s,
+            granted_per_s: self.granted.per_s(now),
+            reserved_per_s: limit_per_s - self.bucket.rate_per_s(),
+            waiting_units: shares.map(|share| share.waiting_units).sum(),
+            wait_ms: grant.wait_ms,
+        })
     }
 
     /// Records a gateway's request and returns what it gets. `is_first` says whether the gateway has
@@ -109,7 +155,7 @@
         request: &AllowanceRequest,
     ) -> AllowanceGrant {
         let is_short = self.shares.values().any(|share| share.first(now).is_some());
-        let spare = if is_short {
+        let ahead = if is_short {
             0
         } else {
             self.bucket.take_spare(request.expected)
@@ -117,7 +163,7 @@
         let wait_ms = self.wait_ms(now, gateway);
         let mut grant = AllowanceGrant {
             account: request.account.clone(),
-            units: spare,
+            units: ahead,
             wait_ms,
             pace_per_s: 0,
         };
--- a/src/account_limit/mod.rs
+++ b/src/account_limit/mod.rs
@@ -19,6 +19,7 @@
 pub use account_bounds::AccountBounds;
 pub use account_issuer::AccountIssuer;
 pub use account_limiter::{AccountLimiter, AccountWait, PlannerAnswer};
+pub use account_row::ExhaustedAccount;
 pub use allowance_guard::{AllowanceGuard, SpentAllowance};
 pub use allowance_lease::Allowance;
 pub use messages::{AllowanceGrant, AllowanceReport, AllowanceRequest, WaitingCost};
--- a/src/config/daemon_config.rs
+++ b/src/config/daemon_config.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, FromStr};
 use ini::{Ini, Properties};
 
-use super::{ConfigError, DecimalValue};
+use super::{AccountSettings, ConfigError, DecimalValue};
 use crate::admission::QueuePolicy;
 use crate::placement::HoldingPolicy;
 use crate::prelude::*;
@@ -145,6 +145,8 @@
     /// Retry budget: requests of one service that the whole fleet may retry in ten seconds, in
     /// addition to a percentage.
     pub resend_reserve: usize,
+    /// How far accounts may exceed their limits.
+    pub accounts: AccountSettings,
     /// The region of each availability zone.
     pub regions: BTreeMap<ZoneName, RegionName>,
 }
@@ -346,6 +348,7 @@
             memory_mb: reader.optional("memory_mb", EXPECTED_DECIMAL),
             store_loads: reader.or_default("store_loads", EXPECTED_COUNT, 4),
             resend_reserve: read_decimal(reader, "resend_reserve", 50, DecimalValue::rounded_down),
+            accounts: AccountSettings::read(reader),
             regions,
         })
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! The daemon's own settings file.
 
+mod account_settings;
 mod daemon_config;
 mod decimal_value;
 mod errors;
 
+pub use account_settings::AccountSettings;
 pub use daemon_config::{
     AgentConfig, DaemonConfig, DaemonRole, EntryConfig, GatewayConfig, NodeConfig, RoleConfig,
     UpstreamKind,
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -5,6 +5,7 @@
 
 use hyper::Response;
 
+use super::account_admission::{AccountAdmission, AdmissionStep};
 use super::buffered_call::BufferedCall;
 use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
@@ -53,6 +54,7 @@
         resume_after: None,
         software,
         trial: None,
+        admission: AccountAdmission::open(),
     };
     match flow.run().await {
         FlowEnd::Response(response) => response,
@@ -92,6 +94,8 @@
     software: Option<SoftwareVersion>,
     /// Set while this request tries an uncertain part of its prompt.
     trial: Option<TrialGuard>,
+    /// Allowance of the request's account.
+    admission: AccountAdmission,
 }
 
 impl CallFlow {
@@ -129,7 +133,22 @@
             if let Some(response) = self.refuse_at_once(now) {
                 return FlowEnd::Response(response);
             }
-            match self.choose(now) {
+            let choice = self.choose(now);
+            // A request beyond its account's limit is refused before it waits for anything else.
+            if self.admission.is_new() || matches!(choice, UpstreamChoice::Send { .. }) {
+                match self.admission.admit(&self.context, &self.call.plan).await {
+                    AdmissionStep::Admitted => {}
+                    AdmissionStep::Waited => continue,
+                    AdmissionStep::Refused { retry_ms } => {
+                        let reason = RefusalReason::AccountLimit;
+                        return FlowEnd::Response(self.refuse(reason, Some(retry_ms)));
+                    }
+                }
+            }
+            if !matches!(choice, UpstreamChoice::Send { .. }) {
+                self.admission.release();
+            }
+            match choice {
                 UpstreamChoice::Send {
                     key,
                     load,
@@ -409,7 +428,11 @@
             candidates,
             resume_after: self.resume_after,
         };
+        self.admission.spend();
         let outcome = attempt.run().await;
+        if matches!(outcome.end, AttemptEnd::NotRun) && self.unknown_outcomes == 0 {
+            self.admission.refund();
+        }
         self.sends += usize::from(outcome.is_sent);
         if outcome.is_excluded {
             self.tried.push(key);
@@ -438,6 +461,8 @@
         log::info!(
             request:% = plan.request,
             route:% = plan.route,
+            account = plan.account.as_ref().map(AccountName::as_str),
+            cost = plan.cost,
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             reason:? = refusal.reason,
             outcome:? = refusal.outcome,
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -117,7 +117,7 @@
 }
 
 /// Removes upstreams that stayed missing after an outage, asks for another call for changes where one is
-/// overdue, and notices that no planner issues tokens.
+/// overdue, and notices that no planner issues tokens or allowance.
 pub async fn watch_feeds(context: Rc<GatewayContext>) {
     loop {
         sleep_ms(FEED_CHECK_MS).await;
@@ -130,6 +130,7 @@
             .repeat_overdue_calls(now, has_planner(&context));
         context.parts.expire(now);
         context.rate_limiter.borrow_mut().advance(now);
+        context.check_allowance();
         context.expire_upstreams();
     }
 }
--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -22,6 +22,7 @@
         let revision = i64::try_from(version).unwrap_or(i64::MAX);
         self.metrics.settings_revision.set(revision);
         let catalog = Rc::new(catalog);
+        self.apply_account_limits(version, catalog.accounts());
         *self.catalog.borrow_mut() = Some(Rc::clone(&catalog));
         self.host
             .with_planner(|planner| planner.set_catalog(catalog));
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -17,6 +17,7 @@
 use super::{
     CallPlan, HeaderCodec, LargeCalls, LoadTracker, PauseRegistry, PlacementView, WaitRegistry,
 };
+use crate::account_limit::AccountLimiter;
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::fleet::{
@@ -102,6 +103,10 @@
     pub pauses: RefCell<PauseRegistry>,
     /// Request rate limits that upstreams name.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// Allowance of accounts.
+    pub account_limiter: Rc<RefCell<AccountLimiter>>,
+    /// Notified when allowance of accounts may have changed.
+    pub allowance_changed: BroadcastSignal,
     /// Requests that wait for a model.
     pub waits: Rc<WaitRegistry>,
     /// Notified when an engine has finished reading a prompt of this process.
@@ -176,6 +181,8 @@
             loads: RefCell::new(LoadTracker::open()),
             pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
+            account_limiter: Rc::new(RefCell::new(AccountLimiter::open(clock.now()))),
+            allowance_changed: BroadcastSignal::default(),
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
@@ -215,6 +222,7 @@
     /// Begins the shutdown: the gateway is no longer ready, and waiting requests are refused early.
     pub fn begin_stop(&self) {
         self.stopped_at.set(Some(self.now()));
+        self.account_limiter.borrow_mut().begin_stop();
         self.waits.wake_all();
         let Some(sender) = self.exit_sender.borrow_mut().take() else {
             return;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: an entry that forwards requests directly to upstreams. The gateway that holds the
 //! planner lease also plans which models the engines load.
 
+mod account_admission;
 mod account_check;
 mod answer_framing;
 mod buffered_call;
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 
 use super::{age_delay_ms, capacity_delay_ms};
+use crate::account::AccountDirectory;
+use crate::account_limit::{AccountBounds, AccountIssuer};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
 use crate::lease::{LeaseHolder, LeaseIntent, LeasePredecessor, LeaseRow};
@@ -37,6 +39,8 @@
     crashes: Vec<(MonoTime, CrashRecord)>,
     /// Shares the rate limits of upstreams among the entries.
     issuer: TokenIssuer,
+    /// Shares the limits of accounts among the entries.
+    accounts: AccountIssuer,
 }
 
 /// Lease state of this process and, while the lease is held, its planner.
@@ -44,6 +48,7 @@
     lease: RefCell<LeaseHolder>,
     active: RefCell<Option<ActivePlanner>>,
     policy: PlannerPolicy,
+    account_bounds: AccountBounds,
     handover_pause_ms: u64,
     address: SocketAddr,
     /// When this process started.
@@ -81,6 +86,7 @@
                 store_loads: config.store_loads,
                 ..PlannerPolicy::default()
             },
+            account_bounds: config.accounts.bounds(),
             handover_pause_ms: config.order_turn_ms,
             address: config.peers,
             opened_at: now,
@@ -209,6 +215,7 @@
             entries: HashMap::new(),
             crashes: Vec::new(),
             issuer: TokenIssuer::open(),
+            accounts: AccountIssuer::open(now, self.account_bounds),
         });
         Some(intent.row.epoch)
     }
@@ -255,12 +262,14 @@
     }
 
     /// Records an entry's report and builds the response; `None` if this process does not plan.
+    /// `accounts` are those of the configuration in force.
     #[must_use]
     pub fn record_report(
         &self,
         now: MonoTime,
         report: DemandReport,
         feeds: FeedVersions,
+        accounts: Option<&AccountDirectory>,
     ) -> Option<DemandResponse> {
         let revision = self.lease.borrow().held_revision(now);
         let mut active = self.active.borrow_mut();
@@ -279,6 +288,13 @@
             .extend(report.crashes.iter().map(|crash| (now, *crash)));
         let tokens = active.issuer.exchange(now, &report.entry, &report.tokens);
         active.planner.set_rate_limits(active.issuer.limits());
+        // Another planner may grant allowance if the lease is not held.
+        let allowance = accounts.filter(|_| revision.is_some()).map(|accounts| {
+            let issuer = &mut active.accounts;
+            let grants = issuer.exchange(now, &report.entry, &report.allowance, accounts);
+            log_exhausted(issuer);
+            grants
+        });
         let wants = report.demand.wants.clone();
         active
             .planner
@@ -295,6 +311,7 @@
             crashes: active.crashes.iter().map(|(_, crash)| *crash).collect(),
             parts: PartKnowledge::default(),
             tokens,
+            allowance: allowance.unwrap_or_default(),
         };
         self.order_wake.notify();
         Some(response)
@@ -330,3 +347,17 @@
         )
     }
 }
+
+fn log_exhausted(issuer: &mut AccountIssuer) {
+    for exhausted in issuer.take_exhausted() {
+        log::info!(
+            account:% = exhausted.account,
+            limit_per_s = exhausted.limit_per_s,
+            granted_per_s = exhausted.granted_per_s,
+            reserved_per_s = exhausted.reserved_per_s,
+            waiting_units = exhausted.waiting_units,
+            wait_ms = exhausted.wait_ms;
+            "account exhausted"
+        );
+    }
+}
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -93,7 +93,8 @@
     // Records of the planner that answered last; a new planner tells its own with its first answer.
     let mut planner_digest = 0;
     loop {
-        let has_waiting = context.rate_limiter.borrow().has_waiting();
+        let has_waiting = context.rate_limiter.borrow().has_waiting()
+            || context.account_limiter.borrow().has_waiting();
         let pause_ms = if has_waiting {
             TOKEN_REPORT_MS
         } else {
@@ -101,6 +102,7 @@
         };
         context.waits.wanted.wait(pause_ms).await;
         compio::time::sleep(Duration::from_millis(REPORT_BATCH_MS)).await;
+        let sent_at = context.now();
         let report = DemandReport {
             entry: context.node.instance.clone(),
             address: context.config.peers,
@@ -109,11 +111,16 @@
             crashes: context.drain_crashes(),
             parts: context.parts.knowledge(context.now(), planner_digest),
             tokens: context.take_token_requests(),
+            allowance: context.account_limiter.borrow_mut().take_report(sent_at),
         };
         let response = match context.host.remote_address() {
             None => {
                 let feeds = context.feeds.versions();
-                context.host.record_report(context.now(), report, feeds)
+                let catalog = context.catalog.borrow();
+                let accounts = catalog.as_ref().map(|catalog| catalog.accounts());
+                context
+                    .host
+                    .record_report(context.now(), report, feeds, accounts)
             }
             Some(address) => match context.rpc(address).demand(report).await {
                 Ok(response) => {
@@ -135,6 +142,7 @@
             context.feeds.record_remote(context.now(), response.feeds);
             context.set_resend_share(response.entry_count);
             context.apply_token_grants(response.entry_count, &response.tokens);
+            context.apply_allowance(sent_at, &response);
             context.record_crashes(&response.crashes);
             context.parts.merge(context.now(), &response.parts.records);
             planner_digest = response.parts.digest;
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -54,7 +54,10 @@
         self.context.parts.merge(now, &report.parts.records);
         let known_digest = report.parts.digest;
         let feeds = self.context.feeds.versions();
-        let response = self.context.host.record_report(now, report, feeds);
+        let catalog = self.context.catalog.borrow();
+        let accounts = catalog.as_ref().map(|catalog| catalog.accounts());
+        let host = &self.context.host;
+        let response = host.record_report(now, report, feeds, accounts);
         let mut response = response.ok_or_else(not_planner)?;
         response.parts = self.context.parts.knowledge(now, known_digest);
         Ok(response)
--- a/src/metrics/account_metrics.rs
+++ b/src/metrics/account_metrics.rs
@@ -57,6 +57,10 @@
 pub struct AccountMetrics {
     key_checks: Family<KeyLabels, Counter>,
     requests: Family<AccountLabels, Counter>,
+    /// Requests that waited for allowance of their account.
+    pub waits: Counter,
+    /// Requests that were admitted without a planner.
+    pub paced: Counter,
     /// The first accounts that sent a request; at most [`MAX_NAMED_ACCOUNTS`].
     named: RefCell<HashSet<AccountName>>,
 }
@@ -70,6 +74,16 @@
             "Requests by account",
             self.requests.clone(),
         );
+        registry.register(
+            "allowance_waits",
+            "Requests that waited for allowance of their account",
+            self.waits.clone(),
+        );
+        registry.register(
+            "allowance_paced",
+            "Requests admitted within their account's limit without a planner",
+            self.paced.clone(),
+        );
     }
 
     /// Counts a check of a request's key, with the fault that was found. `is_exempt` says whether the
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account_limit::{AllowanceGrant, AllowanceReport};
 use crate::fleet::ModelNeed;
 use crate::lease::LeaseRow;
 use crate::orders::EntryDemand;
@@ -65,6 +66,13 @@
     /// Tokens that the entry needs for limited upstreams.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<TokenRequest>,
+    /// What the entry needs of the limits of accounts.
+    #[serde(
+        rename = "w",
+        default,
+        skip_serializing_if = "AllowanceReport::is_empty"
+    )]
+    pub allowance: AllowanceReport,
 }
 
 /// Forecast of the milliseconds until a model that is not loaded can be used.
@@ -97,6 +105,9 @@
     /// Tokens for limited upstreams, and limits that the entry may not know.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<TokenGrant>,
+    /// Allowance of accounts.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub allowance: Vec<AllowanceGrant>,
 }
 
 /// The planner's lease as a process reads it from the table.
--- a/src/refusal/refusal_reason.rs
+++ b/src/refusal/refusal_reason.rs
@@ -57,6 +57,8 @@
     NotReady,
     /// Too many requests wait in this process
     Overloaded,
+    /// The account has used its rate limit
+    AccountLimit,
 }
 
 impl RefusalReason {
@@ -71,7 +73,7 @@
             Self::KeyReused | Self::TooManyAttempts => 409,
             Self::OversizedBody => 413,
             Self::Quarantined => 422,
-            Self::QueueFull => 429,
+            Self::QueueFull | Self::AccountLimit => 429,
             Self::UpstreamLost | Self::UpstreamFailed | Self::ResultUnknown => 502,
             Self::DeadlineUnreachable
             | Self::NoReplica
@@ -90,7 +92,9 @@
     #[must_use]
     pub const fn retry_after_s(self) -> Option<u32> {
         match self {
-            Self::UpstreamLeaving | Self::NotReady | Self::NoReplica => Some(1),
+            Self::UpstreamLeaving | Self::NotReady | Self::NoReplica | Self::AccountLimit => {
+                Some(1)
+            }
             Self::QueueFull | Self::Overloaded | Self::RecordUnavailable => Some(2),
             Self::DeadlineUnreachable | Self::DeadlinePassed => Some(5),
             _ => None,
