Keys: refuse a request whose key is revoked before it is sent

A request whose body arrives slowly, or that waits for its model, would reach the upstream seconds after its key was revoked. The plan keeps the key's digest; before each send, when a newer version is in force, the key must still belong to the account.

--- a/daemon/tests/account_keys.rs
+++ b/daemon/tests/account_keys.rs
@@ -9,7 +9,8 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use quetzalpin_platform_soak::{
-    FleetConfig, FleetSize, SoakFleet, WorkerKind, WorkerStandin, encode_catalog, encoded,
+    FleetConfig, FleetSize, SoakFleet, StoreFault, WorkerKind, WorkerStandin, encode_catalog,
+    encoded,
 };
 use serde_json::{Value, json};
 
@@ -78,6 +79,19 @@
         }
     }
 
+    /// Connects to a gateway that starts.
+    async fn open_when_listening(fleet: &SoakFleet) -> Self {
+        let address = fleet.gateways[0].process.address;
+        let deadline = Instant::now() + EXCHANGE_LIMIT;
+        loop {
+            match TcpStream::connect(address).await {
+                Ok(stream) => return Self(stream),
+                Err(error) => assert!(Instant::now() < deadline, "{error}"),
+            }
+            compio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
     /// Sends a request with a body, and returns the status of its answer.
     async fn call(&mut self, route: &str, headers: &str) -> u16 {
         let id = new_id();
@@ -355,3 +369,52 @@
         assert_no_key_shows(&fleet).await;
     });
 }
+
+/// Guards against a request that reaches the upstream although its key was revoked while its body
+/// arrived.
+#[test]
+fn a_key_that_is_revoked_before_the_body_has_arrived_is_refused() {
+    with_fleet(async |fleet: SoakFleet| {
+        apply_accounts(&fleet, 2, &both_accounts()).await;
+        let requests = [
+            (new_id(), "stamp", FIRST_KEY, 401),
+            (new_id(), "stamp", SECOND_KEY, 200),
+            (new_id(), "lookup", FIRST_KEY, 200),
+        ];
+        let mut callers = Vec::new();
+        for (id, route, request_key, _) in &requests {
+            let mut caller = KeptConnection::open(&fleet).await;
+            let head = head(id, route, &key(request_key), id.len());
+            caller.send(head.into_bytes()).await;
+            callers.push(caller);
+        }
+        let revoked = json!([{"name": "second", "apiKeys": [SECOND_KEY]}]);
+        apply_accounts(&fleet, 3, &revoked).await;
+        for (mut caller, (id, route, _, status)) in callers.into_iter().zip(requests) {
+            caller.send(id.clone().into_bytes()).await;
+            assert_eq!(caller.receive().await.0, status, "{route}");
+            assert_eq!(fleet.audit.runs(&id), u32::from(status == 200));
+        }
+    });
+}
+
+/// Guards against keys that are refused by a process that knows none, because it has no
+/// configuration.
+#[test]
+fn a_process_without_a_configuration_does_not_answer_401() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        apply_accounts(&fleet, 2, &both_accounts()).await;
+        fleet.store.state.fault.set(StoreFault::Reset);
+        fleet.gateways[0].kill();
+        fleet.gateways[0].start_if_ended().expect("a start");
+        let mut caller = KeptConnection::open_when_listening(&fleet).await;
+        assert_eq!(caller.call("stamp", "").await, 503);
+        assert_eq!(caller.call("stamp", &key(FIRST_KEY)).await, 503);
+        fleet.end_store_fault();
+        let deadline = Instant::now() + EXCHANGE_LIMIT;
+        while caller.call("stamp", "").await != 401 {
+            assert!(Instant::now() < deadline, "still no configuration");
+            compio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    });
+}
--- a/src/gateway/account_check.rs
+++ b/src/gateway/account_check.rs
@@ -6,8 +6,8 @@
 use hyper::header::{EXPECT, HeaderMap};
 
 use super::call_refusal::refusal_response;
-use super::{CallHead, GatewayContext};
-use crate::account::{ClientAccount, KeyFault};
+use super::{CallHead, CallPlan, GatewayContext};
+use crate::account::{CallerCredential, ClientAccount, KeyFault};
 use crate::fleet::{FleetCatalog, RouteRule};
 use crate::metrics::{AccountOutcome, RefusalLabels};
 use crate::net::{HttpBody, discard_body};
@@ -21,13 +21,13 @@
     /// route is exempt and the request has no known key. `rule` is the request's route, if any.
     ///
     /// # Errors
-    /// The response to a request that needs a key and has none that is known.
+    /// [`KeyFault`] if the request needs a key and has none that is known.
     pub(super) fn identify<'a>(
         &self,
         catalog: &'a FleetCatalog,
         rule: Option<&RouteRule>,
         head: &CallHead,
-    ) -> Result<Option<&'a ClientAccount>, Response<HttpBody>> {
+    ) -> Result<Option<&'a ClientAccount>, KeyFault> {
         let accounts = catalog.accounts();
         if accounts.is_empty() {
             return Ok(None);
@@ -42,22 +42,46 @@
                 Ok(Some(account))
             }
             Err(_) if is_exempt => Ok(None),
-            Err(fault) => Err(self.refuse_key(catalog, rule, head, fault)),
+            Err(fault) => Err(fault),
         }
     }
 
-    fn refuse_key(
+    /// Refuses a request whose key was revoked since it arrived: while its body was read, or while it
+    /// waited. One that may have run, also a stream that has begun, goes on. `None` if it may be sent.
+    pub(super) fn refuse_revoked(
+        &self,
+        plan: &CallPlan,
+        may_have_run: bool,
+    ) -> Option<Response<HttpBody>> {
+        let (Some(name), Some(key), false) = (&plan.account, plan.key, may_have_run) else {
+            return None;
+        };
+        let catalog = self.catalog.borrow().clone()?;
+        let accounts = catalog.accounts();
+        if catalog.version == plan.catalog_version || accounts.is_empty() {
+            return None;
+        }
+        let found = accounts.identify(CallerCredential::Digest(key));
+        if found.is_ok_and(|account| account.name == *name) {
+            return None;
+        }
+        let route = Some(plan.route.as_str());
+        Some(self.refuse_key(&catalog, &plan.request, route, KeyFault::Unknown))
+    }
+
+    /// Refuses a request with 401; `route` is the name of its route, if any.
+    pub(super) fn refuse_key(
         &self,
         catalog: &FleetCatalog,
-        rule: Option<&RouteRule>,
-        head: &CallHead,
+        request: &str,
+        route: Option<&str>,
         fault: KeyFault,
     ) -> Response<HttpBody> {
         let refusal = RequestRefusal::not_run(RefusalReason::WrongCredential);
         self.count_refusal(None, refusal);
         log::info!(
-            request:% = head.request,
-            route = rule.map(|rule| rule.name.as_str()),
+            request,
+            route,
             config = catalog.version,
             age_ms = self.feeds.catalog.age_ms(self.now()),
             reason = fault.reason(),
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -214,15 +214,17 @@
 
     /// Refuses a request that cannot be served whatever the upstreams do.
     fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
-        if self.context.is_quarantined(self.call.fingerprint) {
-            return Some(self.refuse(RefusalReason::CrashSuspect, None));
-        }
-        if !self.may_run_parts() {
+        if self.context.is_quarantined(self.call.fingerprint) || !self.may_run_parts() {
             return Some(self.refuse(RefusalReason::CrashSuspect, None));
         }
         if now >= self.call.plan.ends_at {
             return Some(self.refuse(RefusalReason::DeadlinePassed, None));
         }
+        let may_have_run = self.unknown_outcomes > 0 || self.resume_after.is_some();
+        let revoked = self.context.refuse_revoked(&self.call.plan, may_have_run);
+        if revoked.is_some() {
+            return revoked;
+        }
         let is_exit_near = self.context.exit_near().peek().is_some();
         is_exit_near.then(|| self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS)))
     }
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 
 use super::{CallHead, PromptPart, ResumePoint};
-use crate::account::ClientAccount;
+use crate::account::{CallerCredential, ClientAccount, KeyDigest};
 use crate::fleet::{ModelNeed, RouteKind, RouteRule};
 use crate::prelude::*;
 use crate::quarantine::PromptPartId;
@@ -62,6 +62,8 @@
     pub catalog_version: u64,
     /// Account that the request belongs to; `None` without one.
     pub account: Option<AccountName>,
+    /// Key that must belong to the account when the request is sent; `None` if the route needs none.
+    pub key: Option<KeyDigest>,
     /// Units that the account's limit counts for the request; 0 without a limit.
     pub cost: u32,
 }
@@ -103,6 +105,10 @@
             wait_until: now + wait_ms,
             catalog_version,
             account: None,
+            key: match head.credential {
+                CallerCredential::Digest(key) if !rule.is_key_exempt => Some(key),
+                _ => None,
+            },
             cost: 0,
         }
     }
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -58,9 +58,11 @@
         let head = header_codec.read_call(&parts.headers);
         let account = match self.context.identify(&catalog, route, &head) {
             Ok(account) => account,
-            Err(refusal) => {
+            Err(fault) => {
                 discard_refused(&parts.headers, incoming, limit);
-                return refusal;
+                let route = route.map(|rule| rule.name.as_str());
+                let context = &self.context;
+                return context.refuse_key(&catalog, &head.request, route, fault);
             }
         };
         let Some(rule) = route else {
