--- a/src/gateway/account_check.rs
+++ b/src/gateway/account_check.rs
@@ -18,14 +18,14 @@
 
 impl GatewayContext {
     /// The account that a request belongs to. `None` if the configuration has no accounts, or if the
-    /// route is exempt and the request has no known key. `rule` is the request's route, if any.
+    /// route is exempt and the request has no known key. `rule` is the request's route.
     ///
     /// # Errors
     /// [`KeyFault`] if the request needs a key and has none that is known.
     pub(super) fn identify<'a>(
         &self,
         catalog: &'a FleetCatalog,
-        rule: Option<&RouteRule>,
+        rule: &RouteRule,
         head: &CallHead,
     ) -> Result<Option<&'a ClientAccount>, KeyFault> {
         let accounts = catalog.accounts();
@@ -33,7 +33,7 @@
             return Ok(None);
         }
         let metrics = &self.metrics.accounts;
-        let is_exempt = rule.is_some_and(|rule| rule.is_key_exempt);
+        let is_exempt = rule.is_key_exempt;
         let found = accounts.identify(head.credential);
         metrics.count_check(found.as_ref().err().copied(), is_exempt);
         match found {
@@ -65,16 +65,15 @@
         if found.is_ok_and(|account| account.name == *name) {
             return None;
         }
-        let route = Some(plan.route.as_str());
-        Some(self.refuse_key(&catalog, &plan.request, route, KeyFault::Unknown))
+        Some(self.refuse_key(&catalog, &plan.request, &plan.route, KeyFault::Unknown))
     }
 
-    /// Refuses a request with 401; `route` is the name of its route, if any.
+    /// Refuses a request with 401; `route` is the name of its route.
     pub(super) fn refuse_key(
         &self,
         catalog: &FleetCatalog,
         request: &str,
-        route: Option<&str>,
+        route: &str,
         fault: KeyFault,
     ) -> Response<HttpBody> {
         let refusal = RequestRefusal::not_run(RefusalReason::WrongCredential);
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -52,23 +52,21 @@
             .get(HOST)
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
-        let route = catalog.route(host, parts.uri.path());
+        let Some(rule) = catalog.route(host, parts.uri.path()) else {
+            log::info!(path = parts.uri.path(), config = catalog.version, age_ms = self.context.feeds.catalog.age_ms(arrived_at), reason = "no route"; "refused");
+            return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
+        };
         let limit = catalog.limits.body_bytes;
         let header_codec = &self.context.ports.header_codec;
         let head = header_codec.read_call(&parts.headers);
-        let account = match self.context.identify(&catalog, route, &head) {
+        let account = match self.context.identify(&catalog, rule, &head) {
             Ok(account) => account,
             Err(fault) => {
                 discard_refused(&parts.headers, incoming, limit);
-                let route = route.map(|rule| rule.name.as_str());
                 let context = &self.context;
-                return context.refuse_key(&catalog, &head.request, route, fault);
+                return context.refuse_key(&catalog, &head.request, &rule.name, fault);
             }
         };
-        let Some(rule) = route else {
-            log::info!(path = parts.uri.path(), config = catalog.version, age_ms = self.context.feeds.catalog.age_ms(arrived_at), reason = "no route"; "refused");
-            return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
-        };
         let token_count = head.token_count;
         let mut plan = CallPlan::open(arrived_at, head, rule, catalog.version);
         if let Some(account) = account {
