--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,7 +5,7 @@
 mod decimal_value;
 mod errors;
 
-pub use account_settings::AccountSettings;
+pub use account_settings::{AccountSettings, UnitCount};
 pub use daemon_config::{
     AgentConfig, DaemonConfig, DaemonRole, EntryConfig, GatewayConfig, NodeConfig, RoleConfig,
     UpstreamKind,
--- a/tests/account_limits/main.rs
+++ b/tests/account_limits/main.rs
@@ -3,4 +3,5 @@
 
 mod fleet_sim;
 mod limit_bound;
+mod small_cases;
 mod usual_rate;
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -8,14 +8,20 @@
 const TEMPLATE: &str = include_str!("../deploy/gateway.ini.template");
 
 /// The figures that the template takes, with usual values.
-const FIGURES: [(&str, &str); 5] = [
+const FIGURES: [(&str, &str); 8] = [
     ("policyParams.graceS", "8"),
     ("limits.cpuShare", "0.19"),
     ("limits.cpuCores", "1"),
     ("policyParams.leaseMs", "3000"),
     ("policyParams.retrySlack", "56"),
+    ("policyParams.quotaWindowS", "8"),
+    ("policyParams.quotaOverage", "0.1"),
+    ("policyParams.quotaSlack", "17000"),
 ];
 
+/// Value of a figure that the platform's file does not have.
+const MISSING: &str = "(missing)";
+
 /// Names and addresses that the template takes.
 const TEXTS: [(&str, &str); 9] = [
     ("nodeName", "edge-1"),
@@ -36,12 +42,23 @@
     let mut text = TEMPLATE.replace(zones, "zone-a = region-a");
     for (name, usual) in FIGURES.iter().chain(&TEXTS) {
         let filled = if *name == figure { value } else { usual };
+        text = fill_section(&text, name, filled != MISSING);
         text = text.replace(&format!("{{{{{name}}}}}"), filled);
     }
     assert!(!text.contains("{{"), "{text}");
     text
 }
 
+/// Fills in a section of the template that is written only if a figure is present.
+fn fill_section(text: &str, name: &str, is_present: bool) -> String {
+    let (begin, end) = (format!("{{{{#{name}}}}}\n"), format!("{{{{/{name}}}}}\n"));
+    let Some((before, rest)) = text.split_once(&begin) else {
+        return text.to_owned();
+    };
+    let (body, after) = rest.split_once(&end).expect("the end of a section");
+    format!("{before}{}{after}", if is_present { body } else { "" })
+}
+
 fn parse(figure: &str, value: &str) -> Result<DaemonConfig, ConfigError> {
     DaemonConfig::parse("gateway.ini", &settings(figure, value))
 }
@@ -54,6 +71,9 @@
 #[case::speed("limits.cpuCores", &["1", "0.5", "2.25", ""])]
 #[case::lease("policyParams.leaseMs", &["3000", "3000.0", "2500.5", "0", "1000000", ""])]
 #[case::slack("policyParams.retrySlack", &["56", "56.0", "55.9", "0", "1000000", ""])]
+#[case::window("policyParams.quotaWindowS", &["8", "8.0", "0.5", "0", "1000000", "", MISSING])]
+#[case::overage("policyParams.quotaOverage", &["0.1", "0", "1", "", MISSING])]
+#[case::account_slack("policyParams.quotaSlack", &["17000", "17000.5", "0", "1e9", "1e300", "", MISSING])]
 fn a_figure_of_any_form_is_read(#[case] figure: &str, #[case] values: &[&str]) {
     for value in values {
         let parsed = parse(figure, value);
@@ -107,3 +127,18 @@
     let place = format!("gateway.ini:{line}: [");
     assert!(error.contains(&place) && error.contains(key), "{error}");
 }
+
+/// Guards against limits of accounts that are exceeded where the platform states no tolerance, and
+/// against a tolerance that is not read.
+#[test]
+fn tolerances_of_account_limits_are_those_of_the_platform() {
+    let bounds = |figure, value| match parse(figure, value).expect("settings").role {
+        RoleConfig::Gateway(gateway) => gateway.accounts.bounds(),
+        other => panic!("not a gateway: {other:?}"),
+    };
+    let usual = bounds("", "");
+    assert!((usual.window_s - 8.0).abs() < 1e-9 && (usual.overage - 0.1).abs() < 1e-9);
+    assert!((usual.slack - 17_000.0).abs() < 1e-9);
+    assert!(bounds("policyParams.quotaSlack", MISSING).slack < 1e-9);
+    assert!(bounds("policyParams.quotaOverage", MISSING).overage < 1e-9);
+}
