--- a/src/account_limit/account_issuer.rs
+++ b/src/account_limit/account_issuer.rs
@@ -1,6 +1,6 @@
 //! Leases the limits of accounts to the gateways.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::account_row::AccountRow;
 use super::{
@@ -41,9 +41,9 @@
     bounds: AccountBounds,
     opened_at: MonoTime,
     checked_at: MonoTime,
-    gateways: HashMap<InstanceName, KnownGateway>,
+    gateways: BTreeMap<InstanceName, KnownGateway>,
     /// Accounts that were active lately.
-    rows: HashMap<AccountName, AccountRow>,
+    rows: BTreeMap<AccountName, AccountRow>,
     /// Accounts that became exhausted since they were asked for.
     exhausted: Vec<ExhaustedAccount>,
 }
@@ -56,8 +56,8 @@
             bounds,
             opened_at: now,
             checked_at: now,
-            gateways: HashMap::new(),
-            rows: HashMap::new(),
+            gateways: BTreeMap::new(),
+            rows: BTreeMap::new(),
             exhausted: Vec::new(),
         }
     }
--- a/src/account_limit/account_row.rs
+++ b/src/account_limit/account_row.rs
@@ -1,6 +1,6 @@
 //! Allowance of one account, shared among the gateways.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::account_bucket::AccountBucket;
 use super::gateway_share::GatewayShare;
@@ -43,7 +43,8 @@
 #[derive(Debug)]
 pub(super) struct AccountRow {
     pub bucket: AccountBucket,
-    pub shares: HashMap<InstanceName, GatewayShare>,
+    /// In a fixed order, so that simulations repeat.
+    pub shares: BTreeMap<InstanceName, GatewayShare>,
     granted: RateMeter,
     /// Number of the last turn in which a gateway was served.
     turn: u64,
@@ -56,7 +57,7 @@
     pub fn open(now: MonoTime, bounds: AccountBounds, limit: AccountLimit, tokens: f64) -> Self {
         Self {
             bucket: AccountBucket::open(now, bounds, limit, tokens),
-            shares: HashMap::new(),
+            shares: BTreeMap::new(),
             granted: RateMeter::open(GRANT_WINDOW_MS),
             turn: 0,
             reported_at: now,
--- a/tests/account_limits/fleet_sim.rs
+++ b/tests/account_limits/fleet_sim.rs
@@ -110,6 +110,10 @@
     Answer(usize, u64, u32, u64, Vec<AllowanceGrant>),
 }
 
+fn message_bytes(message: &impl serde::Serialize) -> usize {
+    serde_json::to_string(message).expect("text").len()
+}
+
 /// What became of the requests.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Totals {
@@ -117,6 +121,8 @@
     pub refused: u32,
     pub waited_ms: u64,
     pub reports: u32,
+    /// Bytes of the reports' and answers' parts about accounts.
+    pub bytes: usize,
 }
 
 pub struct FleetSim {
@@ -343,6 +349,9 @@
         gateway.asked_at = Some(now);
         let report = gateway.limiter.take_report(at(now));
         self.totals.reports += 1;
+        if !report.is_empty() {
+            self.totals.bytes += message_bytes(&report);
+        }
         let is_cut = gateway.state == GatewayState::CutOff;
         if !is_cut {
             let due = now + self.rng.u64(1..=62);
@@ -390,6 +399,9 @@
         }
         let name = &self.gateways[index].name;
         let grants = planner.exchange(now, name, report, &self.planner_accounts);
+        if !grants.is_empty() {
+            self.totals.bytes += message_bytes(&grants);
+        }
         let count = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
         let due = self.now + self.rng.u64(1..=62);
         let version = self.planner_version;
--- a/tests/account_limits/usual_rate.rs
+++ b/tests/account_limits/usual_rate.rs
@@ -132,3 +132,29 @@
     }
     assert!(refused > sent, "{refused} refused, {sent} sent");
 }
+
+/// Guards against messages that grow with the number of gateways or requests. The figures are those of
+/// the design note.
+#[rstest]
+#[case::thin(40.0, 68, 40)]
+#[case::wide(40.0, 300, 40)]
+#[case::hot(300.0, 68, 300)]
+fn messages_follow_the_requests(
+    #[case] per_s: f64,
+    #[case] count: usize,
+    #[case] most_extra_per_s: u32,
+) {
+    let targets: Vec<usize> = (0..count).collect();
+    let mut idle = FleetSim::open(1, count, limit(usual_limit(40.0)));
+    idle.run(20_000, 0.0, &targets);
+    assert_eq!(idle.totals.bytes, 0);
+    let mut sim = FleetSim::open(1, count, limit(usual_limit(40.0)));
+    sim.run(20_000, per_s, &targets);
+    let extra = sim.totals.reports.saturating_sub(idle.totals.reports) / 20;
+    println!(
+        "{per_s}/s over {count}: {} bytes/s, {extra} extra reports/s besides {}",
+        sim.totals.bytes / 20,
+        idle.totals.reports / 20
+    );
+    assert!(extra <= most_extra_per_s, "{extra}");
+}
