Learn the speeds of upstreams, and read the figure of present durations

Engines run side by side at 0.7 and 1.7 of the usual speed, and a neighbour on the instance makes work take 2.5 times as long for moments. Nothing in the gateway knew of either.

--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -106,6 +106,9 @@
         self.loads
             .borrow_mut()
             .retain(|key| roster.get(key).is_some());
+        self.speeds
+            .borrow_mut()
+            .retain(|key| roster.get(key).is_some());
         self.rate_limiter
             .borrow_mut()
             .retain(|key| roster.get(key).is_some());
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -35,6 +35,7 @@
 use crate::stream_origin::{OriginRegistry, SoftwareHistory};
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
+use crate::upstream_speed::SpeedTracker;
 
 /// Timeout of a call to another process in milliseconds.
 const RPC_TIMEOUT_MS: u64 = 1_800;
@@ -98,6 +99,8 @@
     pub placement: RefCell<PlacementView>,
     /// Load and health of upstreams.
     pub loads: RefCell<LoadTracker>,
+    /// Speeds of upstreams.
+    pub speeds: RefCell<SpeedTracker>,
     /// Upstreams that want no requests for a while.
     pub pauses: RefCell<PauseRegistry>,
     /// Request rate limits that upstreams name.
@@ -174,6 +177,7 @@
             knows_roster: Cell::new(false),
             placement: RefCell::new(PlacementView::open()),
             loads: RefCell::new(LoadTracker::open()),
+            speeds: RefCell::new(SpeedTracker::open()),
             pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
             waits: WaitRegistry::open(),
--- a/src/gateway/upstream_notice.rs
+++ b/src/gateway/upstream_notice.rs
@@ -4,12 +4,15 @@
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
 use crate::rate_limit::{RequestRate, TokenGrant, TokenRequest};
+use crate::upstream_speed::DurationFigure;
 
 /// What an upstream says of its own state in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct UpstreamNotice {
     /// Number of requests that run or wait at the upstream.
     pub load: Option<u32>,
+    /// How long its work takes at this moment; `None` if it does not say.
+    pub duration: Option<DurationFigure>,
     /// Request rate that it accepts from all instances together; `None` without a limit.
     pub rate_limit: Option<RequestRate>,
     /// Whether it leaves and must get no new requests.
@@ -36,6 +39,7 @@
         }
         if let Some(count) = notice.load {
             self.loads.borrow_mut().record_load(now, key, count);
+            self.record_duration(now, key, upstream, notice.duration);
         }
         if let Some(pause_ms) = notice.pause_ms {
             self.pauses.borrow_mut().record(now, upstream, pause_ms);
@@ -51,6 +55,24 @@
         }
     }
 
+    /// Records how long the work of an upstream takes at this moment.
+    fn record_duration(
+        &self,
+        now: MonoTime,
+        key: UpstreamKey,
+        upstream: &UpstreamEntry,
+        figure: Option<DurationFigure>,
+    ) {
+        let mut speeds = self.speeds.borrow_mut();
+        if !speeds.record_figure(now, key, &upstream.service, figure) {
+            return;
+        }
+        self.metrics.odd_figures.inc();
+        if let Some(count) = speeds.take_odd_figures(now) {
+            log::warn!(upstream:% = upstream.id, figure:? = figure, count; "odd figure in the load of an upstream");
+        }
+    }
+
     fn record_leaving(&self, upstream: &UpstreamEntry) {
         let mut roster = self.roster.borrow_mut();
         let is_news = roster.mark_draining(&upstream.id, upstream.started_at_ms);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod stream_origin;
 pub mod table;
 pub mod time;
+pub mod upstream_speed;
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -24,6 +24,16 @@
     pub refused: Family<RefusalLabels, Counter>,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
+    /// Answers with an odd figure of how long work takes at the upstream.
+    pub odd_figures: Counter,
+    /// Streams with a pause beyond the longest one that their route allows.
+    pub paused_streams: Counter,
+    /// Longest pause of each stream in seconds.
+    pub stream_pause_s: Histogram,
+    /// Upstreams whose work lastingly takes longer than that of their peers.
+    pub slow_upstreams: Gauge,
+    /// Upstreams whose work lastingly takes less time than that of their peers.
+    pub fast_upstreams: Gauge,
     /// Requests that waited until an upstream accepted them.
     pub token_waits: Counter,
     /// Bytes sent to and received from other regions.
@@ -72,6 +82,11 @@
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
             retried: Counter::default(),
+            odd_figures: Counter::default(),
+            paused_streams: Counter::default(),
+            stream_pause_s: latency_histogram(),
+            slow_upstreams: Gauge::default(),
+            fast_upstreams: Gauge::default(),
             token_waits: Counter::default(),
             remote_bytes: Counter::default(),
             orders: Family::default(),
@@ -87,6 +102,7 @@
         };
         metrics.register_requests();
         metrics.register_state();
+        metrics.register_speeds();
         metrics
     }
 
@@ -130,6 +146,35 @@
         );
     }
 
+    fn register_speeds(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "odd_figures",
+            "Answers with an odd figure of how long work takes at the upstream",
+            self.odd_figures.clone(),
+        );
+        registry.register(
+            "paused_streams",
+            "Streams with a pause beyond the longest one allowed",
+            self.paused_streams.clone(),
+        );
+        registry.register(
+            "stream_pause_seconds",
+            "Longest pause of each stream",
+            self.stream_pause_s.clone(),
+        );
+        registry.register(
+            "slow_upstreams",
+            "Upstreams whose work lastingly takes longer than that of their peers",
+            self.slow_upstreams.clone(),
+        );
+        registry.register(
+            "fast_upstreams",
+            "Upstreams whose work lastingly takes less time than that of their peers",
+            self.fast_upstreams.clone(),
+        );
+    }
+
     fn register_state(&mut self) {
         let registry = &mut self.registry;
         registry.register("orders", "Engine orders", self.orders.clone());
