Choose upstreams by when a request would begin and end there

Upstreams were chosen by count, so that an engine at 0.7 of the usual speed got as many streams as one at 1.7 beside it.

The load part of the cost is multiplied by the upstream's duration factor, own work at a slow upstream and pauses of its streams beyond the longest one allowed cost extra, and the upstream is drawn from two of those close to the best, weighted by speed. The list of candidates is no longer collected. Prompts wait for the end of a slow moment, and slow engines get fewer unread tokens.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -20,6 +20,7 @@
 use crate::net::{HttpBody, full_body, read_body};
 use crate::prelude::*;
 use crate::rate_limit::RequestRate;
+use crate::upstream_speed::BeginForecast;
 
 /// Connect timeout to an upstream in milliseconds; remote regions answer within 60 ms.
 const CONNECT_TIMEOUT_MS: u64 = 350;
@@ -142,6 +143,7 @@
     fn log_start(&self, entry: &UpstreamEntry, left_ms: u64) {
         let plan = &self.call.plan;
         let now = self.context.now();
+        let forecast = self.begin_forecast(entry, now);
         log::info!(
             request:% = plan.request,
             route:% = plan.route,
@@ -151,6 +153,9 @@
             resume_after = self.last_received(),
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
             load = self.load,
+            duration = forecast.is_known().then(|| forecast.rounded_factor()),
+            duration_age_ms = self.context.speeds.borrow().figure_age_ms(now, self.key),
+            begin_ms = forecast.is_known().then(|| forecast.begin_ms().round()),
             load_age_ms = self.context.loads.borrow().report_age_ms(now, self.key),
             limit_per_s = self.context.rate_limiter.borrow().limit(self.key).map(RequestRate::per_s),
             candidates = self.candidates,
@@ -161,6 +166,18 @@
         );
     }
 
+    /// When the upstream is expected to begin, as the choice of it assumed.
+    fn begin_forecast(&self, entry: &UpstreamEntry, now: MonoTime) -> BeginForecast {
+        let speeds = self.context.speeds.borrow();
+        BeginForecast {
+            load: self.load,
+            slots: entry.slots,
+            unread_tokens: self.context.loads.borrow().unread_tokens(self.key),
+            request_ms: speeds.request_ms(&entry.service),
+            duration: speeds.speed(now, self.key).present,
+        }
+    }
+
     fn build_request(&self, head: &AttemptHead) -> Request<HttpBody> {
         let mut parts = self.call.parts.clone();
         self.context
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -11,7 +11,7 @@
 use super::stream_relay::StartedStream;
 use super::token_wait::TokenWait;
 use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
-use crate::fleet::UpstreamKey;
+use crate::fleet::{RouteKind, UpstreamKey};
 use crate::metrics::RefusalLabels;
 use crate::net::HttpBody;
 use crate::prelude::*;
@@ -258,6 +258,7 @@
             roster: &context.roster.borrow(),
             placement: &context.placement.borrow(),
             loads: &context.loads.borrow(),
+            speeds: &context.speeds.borrow(),
             pauses: &context.pauses.borrow(),
             limiter: &context.rate_limiter.borrow(),
             software: self.software.as_ref(),
@@ -359,9 +360,9 @@
     /// case the caller chooses the upstream again.
     async fn hold_prompt(&mut self, now: MonoTime, key: UpstreamKey) -> bool {
         let plan = &self.call.plan;
-        if !plan.is_stream() {
+        let RouteKind::Stream { gap_ms, .. } = plan.kind else {
             return false;
-        }
+        };
         let generation = self.context.prompt_read.generation();
         let admission = PromptAdmission {
             now,
@@ -370,6 +371,9 @@
             target_ms: plan.target_ms,
             held_since: self.held_since,
             unread_tokens: self.context.loads.borrow().unread_tokens(key),
+            gap_ms,
+            load: self.context.loads.borrow().estimate(now, key),
+            speed: self.context.speeds.borrow().speed(now, key),
         };
         let Some(hold_ms) = admission.hold_ms() else {
             return false;
--- a/src/gateway/call_guard.rs
+++ b/src/gateway/call_guard.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
+use crate::upstream_speed::PaceMeter;
 
 /// Tracks a request in flight at an upstream; dropping it ends the tracking and logs the attempt.
 pub struct CallGuard {
@@ -21,6 +22,10 @@
     body_bytes: u64,
     /// Milliseconds from arrival to the first body frame; `None` before it.
     first_ms: Option<u64>,
+    /// When the request was sent.
+    sent_at: MonoTime,
+    /// Measures the time per event of a stream.
+    pace: PaceMeter,
     last_at: MonoTime,
     /// Longest gap between body frames in milliseconds.
     gap_ms: u64,
@@ -52,6 +57,8 @@
             outcome: "caller_left",
             body_bytes: 0,
             first_ms: None,
+            sent_at: context.now(),
+            pace: PaceMeter::default(),
             last_at: plan.arrived_at,
             gap_ms: 0,
             event_ids: None,
@@ -72,6 +79,15 @@
         self.last_at = now;
     }
 
+    /// Records a number of whole events, for which this process waited since `asked_at`.
+    pub fn record_pace(&mut self, asked_at: MonoTime, events: u64) {
+        let now = self.context.now();
+        if let Some(event_ms) = self.pace.record_events(asked_at, now, events) {
+            self.context
+                .record_event_time(&self.plan, self.key, event_ms);
+        }
+    }
+
     /// Records the ids of the first and the last event that have arrived.
     pub const fn record_event_ids(&mut self, event_ids: Option<(u64, u64)>) {
         self.event_ids = event_ids;
@@ -99,7 +115,17 @@
         }
         self.context
             .change_in_flight(self.key, self.plan.need.as_ref(), -1);
-        let took_ms = self.context.now().millis_since(self.plan.arrived_at);
+        let now = self.context.now();
+        if self.outcome == "complete" {
+            #[allow(clippy::cast_precision_loss)]
+            let request_ms = now.millis_since(self.sent_at) as f64;
+            self.context
+                .record_request_time(&self.plan, self.key, request_ms);
+        }
+        if self.first_ms.is_some() {
+            self.context.record_pause(&self.plan, self.gap_ms);
+        }
+        let took_ms = now.millis_since(self.plan.arrived_at);
         log::info!(
             request:% = self.plan.request,
             upstream:% = self.upstream,
--- a/src/gateway/load_tracker.rs
+++ b/src/gateway/load_tracker.rs
@@ -8,6 +8,10 @@
 /// Milliseconds for which a load reported in an answer is used.
 const REPORTED_LOAD_TTL_MS: u64 = 800;
 
+/// Milliseconds for which a reported load is taken as the batch beside a piece of work; streams run
+/// for several seconds, so the batch changes slowly.
+const BATCH_LOAD_TTL_MS: u64 = 4_000;
+
 /// Milliseconds for which an upstream is ejected after the first failed connection; doubles with
 /// each further one.
 const FIRST_EJECTION_MS: u64 = 500;
@@ -144,6 +148,18 @@
         }
     }
 
+    /// Number of requests beside which a piece of work at the upstream runs; `None` if its last report
+    /// is too old to tell.
+    #[must_use]
+    pub fn recent_load(&self, now: MonoTime, key: UpstreamKey) -> Option<u32> {
+        let load = self.loads.get(key)?;
+        let Some((at, count, own)) = load.reported else {
+            return Some(load.in_flight);
+        };
+        let is_recent = now.millis_since(at) < BATCH_LOAD_TTL_MS;
+        is_recent.then(|| count.saturating_add(load.in_flight).saturating_sub(own))
+    }
+
     /// Milliseconds since the upstream last reported its load; `None` if it never did.
     #[must_use]
     pub fn report_age_ms(&self, now: MonoTime, key: UpstreamKey) -> Option<u64> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 mod call_guard;
 mod call_plan;
 mod call_refusal;
+mod choice_cost;
+mod choice_draw;
 mod control_server;
 mod crash_probe;
 mod feed_calls;
@@ -41,6 +43,7 @@
 mod upstream_stream;
 mod wait_registry;
 mod watched_feed;
+mod work_samples;
 
 pub use call_plan::CallPlan;
 pub use feed_calls::{FeedCall, first_answer};
--- a/src/gateway/upstream_choice.rs
+++ b/src/gateway/upstream_choice.rs
@@ -1,42 +1,13 @@
 //! Chooses the upstream for a request by lowest cost.
 
+use super::choice_cost::{AFFINITY_DISCOUNT, ChoiceCost};
+use super::choice_draw::{ChoiceDraw, RequestHash};
 use super::{CallPlan, LoadTracker, PauseRegistry, PlacementView};
 use crate::fleet::{UpstreamEntry, UpstreamKey, UpstreamPhase, UpstreamRoster};
 use crate::prelude::*;
 use crate::rate_limit::RateLimiter;
 use crate::routing::rendezvous_weight;
-
-/// Cost of another availability zone of the same region; a cost of 1 is one full upstream.
-const OTHER_ZONE_COST: f64 = 0.03;
-
-/// Cost of another region.
-const OTHER_REGION_COST: f64 = 0.15;
-
-/// Cost reduction at the upstream that the shared prompt prefix hashes to.
-const AFFINITY_DISCOUNT: f64 = 0.2;
-
-/// Cost of an upstream that failed recently; it is chosen only where no other can serve.
-const SUSPECT_COST: f64 = 10.0;
-
-/// Cost of each unread prompt token; 4,000 of them take about 100 ms.
-const UNREAD_TOKEN_COST: f64 = 0.000_08;
-
-/// Load at which an upstream counts as full, as a fraction of its slots.
-const FULL_LOAD: f64 = 1.0;
-
-/// Cost of queued requests beyond a full upstream, for each upstream's worth of slots.
-const QUEUE_COST: f64 = 3.0;
-
-/// Cost of an upstream that limits its request rate, so that its tokens are left for requests that
-/// no other upstream can serve.
-const LIMITED_COST: f64 = 0.2;
-
-/// Cost of each millisecond until an upstream accepts the request; half a second is as bad as a full
-/// upstream.
-const WAIT_COST: f64 = 0.002;
-
-/// Cost of a wait that the request cannot afford; it is refused if no other upstream can serve it.
-const TOO_LATE_COST: f64 = 100.0;
+use crate::upstream_speed::{ALIKE_RATIO, DurationFactor, SpeedTracker};
 
 /// Inputs of the choice.
 pub struct ChoiceInput<'a> {
@@ -52,6 +23,8 @@
     pub loads: &'a LoadTracker,
     /// Upstreams that want no requests for a while.
     pub pauses: &'a PauseRegistry,
+    /// Speeds of upstreams.
+    pub speeds: &'a SpeedTracker,
     /// Request rate limits of upstreams.
     pub limiter: &'a RateLimiter,
     /// The only software version that may serve the request; `None` if any may.
@@ -91,66 +64,185 @@
 }
 
 /// An upstream that could serve the request.
-struct UpstreamCandidate<'a> {
+#[derive(Clone, Copy)]
+struct UpstreamCandidate {
     key: UpstreamKey,
-    entry: &'a UpstreamEntry,
-    cost: f64,
+    /// Position in the roster; the first of equal candidates is chosen.
+    index: usize,
+    cost: ChoiceCost,
+    duration: DurationFactor,
     /// Milliseconds until it accepts the request; 0 if it does now.
     wait_ms: u64,
+    /// Hash of the request and the upstream.
+    hash: u64,
 }
 
-/// Chooses the upstream with the lowest cost.
+/// A candidate and its cost.
+type RankedCandidate = (f64, UpstreamCandidate);
+
+/// Chooses the upstream with the lowest cost. Where speeds differ, it is chosen from two random ones
+/// of those that are close to the lowest cost.
 #[must_use]
 pub fn choose_upstream(input: &ChoiceInput<'_>) -> UpstreamChoice {
-    let is_usable = |(key, entry): &(UpstreamKey, &UpstreamEntry)| {
-        entry.service == input.plan.service
-            && entry.phase == UpstreamPhase::Ready
-            && !input.tried.contains(key)
-            && input
-                .software
-                .is_none_or(|software| entry.software.as_ref() == Some(software))
-    };
-    let usable = input.roster.iter().filter(is_usable);
-    let mut has_upstream = false;
-    let mut candidates: Vec<UpstreamCandidate<'_>> = Vec::new();
-    for (key, entry) in usable {
-        has_upstream = true;
+    let request = RequestHash::of(&input.plan.request);
+    let mut survey = CandidateSurvey::default();
+    for (index, (key, entry)) in input.roster.iter().enumerate() {
+        if !is_usable(input, key, entry) {
+            continue;
+        }
+        survey.has_upstream = true;
         if can_serve(input, key) {
-            candidates.push(candidate(input, key, entry));
+            survey.add(input, entry, candidate(input, request, index, key, entry));
         }
     }
-    discount_affinity(input, &mut candidates);
-    let count = candidates.len();
-    let best = candidates
-        .into_iter()
-        .min_by(|left, right| left.cost.total_cmp(&right.cost));
+    let best = if survey.is_uneven() {
+        survey
+            .best_at_speed
+            .resolve()
+            .map(|best| draw(input, request, &survey, best))
+    } else {
+        survey.best_even.resolve().map(|(_, best)| best)
+    };
     match best {
         Some(UpstreamCandidate {
             key, wait_ms: 0, ..
         }) => UpstreamChoice::Send {
             key,
             load: input.loads.estimate(input.now, key),
-            candidates: count,
+            candidates: survey.count,
         },
         Some(UpstreamCandidate { key, wait_ms, .. }) => UpstreamChoice::Limited {
             key,
             forecast_ms: wait_ms,
         },
-        None if has_upstream => UpstreamChoice::NotLoaded,
+        None if survey.has_upstream => UpstreamChoice::NotLoaded,
         None => UpstreamChoice::NoUpstream,
     }
 }
 
+/// What one pass over the upstreams finds, without a list of the candidates.
+#[derive(Default)]
+struct CandidateSurvey {
+    has_upstream: bool,
+    count: usize,
+    /// Least and greatest duration factor.
+    durations: Option<(f64, f64)>,
+    /// Weight of the candidate that the shared prompt prefix hashes to.
+    affinity_weight: Option<u64>,
+    best_even: BestCandidate,
+    best_at_speed: BestCandidate,
+}
+
+impl CandidateSurvey {
+    fn add(&mut self, input: &ChoiceInput<'_>, entry: &UpstreamEntry, found: UpstreamCandidate) {
+        self.count += 1;
+        let factor = found.duration.value();
+        let (least, greatest) = self.durations.unwrap_or((factor, factor));
+        self.durations = Some((least.min(factor), greatest.max(factor)));
+        let weight = input
+            .plan
+            .affinity
+            .as_ref()
+            .map(|affinity| rendezvous_weight(affinity, entry.id.as_str()));
+        let is_preferred = weight.is_some() && weight >= self.affinity_weight;
+        if is_preferred {
+            self.affinity_weight = weight;
+        }
+        self.best_even.add(found.cost.even(), found, is_preferred);
+        let cost = found.cost.at(found.duration, input.plan.kind);
+        self.best_at_speed.add(cost, found, is_preferred);
+    }
+
+    /// Whether the speeds of the candidates differ so much that they count.
+    fn is_uneven(&self) -> bool {
+        self.durations
+            .is_some_and(|(least, greatest)| greatest > least * ALIKE_RATIO)
+    }
+}
+
+/// The candidate of lowest cost, and the one that the shared prompt prefix hashes to.
+#[derive(Default)]
+struct BestCandidate {
+    lowest: Option<RankedCandidate>,
+    preferred: Option<RankedCandidate>,
+}
+
+impl BestCandidate {
+    fn add(&mut self, cost: f64, found: UpstreamCandidate, is_preferred: bool) {
+        if is_preferred {
+            self.preferred = Some((cost, found));
+        }
+        let is_lower = |(lowest, _): &RankedCandidate| cost.total_cmp(lowest).is_lt();
+        if self.lowest.as_ref().is_none_or(is_lower) {
+            self.lowest = Some((cost, found));
+        }
+    }
+
+    /// The candidate of lowest cost after the discount of the preferred one.
+    fn resolve(&self) -> Option<RankedCandidate> {
+        let lowest = self.lowest?;
+        let Some((cost, preferred)) = self.preferred else {
+            return Some(lowest);
+        };
+        let discounted = (cost - AFFINITY_DISCOUNT, preferred);
+        let rank = |(cost, found): &RankedCandidate, other: &RankedCandidate| {
+            cost.total_cmp(&other.0)
+                .then(found.index.cmp(&other.1.index))
+        };
+        let is_preferred = rank(&discounted, &lowest).is_lt();
+        Some(if is_preferred { discounted } else { lowest })
+    }
+}
+
+/// Chooses between two random candidates that are close to the best one. So no upstream gets more
+/// than twice the share that its speed calls for because many processes know the same old news. The
+/// upstream that the prompt prefix prefers is kept, as is one that is worth a wait.
+fn draw(
+    input: &ChoiceInput<'_>,
+    request: RequestHash,
+    survey: &CandidateSurvey,
+    (lowest, best): RankedCandidate,
+) -> UpstreamCandidate {
+    let preferred = survey.best_at_speed.preferred;
+    let is_preferred = preferred.is_some_and(|(_, preferred)| preferred.key == best.key);
+    if is_preferred || best.wait_ms > 0 {
+        return best;
+    }
+    let mut draw = ChoiceDraw::open(lowest, best.cost.distance);
+    for (index, (key, entry)) in input.roster.iter().enumerate() {
+        if !is_usable(input, key, entry) || !can_serve(input, key) {
+            continue;
+        }
+        let found = candidate(input, request, index, key, entry);
+        if found.wait_ms == 0 {
+            let cost = found.cost.at(found.duration, input.plan.kind);
+            draw.add(cost, found.cost.distance, found.duration, found.hash, found);
+        }
+    }
+    draw.chosen().unwrap_or(best)
+}
+
+fn is_usable(input: &ChoiceInput<'_>, key: UpstreamKey, entry: &UpstreamEntry) -> bool {
+    entry.service == input.plan.service
+        && entry.phase == UpstreamPhase::Ready
+        && !input.tried.contains(&key)
+        && input
+            .software
+            .is_none_or(|software| entry.software.as_ref() == Some(software))
+}
+
 fn can_serve(input: &ChoiceInput<'_>, key: UpstreamKey) -> bool {
     let has_model = |need| input.placement.can_serve(input.now, key, need);
     !input.loads.is_unreachable(input.now, key) && input.plan.need.as_ref().is_none_or(has_model)
 }
 
-fn candidate<'a>(
+fn candidate(
     input: &ChoiceInput<'_>,
+    request: RequestHash,
+    index: usize,
     key: UpstreamKey,
-    entry: &'a UpstreamEntry,
-) -> UpstreamCandidate<'a> {
+    entry: &UpstreamEntry,
+) -> UpstreamCandidate {
     let turn = input.plan.wait_turn();
     let limit_wait_ms = if input.limiter.may_send(input.now, key, turn) {
         0
@@ -158,71 +250,13 @@
         input.limiter.forecast_ms(key, turn).max(1)
     };
     let wait_ms = limit_wait_ms.max(input.pauses.left_ms(input.now, entry));
+    let hash = request.with(entry.id.as_str());
     UpstreamCandidate {
         key,
-        entry,
-        cost: cost(input, key, entry) + wait_cost(input, wait_ms),
+        index,
+        cost: ChoiceCost::open(input, key, entry, wait_ms, RequestHash::fraction(hash)),
+        duration: input.speeds.speed(input.now, key).present,
         wait_ms,
+        hash,
     }
 }
-
-/// Cost of a wait until the upstream accepts the request.
-#[allow(clippy::cast_precision_loss)]
-fn wait_cost(input: &ChoiceInput<'_>, wait_ms: u64) -> f64 {
-    let too_late = if input.now + wait_ms > input.plan.wait_until {
-        TOO_LATE_COST
-    } else {
-        0.0
-    };
-    wait_ms as f64 * WAIT_COST + too_late
-}
-
-/// Makes the upstream cheaper that the shared prompt prefix hashes to.
-fn discount_affinity(input: &ChoiceInput<'_>, candidates: &mut [UpstreamCandidate<'_>]) {
-    let Some(affinity) = &input.plan.affinity else {
-        return;
-    };
-    let weight = |candidate: &&mut UpstreamCandidate<'_>| {
-        rendezvous_weight(affinity, candidate.entry.id.as_str())
-    };
-    if let Some(preferred) = candidates.iter_mut().max_by_key(weight) {
-        preferred.cost -= AFFINITY_DISCOUNT;
-    }
-}
-
-fn cost(input: &ChoiceInput<'_>, key: UpstreamKey, entry: &UpstreamEntry) -> f64 {
-    let slots = f64::from(entry.slots.max(1));
-    let load = f64::from(input.loads.estimate(input.now, key)) / slots;
-    let mut cost = load + f64::from(input.loads.unread_tokens(key)) * UNREAD_TOKEN_COST;
-    if load >= FULL_LOAD {
-        cost += (load - FULL_LOAD + 1.0 / slots) * QUEUE_COST;
-    }
-    if entry.zone != *input.zone {
-        let is_near = (input.is_near)(&entry.zone);
-        cost += if is_near {
-            OTHER_ZONE_COST
-        } else {
-            OTHER_REGION_COST
-        };
-    }
-    if input.loads.is_suspect(input.now, key) {
-        cost += SUSPECT_COST;
-    }
-    if input.limiter.limit(key).is_some() {
-        cost += LIMITED_COST;
-    }
-    // Breaks ties, so that requests are spread over upstreams of equal cost.
-    cost + tie_break(&input.plan.request, entry) / slots
-}
-
-#[allow(clippy::cast_precision_loss)]
-fn tie_break(request: &str, entry: &UpstreamEntry) -> f64 {
-    const STEPS: u64 = 1_024;
-    let hash = request
-        .bytes()
-        .chain(entry.id.as_str().bytes())
-        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
-    (hash % STEPS) as f64 / STEPS as f64
-}
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -124,13 +124,16 @@
     }
 
     async fn next_events(&mut self) -> Result<Option<Bytes>, StreamFailure> {
+        let asked_at = self.guard.context.now();
         while !self.is_ended {
             let Some(chunk) = poll_fn(|context| self.poll_chunk(context)).await? else {
                 return self.end().map(|()| None);
             };
             self.guard.record_frame(chunk.len());
+            let last_id = self.events.last_id();
             let events = self.events.push(chunk);
             if let Some(events) = events.map_err(|_| StreamFailure::NoEvents)? {
+                self.guard.record_pace(asked_at, self.events_since(last_id));
                 self.record_events();
                 return Ok(Some(events));
             }
@@ -138,6 +141,12 @@
         Ok(None)
     }
 
+    /// Number of events that arrived after the one with `last_id`; a chunk without ids counts as one.
+    fn events_since(&self, last_id: Option<u64>) -> u64 {
+        let ids = self.events.last_id().zip(last_id);
+        ids.map_or(1, |(newest, known)| newest.saturating_sub(known).max(1))
+    }
+
     fn poll_chunk(
         &mut self,
         context: &mut Context<'_>,
--- a/tests/prompt_admission.rs
+++ b/tests/prompt_admission.rs
@@ -2,6 +2,7 @@
 
 use quetzalpin::gateway::PromptAdmission;
 use quetzalpin::prelude::*;
+use quetzalpin::upstream_speed::{DurationFactor, UpstreamSpeed};
 use rstest::rstest;
 
 const URGENT_RANK: u8 = 0;
@@ -20,6 +21,9 @@
         target_ms: CHAT_TARGET_MS,
         held_since: None,
         unread_tokens,
+        gap_ms: 300,
+        load: 4,
+        speed: UpstreamSpeed::USUAL,
     }
 }
 
@@ -88,3 +92,53 @@
     };
     assert_eq!(held.hold_ms(), hold_ms);
 }
+
+fn speed(lasting: f64, present: f64) -> UpstreamSpeed {
+    UpstreamSpeed {
+        lasting: DurationFactor::clamped(lasting),
+        present: DurationFactor::clamped(present),
+    }
+}
+
+/// Guards against streams that pause at an engine that reads a third as many tokens within a gap.
+#[test]
+fn a_slow_engine_gets_fewer_unread_tokens() {
+    let unread_tokens = 2_000;
+    assert_eq!(admission(unread_tokens).hold_ms(), None);
+    let at_slow_engine = PromptAdmission {
+        speed: speed(3.0, 3.0),
+        ..admission(unread_tokens)
+    };
+    assert!(at_slow_engine.hold_ms().is_some());
+}
+
+/// Load: a prompt of 2,400 tokens, which takes 80 ms of a step and 350 ms on a slow instance in a slow
+/// moment. It waits for the end of the moment if streams run beside it.
+#[test]
+fn a_long_prompt_waits_for_the_end_of_a_slow_moment() {
+    let long = PromptAdmission {
+        prompt_tokens: 2_400,
+        speed: speed(1.75, 4.375),
+        ..admission(0)
+    };
+    assert!(long.hold_ms().is_some());
+    let beside_none = PromptAdmission { load: 0, ..long };
+    assert_eq!(beside_none.hold_ms(), None);
+    let after_moment = PromptAdmission {
+        speed: speed(1.75, 1.75),
+        ..long
+    };
+    assert_eq!(after_moment.hold_ms(), None);
+}
+
+/// Guards against a prompt that waits in vain: an engine that never reads it within a gap gets it when
+/// no other is unread.
+#[test]
+fn a_prompt_too_long_for_a_slow_engine_is_sent_alone() {
+    let long = PromptAdmission {
+        prompt_tokens: 7_400,
+        speed: speed(3.0, 6.0),
+        ..admission(0)
+    };
+    assert_eq!(long.hold_ms(), None);
+}
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -13,6 +13,7 @@
 use quetzalpin::orders::{PlacementUpdate, UpstreamHoldings};
 use quetzalpin::prelude::*;
 use quetzalpin::rate_limit::{RateLimiter, RequestRate};
+use quetzalpin::upstream_speed::SpeedTracker;
 
 const HOME_ZONE: &str = "home";
 const FAR_ZONE: &str = "far";
@@ -65,6 +66,7 @@
             placement: &self.placement,
             loads: &self.loads,
             pauses: &PauseRegistry::open(),
+            speeds: &SpeedTracker::open(),
             limiter: &self.limiter,
             software: None,
             tried: &[],
