Tell the planner the speeds of upstreams, so that extra copies go to faster engines

Extra copies of a busy model went to whatever engine was cheapest to load, also to one at 0.7 of the usual speed beside one at 1.7.

Gateways name the upstreams outside of the dead band in their demand reports (nothing where all are alike), the planner takes the median if a quarter of the gateways speak, and the cost of a load gains or loses what the requests of the copy would there. At speed 1 the term is exactly zero.

Tests: the first extra copy goes to a fast engine that would not have got it, and leaves a slow one that would have; one gateway alone decides nothing; reports of an ended gateway expire.

--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -16,6 +16,7 @@
 use crate::prelude::*;
 use crate::rate_limit::TokenIssuer;
 use crate::table::{RowRevision, TableEra};
+use crate::upstream_speed::SpeedBoard;
 
 /// Milliseconds after its last report for which an entry counts as live.
 const ENTRY_TTL_MS: u64 = 3_000;
@@ -37,6 +38,8 @@
     crashes: Vec<(MonoTime, CrashRecord)>,
     /// Shares the rate limits of upstreams among the entries.
     issuer: TokenIssuer,
+    /// What entries say of the speeds of upstreams.
+    speeds: SpeedBoard,
 }
 
 /// Lease state of this process and, while the lease is held, its planner.
@@ -209,6 +212,7 @@
             entries: HashMap::new(),
             crashes: Vec::new(),
             issuer: TokenIssuer::open(),
+            speeds: SpeedBoard::open(),
         });
         Some(intent.row.epoch)
     }
@@ -279,6 +283,9 @@
             .extend(report.crashes.iter().map(|crash| (now, *crash)));
         let tokens = active.issuer.exchange(now, &report.entry, &report.tokens);
         active.planner.set_rate_limits(active.issuer.limits());
+        if active.speeds.record(now, &report.entry, report.speeds) {
+            active.planner.set_durations(&active.speeds.durations());
+        }
         let wants = report.demand.wants.clone();
         active
             .planner
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -109,6 +109,7 @@
             crashes: context.drain_crashes(),
             parts: context.parts.knowledge(context.now(), planner_digest),
             tokens: context.take_token_requests(),
+            speeds: context.speed_reports(),
         };
         let response = match context.host.remote_address() {
             None => {
--- a/src/gateway/work_samples.rs
+++ b/src/gateway/work_samples.rs
@@ -2,7 +2,7 @@
 
 use super::{CallPlan, GatewayContext};
 use crate::fleet::{RouteKind, UpstreamKey};
-use crate::upstream_speed::{DurationFactor, WorkClass, WorkSample};
+use crate::upstream_speed::{DurationFactor, SpeedReport, WorkClass, WorkSample};
 
 impl GatewayContext {
     /// Learns from the time in milliseconds that one event of a stream took.
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Upstreams whose speed differs lastingly from that of their peers, for the next demand report.
+    #[must_use]
+    pub fn speed_reports(&self) -> Vec<SpeedReport> {
+        let roster = self.roster.borrow();
+        let speeds = self.speeds.borrow();
+        let report = |(key, lasting)| Some(SpeedReport::of(roster.get(key)?.id.clone(), lasting));
+        speeds.uneven().filter_map(report).collect()
+    }
+
     fn record_work(&self, plan: &CallPlan, key: UpstreamKey, work_ms: f64) {
         let now = self.now();
         let Some(load) = self.loads.borrow().recent_load(now, key) else {
--- a/src/orders/load_option.rs
+++ b/src/orders/load_option.rs
@@ -24,6 +24,10 @@
 /// copy would serve; a copy that would serve more costs more.
 const LIMITED_COST_MS: f64 = 2_000.0;
 
+/// Cost in milliseconds of a load at an engine whose work takes twice as long, for each request per
+/// second that the copy would serve; a faster one costs less.
+const SLOW_COST_MS: f64 = 400.0;
+
 /// Inputs of the cost of a load, besides the engine's state.
 pub(super) struct CostView<'a> {
     pub now: MonoTime,
@@ -74,6 +78,8 @@
     if let Some(limit) = state.rate_limit {
         cost_ms += view.gain_per_s / send_rate_per_s(limit) * LIMITED_COST_MS;
     }
+    // Exactly zero at usual speed.
+    cost_ms += view.gain_per_s * (1.0 / state.speed - 1.0) * SLOW_COST_MS;
     if missing_mb > 0.0 {
         for (held, loss_ms) in eviction_candidates(view, facts, missing_mb) {
             missing_mb -= held.memory_mb;
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -18,6 +18,7 @@
 };
 use crate::prelude::*;
 use crate::rate_limit::RequestRate;
+use crate::upstream_speed::DurationFactor;
 
 /// Inputs of one tick of the planner.
 #[derive(Clone, Copy)]
@@ -156,6 +157,14 @@
         }
     }
 
+    /// Sets the durations of work at upstreams; engines that are not among them work as fast as usual.
+    pub fn set_durations(&mut self, durations: &HashMap<&UpstreamId, DurationFactor>) {
+        for state in self.upstreams.values_mut() {
+            let duration = durations.get(&state.target.id);
+            state.speed = duration.map_or(1.0, |duration| 1.0 / duration.value());
+        }
+    }
+
     /// Applies an engine's report; `None` if the engine did not answer.
     pub fn apply_report(&mut self, now: MonoTime, key: UpstreamKey, report: Option<&EngineReport>) {
         let Some(state) = self.upstreams.get_mut(key) else {
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -44,6 +44,8 @@
     pub(super) is_ready: bool,
     /// Request rate that the engine accepts; `None` without a limit.
     pub(super) rate_limit: Option<RequestRate>,
+    /// Work per time relative to its peers; 1 if it is not known to differ.
+    pub(super) speed: f64,
     /// Number of orders known to be accepted; the precondition of the next order.
     pub(super) order_count: u64,
     /// Models that count as occupying memory. A model being unloaded stays until its unload ends
@@ -83,6 +85,7 @@
             software: entry.software.clone(),
             is_ready: true,
             rate_limit: None,
+            speed: 1.0,
             order_count: 0,
             models: BTreeMap::new(),
             local_copies: entry.local_copies.iter().cloned().collect(),
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -11,6 +11,7 @@
 use crate::quarantine::{PartRecord, RequestFingerprint};
 use crate::rate_limit::{TokenGrant, TokenRequest};
 use crate::table::{RowRevision, TableEra};
+use crate::upstream_speed::SpeedReport;
 
 /// A request that was in flight at a crash, and the number of the crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -65,6 +66,9 @@
     /// Tokens that the entry needs for limited upstreams.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<TokenRequest>,
+    /// Upstreams whose work lastingly takes longer or less time than that of their peers.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Forecast of the milliseconds until a model that is not loaded can be used.
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -83,6 +83,39 @@
     );
 }
 
+/// Engine that gets the first extra copy of a crowded model, if work at one engine takes `factor` times
+/// as long as at the others.
+fn first_extra_copy(uneven: Option<(usize, f64)>) -> usize {
+    let mut fleet = EngineFleet::open(FleetSetup {
+        engines: 6,
+        models: 12,
+        held: 2,
+        ..FleetSetup::default()
+    });
+    if let Some((engine, factor)) = uneven {
+        fleet.set_duration(engine, factor);
+    }
+    let popular = fleet.held_at(0)[0].clone();
+    for _ in 0..2_000 {
+        fleet.add_arrival_every(&popular, 100);
+        fleet.step(STEP_MS);
+        let holders = (1..6).find(|engine| fleet.held_at(*engine).contains(&popular));
+        if let Some(engine) = holders {
+            return engine;
+        }
+    }
+    panic!("no extra copy");
+}
+
+/// Guards against extra copies of busy models at slow engines while faster ones could hold them.
+#[test]
+fn extra_copies_go_to_faster_engines() {
+    let usual = first_extra_copy(None);
+    let other = if usual == 5 { 4 } else { 5 };
+    assert_eq!(first_extra_copy(Some((other, 0.4))), other);
+    assert_ne!(first_extra_copy(Some((usual, 3.0))), usual);
+}
+
 /// Guards against too many concurrent loads from the weight store when requests wait for many rare
 /// models at once. Loads that still wait for evictions count toward the limit up to which the
 /// store serves at full speed.
--- a/tests/planner_sim/engine_fleet.rs
+++ b/tests/planner_sim/engine_fleet.rs
@@ -12,6 +12,7 @@
     ArrivedRequests, EntryDemand, OrderPlanner, PlannerAction, PlannerPolicy, WaitingRequests,
 };
 use quetzalpin::prelude::*;
+use quetzalpin::upstream_speed::DurationFactor;
 
 use super::sim_engine::{
     ADAPTER_MB, ADAPTER_SLOTS, DISK_LOAD_MS, ENGINE_MB, STORE_LOAD_MS, SimEngine,
@@ -227,6 +228,13 @@
         self.engines[engine].2.on_disk.insert(model.clone());
     }
 
+    /// Tells the planner how long work takes at an engine, relative to its peers.
+    pub fn set_duration(&mut self, engine: usize, factor: f64) {
+        let duration = DurationFactor::clamped(factor);
+        let durations = [(&self.engines[engine].1, duration)].into_iter().collect();
+        self.planner.set_durations(&durations);
+    }
+
     /// Number of orders that engines accepted.
     pub fn orders(&self) -> u64 {
         let engines = self.engines.iter();
--- a/tests/upstream_speed.rs
+++ b/tests/upstream_speed.rs
@@ -3,7 +3,8 @@
 use quetzalpin::fleet::{UpstreamKey, UpstreamRoster};
 use quetzalpin::prelude::*;
 use quetzalpin::upstream_speed::{
-    DurationFactor, DurationFigure, PaceMeter, SpeedTracker, WorkClass, WorkSample,
+    DurationFactor, DurationFigure, PaceMeter, SpeedBoard, SpeedReport, SpeedTracker, WorkClass,
+    WorkSample,
 };
 use rstest::rstest;
 use slotmap::SlotMap;
@@ -219,3 +220,44 @@
     tracker.retain(|key| roster.get(key).is_some());
     assert_eq!(tracker.uneven().count(), 0);
 }
+
+/// Guards against a gateway that is wrong by itself and moves the planner: a quarter of the gateways
+/// must speak of an upstream, and the median of what they say counts.
+#[test]
+fn one_gateway_alone_does_not_decide_on_a_speed() {
+    let mut board = SpeedBoard::open();
+    let now = MonoTime::from_millis(1_000);
+    let slow = UpstreamId::from("i-slow");
+    let rumoured = UpstreamId::from("i-rumoured");
+    for number in 0..12 {
+        let entry = InstanceName::from(format!("gateway-{number}").as_str());
+        let mut reports = Vec::new();
+        if number < 5 {
+            let duration = [2.0, 2.1, 2.2, 2.3, 8.0][number];
+            let duration = DurationFactor::clamped(duration);
+            reports.push(SpeedReport::of(slow.clone(), duration));
+        }
+        if number == 0 {
+            reports.push(SpeedReport::of(
+                rumoured.clone(),
+                DurationFactor::clamped(8.0),
+            ));
+        }
+        assert!(board.record(now, &entry, reports.clone()));
+        assert!(!board.record(now, &entry, reports));
+    }
+    let durations = board.durations();
+    assert_eq!(durations.get(&slow), Some(&DurationFactor::clamped(2.2)));
+    assert_eq!(durations.get(&rumoured), None);
+}
+
+/// Guards against a gateway that has ended and whose reports count on.
+#[test]
+fn reports_of_an_ended_gateway_expire() {
+    let mut board = SpeedBoard::open();
+    let now = MonoTime::from_millis(1_000);
+    let report = SpeedReport::of(UpstreamId::from("i-1"), DurationFactor::clamped(2.0));
+    board.record(now, &InstanceName::from("ended"), vec![report]);
+    assert!(board.record(now + 6_000, &InstanceName::from("live"), Vec::new()));
+    assert!(board.durations().is_empty());
+}
