--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -36,6 +36,7 @@
 use crate::stream_origin::{OriginRegistry, SoftwareHistory};
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
+use crate::upstream_speed::SpeedTracker;
 
 /// Timeout of a call to another process in milliseconds.
 const RPC_TIMEOUT_MS: u64 = 1_800;
@@ -99,6 +100,8 @@
     pub placement: RefCell<PlacementView>,
     /// Load and health of upstreams.
     pub loads: RefCell<LoadTracker>,
+    /// Speeds of upstreams.
+    pub speeds: RefCell<SpeedTracker>,
     /// Upstreams that want no requests for a while.
     pub pauses: RefCell<PauseRegistry>,
     /// Request rate limits that upstreams name.
@@ -179,6 +182,7 @@
             knows_roster: Cell::new(false),
             placement: RefCell::new(PlacementView::open()),
             loads: RefCell::new(LoadTracker::open()),
+            speeds: RefCell::new(SpeedTracker::open()),
             pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
             account_limiter: Rc::new(RefCell::new(AccountLimiter::open(clock.now()))),
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -18,6 +18,7 @@
 use crate::prelude::*;
 use crate::rate_limit::TokenIssuer;
 use crate::table::{RowRevision, TableEra};
+use crate::upstream_speed::SpeedBoard;
 
 /// Milliseconds after its last report for which an entry counts as live.
 const ENTRY_TTL_MS: u64 = 3_000;
@@ -41,6 +42,8 @@
     issuer: TokenIssuer,
     /// Shares the limits of accounts among the entries.
     accounts: AccountIssuer,
+    /// What entries say of the speeds of upstreams.
+    speeds: SpeedBoard,
 }
 
 /// Lease state of this process and, while the lease is held, its planner.
@@ -216,6 +219,7 @@
             crashes: Vec::new(),
             issuer: TokenIssuer::open(),
             accounts: AccountIssuer::open(now, self.account_bounds),
+            speeds: SpeedBoard::open(),
         });
         Some(intent.row.epoch)
     }
@@ -295,6 +299,9 @@
             log_exhausted(issuer);
             grants
         });
+        if active.speeds.record(now, &report.entry, report.speeds) {
+            active.planner.set_durations(&active.speeds.durations());
+        }
         let wants = report.demand.wants.clone();
         active
             .planner
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -112,6 +112,7 @@
             parts: context.parts.knowledge(context.now(), planner_digest),
             tokens: context.take_token_requests(),
             allowance: context.account_limiter.borrow_mut().take_report(sent_at),
+            speeds: context.speed_reports(),
         };
         let response = match context.host.remote_address() {
             None => {
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::{PartRecord, RequestFingerprint};
 use crate::rate_limit::{TokenGrant, TokenRequest};
 use crate::table::{RowRevision, TableEra};
+use crate::upstream_speed::SpeedReport;
 
 /// A request that was in flight at a crash, and the number of the crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -73,6 +74,9 @@
         skip_serializing_if = "AllowanceReport::is_empty"
     )]
     pub allowance: AllowanceReport,
+    /// Upstreams whose work lastingly takes longer or less time than that of their peers.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Forecast of the milliseconds until a model that is not loaded can be used.
