Learn how many loads the weight store carries at full speed

The planner begins up to six loads from the weight store at a time, but some stores carry only one or two at full speed: all loads then outlast the deadlines of the requests they are for, and the forecast of an overdue load is a moment. The new StoreCapacity compares the duration of completed loads with their nominal time and with how many ran meanwhile; at least two slow loads have to agree, and two overdue loads bound the number before the first ends. The planner then keeps to that number, and the forecast counts the loads in progress by what is left of them, and the queue ahead one after the other. While loads take their nominal time, nothing changes.

--- a/src/orders/load_forecast.rs
+++ b/src/orders/load_forecast.rs
@@ -1,8 +1,9 @@
 //! Forecasts when a missing model becomes usable.
 
+use super::OrderPlanner;
 use super::demand_aggregator::WaitingTotal;
+use super::load_queue::LoadQueue;
 use super::upstream_state::UpstreamState;
-use super::{LoadSource, OrderPlanner, OrderVerb};
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
 
@@ -23,11 +24,12 @@
         if upstreams().any(|state| state.can_serve(&need.model)) {
             return 0;
         }
-        let running = upstreams()
-            .filter_map(|state| state.running.as_ref())
-            .find(|order| order.verb == OrderVerb::Load && order.model == need.model);
-        if let Some(order) = running {
-            return order.due_at.millis_since(now);
+        let running = self.upstreams.iter().find(|(_, state)| {
+            is_reachable(state) && is_allowed(state) && state.is_loading(&need.model)
+        });
+        if let Some((key, state)) = running {
+            let left_ms = self.capacity.left_ms(now, key);
+            return left_ms.unwrap_or_else(|| state.due_in_ms(now));
         }
         let pause_ms = self.orders_from.millis_since(now);
         let has_copy =
@@ -46,23 +48,34 @@
             configs.find_map(|config| config.models.get(&need.model))
         });
         let load_ms = model_config.map_or(0, |model| model.store_load_ms);
-        let loads = self
-            .upstreams
-            .values()
-            .filter_map(|state| state.running.as_ref());
-        let mut due_ms: Vec<u64> = loads
-            .filter(|order| order.source == LoadSource::Store && order.verb == OrderVerb::Load)
-            .map(|order| order.due_at.millis_since(now))
-            .collect();
-        due_ms.sort_unstable();
+        let is_learned = self.capacity.load_limit(now).is_some();
         let wants = self.demand.wants();
         let rank = wants.get(need).map(|total| (total.rank, total.since));
         let is_ahead = |(other, total): &(&ModelNeed, &WaitingTotal)| {
             let has_copy = |state: &UpstreamState| state.local_copies.contains(&other.model);
-            rank.is_none_or(|rank| (total.rank, total.since) < rank)
-                && !self.upstreams.values().any(has_copy)
+            // With a learned capacity, loads in progress count by what is left of them.
+            let is_counted = |state: &UpstreamState| is_learned && state.is_loading(&other.model);
+            // Loads that are equally urgent begin in the order of their needs.
+            let is_before = |rank: (u8, MonoTime)| {
+                let other_rank = (total.rank, total.since);
+                other_rank < rank || (is_learned && other_rank == rank && *other < need)
+            };
+            rank.is_none_or(is_before)
+                && !self
+                    .upstreams
+                    .values()
+                    .any(|state| has_copy(state) || is_counted(state))
         };
         let ahead = wants.iter().filter(is_ahead).count();
+        if let Some(limit) = self.capacity.load_limit(now) {
+            let mut queue = LoadQueue::open(self.store_loads_left_ms(now), limit);
+            for _ in 0..ahead {
+                queue.add(load_ms);
+            }
+            return queue.add(load_ms);
+        }
+        let mut due_ms = self.store_loads_left_ms(now);
+        due_ms.sort_unstable();
         let slots = self.policy.store_loads.max(1);
         let round = u64::try_from(ahead / slots).unwrap_or(u64::MAX);
         let next_ms = if due_ms.len() < slots {
@@ -72,4 +85,15 @@
         };
         next_ms + load_ms.saturating_mul(round + 1)
     }
+
+    /// Milliseconds until each load from the weight store that is in progress ends.
+    fn store_loads_left_ms(&self, now: MonoTime) -> Vec<u64> {
+        let loads = self.upstreams.iter();
+        let loads = loads.filter(|(_, state)| state.is_loading_from_store());
+        let left_ms = loads.map(|(key, state)| {
+            let left_ms = self.capacity.left_ms(now, key);
+            left_ms.unwrap_or_else(|| state.due_in_ms(now))
+        });
+        left_ms.collect()
+    }
 }
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -409,6 +409,7 @@
             .values()
             .filter(|state| state.has_pending_store_load())
             .count();
-        loading < purpose.store_load_limit(&self.policy) && is_within_rate
+        let policy = self.store_policy(view.now);
+        loading < purpose.store_load_limit(&policy) && is_within_rate
     }
 }
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -11,7 +11,7 @@
 use super::upstream_state::{REPORT_LAG_MS, UpstreamState};
 use super::{
     DemandAggregator, EngineReport, EntryDemand, LoadSource, OrderAnswer, OrderBasis, OrderState,
-    OrderVerb, PlacementUpdate, PlannerAction, PlannerPolicy,
+    OrderVerb, PlacementUpdate, PlannerAction, PlannerPolicy, StoreCapacity,
 };
 use crate::fleet::{
     EngineConfig, FleetCatalog, ModelNeed, UpstreamKey, UpstreamPhase, UpstreamRoster,
@@ -65,6 +65,8 @@
     pub(super) demand: DemandAggregator,
     /// Start times of recent loads from the weight store, newest last.
     pub(super) store_load_starts: VecDeque<MonoTime>,
+    /// How many loads from the weight store run at full speed.
+    pub(super) capacity: StoreCapacity,
     /// Copies of each model over all engines; counted at the start of a tick, usable ones again
     /// after each unload order.
     pub(super) index: TickIndex,
@@ -104,6 +106,7 @@
             .collect();
         for key in gone {
             self.upstreams.remove(key);
+            self.capacity.abandon(now, key);
         }
         let Some(catalog) = self.catalog.clone() else {
             return;
@@ -162,7 +165,9 @@
             return;
         };
         let is_changed = if let Some(report) = report {
-            state.apply_report(now, report)
+            let is_changed = state.apply_report(now, report);
+            self.record_load_end(now, key);
+            is_changed
         } else {
             let read_at = now + 2 * REPORT_LAG_MS;
             state.order_state = OrderState::Stale { read_at };
@@ -199,11 +204,36 @@
             LoadSource::Store => model.store_load_ms,
         });
         let is_used = self.demand.running(&state.target.id, &need.model) > 0;
-        if state.apply_answer(now, answer, load_ms, is_used) {
+        let is_changed = state.apply_answer(now, answer, load_ms, is_used);
+        if state.is_loading_from_store() && !self.capacity.is_running(key) {
+            self.capacity.begin(now, key, load_ms);
+        }
+        if is_changed {
             self.mark_changed(key);
         }
     }
 
+    /// Records that an engine's load from the weight store has ended, if its report shows it. A load
+    /// that left no model behind has failed; its duration shows nothing.
+    fn record_load_end(&mut self, now: MonoTime, key: UpstreamKey) {
+        let state = &self.upstreams[key];
+        if !self.capacity.is_running(key) || state.is_loading_from_store() {
+            return;
+        }
+        if !state.has_completed_load {
+            self.capacity.abandon(now, key);
+        } else if self.capacity.complete(now, key) {
+            let full_speed_loads = self.capacity.learned();
+            log::info!(full_speed_loads; "capacity of the weight store learned");
+        }
+    }
+
+    /// Limits of the weight store: no more loads than run at full speed, once that is known.
+    pub(super) fn store_policy(&self, now: MonoTime) -> PlannerPolicy {
+        let limit = self.capacity.load_limit(now);
+        limit.map_or(self.policy, |limit| self.policy.with_store_limit(limit))
+    }
+
     /// Holdings that changed since a version; all holdings if the epoch is a different one.
     #[must_use]
     pub fn update_since(&self, epoch: u64, version: u64) -> PlacementUpdate {
--- a/src/orders/planner_policy.rs
+++ b/src/orders/planner_policy.rs
@@ -26,6 +26,17 @@
     pub fn copy_rate_per_s(&self, slots: u32) -> f64 {
         f64::from(slots) * self.copy_rate_per_slot
     }
+
+    /// The policy with at most `limit` concurrent loads from the weight store, urgent ones included.
+    #[must_use]
+    pub fn with_store_limit(self, limit: usize) -> Self {
+        let store_loads = self.store_loads.min(limit);
+        Self {
+            store_loads,
+            urgent_loads: self.urgent_loads.min(limit - store_loads),
+            ..self
+        }
+    }
 }
 
 impl Default for PlannerPolicy {
--- a/src/orders/upstream_report.rs
+++ b/src/orders/upstream_report.rs
@@ -91,6 +91,7 @@
         if is_held == (order.verb == OrderVerb::Load) {
             let order = self.running.take();
             if let Some(order) = order.filter(|order| order.verb == OrderVerb::Load) {
+                self.has_completed_load = true;
                 self.local_copies.insert(order.model);
             }
         } else if report.is_busy || now < order.due_at + REPORT_LAG_MS {
--- a/src/orders/upstream_state.rs
+++ b/src/orders/upstream_state.rs
@@ -58,6 +58,8 @@
     /// Number of consecutive answers that were no report.
     pub(super) invalid_reports: u32,
     pub(super) running: Option<RunningOrder>,
+    /// Whether the latest load of a whole model ended with the model in memory; false while it runs.
+    pub(super) has_completed_load: bool,
     /// Model that is to be loaded here, and that models are being evicted for. `None` if no load is
     /// planned.
     pub(super) planned_model: Option<ModelName>,
@@ -91,6 +93,7 @@
             outdated_reports: 0,
             invalid_reports: 0,
             running: None,
+            has_completed_load: false,
             planned_model: None,
             planned_at: now,
             planned_purpose: LoadPurpose::Prefetch,
@@ -166,16 +169,12 @@
     /// Whether a load of the model is in progress, in flight or planned.
     #[must_use]
     pub fn has_pending_load(&self, model: &ModelName) -> bool {
-        let is_loading = self
-            .running
-            .as_ref()
-            .is_some_and(|order| order.verb == OrderVerb::Load && order.model == *model);
         let is_sent = matches!(
             &self.order_state,
             OrderState::Sent { verb: OrderVerb::Load, need, .. }
                 if need.model == *model && need.adapter.is_none()
         );
-        is_loading || is_sent || self.planned_model.as_ref() == Some(model)
+        self.is_loading(model) || is_sent || self.planned_model.as_ref() == Some(model)
     }
 
     /// Whether a load of the model from the engine's local copy is in progress, in flight or
@@ -196,15 +195,35 @@
         {
             return true;
         }
-        let is_running = self.running.as_ref().is_some_and(|order| {
-            order.source == LoadSource::Store && order.verb == OrderVerb::Load
-        });
         let is_sent = matches!(
             &self.order_state,
             OrderState::Sent { verb: OrderVerb::Load, source: LoadSource::Store, need }
                 if need.adapter.is_none()
         );
-        is_running || is_sent
+        self.is_loading_from_store() || is_sent
+    }
+
+    /// Whether a load of the model is in progress.
+    #[must_use]
+    pub fn is_loading(&self, model: &ModelName) -> bool {
+        self.running
+            .as_ref()
+            .is_some_and(|order| order.verb == OrderVerb::Load && order.model == *model)
+    }
+
+    /// Milliseconds until the order in progress is due; 0 without one.
+    #[must_use]
+    pub fn due_in_ms(&self, now: MonoTime) -> u64 {
+        let order = self.running.as_ref();
+        order.map_or(0, |order| order.due_at.millis_since(now))
+    }
+
+    /// Whether a load from the weight store is in progress.
+    #[must_use]
+    pub fn is_loading_from_store(&self) -> bool {
+        self.running
+            .as_ref()
+            .is_some_and(|order| order.source == LoadSource::Store && order.verb == OrderVerb::Load)
     }
 
     /// Models and adapters that requests can be sent here for.
@@ -290,6 +309,7 @@
                         IDLE_UNLOAD_MS
                     }
                 };
+                self.has_completed_load = false;
                 self.running = Some(RunningOrder {
                     verb,
                     model: need.model,
