Begin no load that ends after the requests for it, where room is short

A gateway reported that requests wait for a model, but not for how long they still can. Where the engines have too little room, the planner then evicted models and used the weight store for requests that ended before the load did. The report now names, for each model that requests wait for, the milliseconds until the last of them gains nothing any more (field p, parallel to w). Where the models need more than 1.25 times the engines' memory, the planner begins a load only if a waiting request is still in time for it or more than a single one is expected; a load in progress goes on. Elsewhere it decides as before. A request for a model with a known forecast is refused at once by it, unless it is more urgent than what the forecast was made for.

--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -307,11 +307,17 @@
                 "waiting"
             );
         }
-        let registration =
-            self.context
-                .waits
-                .register(need.clone(), &plan.service, plan.rank, plan.arrived_at);
+        let (service, rank) = (&plan.service, plan.rank);
+        let waits = &self.context.waits;
+        let registration = waits.register(need.clone(), service, rank, plan.arrived_at, wait_until);
         let left_ms = wait_until.millis_since(now);
+        // Others wait for the same model, so its forecast is known.
+        let known_ms = waits.forecast_ms(&need);
+        if let Some(forecast_ms) = known_ms.filter(|forecast_ms| *forecast_ms > left_ms)
+            && !registration.is_new_want()
+        {
+            return Some(self.refuse(RefusalReason::DeadlineUnreachable, Some(forecast_ms)));
+        }
         self.pause(generation, left_ms.min(WAIT_POLL_MS)).await;
         // Upstreams that refused because the model was not loaded may have it now.
         self.tried.clear();
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -333,6 +333,7 @@
         });
         EntryDemand {
             wants: self.waits.wants(self.now()),
+            left_ms: self.waits.left_ms(self.now()),
             runs: running.collect(),
             asked: arrivals
                 .into_iter()
--- a/src/gateway/wait_registry.rs
+++ b/src/gateway/wait_registry.rs
@@ -16,6 +16,8 @@
     rank: u8,
     /// Arrival time of each waiting request; never empty.
     arrivals: Vec<MonoTime>,
+    /// Time until which each waiting request may wait, in the order of `arrivals`.
+    limits: Vec<MonoTime>,
 }
 
 /// Waiting requests, grouped by the model and adapter that they need.
@@ -34,6 +36,19 @@
     registry: Rc<WaitRegistry>,
     need: ModelNeed,
     arrived_at: MonoTime,
+    wait_until: MonoTime,
+    /// Whether the planner's forecast cannot count this request yet: it is the first for its need, or
+    /// more urgent than the others.
+    is_new_want: bool,
+}
+
+impl WaitRegistration {
+    /// Whether the planner's latest forecast for the need may be too long for this request, because
+    /// the planner did not know of a request as urgent as this.
+    #[must_use]
+    pub const fn is_new_want(&self) -> bool {
+        self.is_new_want
+    }
 }
 
 impl WaitRegistry {
@@ -51,16 +66,19 @@
         service: &ServiceName,
         rank: u8,
         arrived_at: MonoTime,
+        wait_until: MonoTime,
     ) -> WaitRegistration {
         let mut groups = self.groups.borrow_mut();
         let group = groups.entry(need.clone()).or_insert_with(|| WaitGroup {
             service: service.clone(),
             rank,
             arrivals: Vec::new(),
+            limits: Vec::new(),
         });
         let is_new_want = group.arrivals.is_empty() || rank < group.rank;
         group.rank = group.rank.min(rank);
         group.arrivals.push(arrived_at);
+        group.limits.push(wait_until);
         if is_new_want {
             self.wanted.notify();
         }
@@ -68,6 +86,8 @@
             registry: Rc::clone(self),
             need,
             arrived_at,
+            wait_until,
+            is_new_want,
         }
     }
 
@@ -92,6 +112,18 @@
             .collect()
     }
 
+    /// For each of [`Self::wants`], the milliseconds for which the last of its requests may still wait.
+    #[must_use]
+    pub fn left_ms(&self, now: MonoTime) -> Vec<u32> {
+        let groups = self.groups.borrow();
+        let left_ms = groups.values().map(|group| {
+            let last = group.limits.iter().max();
+            let left_ms = last.map_or(0, |until| until.millis_since(now));
+            u32::try_from(left_ms).unwrap_or(u32::MAX)
+        });
+        left_ms.collect()
+    }
+
     /// Replaces the planner's forecasts and wakes all waiting requests.
     pub fn set_forecasts(&self, reported: Vec<LoadForecast>) {
         let forecasts = reported
@@ -130,9 +162,13 @@
         let Some(group) = groups.get_mut(&self.need) else {
             return;
         };
-        let position = group.arrivals.iter().position(|at| *at == self.arrived_at);
+        let mut requests = group.arrivals.iter().zip(&group.limits);
+        let position = requests.position(|(arrived_at, wait_until)| {
+            *arrived_at == self.arrived_at && *wait_until == self.wait_until
+        });
         if let Some(position) = position {
             group.arrivals.swap_remove(position);
+            group.limits.swap_remove(position);
         }
         if group.arrivals.is_empty() {
             groups.remove(&self.need);
--- a/src/orders/demand_aggregator.rs
+++ b/src/orders/demand_aggregator.rs
@@ -48,6 +48,10 @@
     /// Waiting requests by model or adapter.
     #[serde(rename = "w", default)]
     pub wants: Vec<WaitingRequests>,
+    /// For each of `wants`, in the same order, the milliseconds after which the last of its requests
+    /// gains nothing from the model any more. Empty in reports of older versions, which don't say.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub left_ms: Vec<u32>,
     /// Requests in flight by engine and model.
     #[serde(rename = "u", default)]
     pub runs: Vec<RunningRequests>,
@@ -74,6 +78,8 @@
     pub rank: u8,
     /// When the oldest request began to wait.
     pub since: MonoTime,
+    /// When the last request gains nothing from the model any more; `None` if an entry doesn't say.
+    pub usable_until: Option<MonoTime>,
 }
 
 /// Keeps the latest report of each entry, their sums, and request rates by model.
@@ -102,13 +108,15 @@
 impl DemandSums {
     /// Adds an entry's report.
     fn add(&mut self, at: MonoTime, entry: &InstanceName, demand: &EntryDemand) {
-        for requests in &demand.wants {
+        for (index, requests) in demand.wants.iter().enumerate() {
             let since = at - requests.waited_ms;
+            let left_ms = demand.left_ms.get(index);
             let total = WaitingTotal {
                 service: requests.service.clone(),
                 count: requests.count,
                 rank: requests.rank,
                 since,
+                usable_until: left_ms.map(|left_ms| at + u64::from(*left_ms)),
             };
             let waiting = self.waiting.entry(requests.need.clone()).or_default();
             match waiting.get_mut(entry) {
@@ -174,6 +182,14 @@
         self.count += other.count;
         self.rank = self.rank.min(other.rank);
         self.since = self.since.min(other.since);
+        let both = self.usable_until.zip(other.usable_until);
+        self.usable_until = both.map(|(left, right)| left.max(right));
+    }
+
+    /// Whether a request is still waiting that gains from the model if it becomes usable then.
+    #[must_use]
+    pub fn gains_at(&self, usable_at: MonoTime) -> bool {
+        self.usable_until.is_none_or(|until| usable_at <= until)
     }
 }
 
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -5,6 +5,7 @@
 use super::engine_facts::EngineFacts;
 use super::load_option::{CostView, LoadOption, cheapest_load};
 use super::load_purpose::{LoadPurpose, MOST_URGENT_RANK};
+use super::load_value::LoadValue;
 use super::order_planner::{NextOrder, TickView, engine_config};
 use super::upstream_state::UpstreamState;
 use super::{LoadSource, OrderPlanner};
@@ -77,7 +78,7 @@
         for (need, total) in missing {
             let is_held = self.copies(&need.model) > 0
                 && self.reachable().any(|state| state.can_serve_model_of(need));
-            if !is_held {
+            if !is_held && self.gains_from_load(view, need, total) {
                 let waited_ms = view.now.millis_since(total.since);
                 let purpose = LoadPurpose::Wanted {
                     rank: total.rank,
@@ -89,6 +90,31 @@
         }
     }
 
+    /// Whether a request gains from a load that begins now. Always where room is enough: the model
+    /// stays for later requests.
+    fn gains_from_load(&self, view: TickView<'_>, need: &ModelNeed, total: &WaitingTotal) -> bool {
+        !self.short_services.contains(&total.service)
+            || self.load_value(view, need, total).is_some()
+    }
+
+    /// Value of a load that begins now; `None` if no request gains from it.
+    fn load_value(
+        &self,
+        view: TickView<'_>,
+        need: &ModelNeed,
+        total: &WaitingTotal,
+    ) -> Option<LoadValue> {
+        let config = view.catalog.service(&total.service)?.engine.as_ref()?;
+        let model_config = config.models.get(&need.model)?;
+        let load_ms = if self.index.local_holders(&need.model).is_empty() {
+            model_config.store_load_ms
+        } else {
+            model_config.disk_load_ms
+        };
+        let rate_per_s = self.demand.rate(view.now, &need.model);
+        LoadValue::of(view.now, total, rate_per_s, load_ms)
+    }
+
     /// Loads a model unless a load from a local copy is pending. If a load from the weight store is
     /// pending, only a load from another engine's local copy may start meanwhile.
     fn load_unless_pending(
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -7,6 +7,7 @@
 
 use super::demand_aggregator::WaitingTotal;
 use super::load_purpose::MOST_URGENT_RANK;
+use super::room_shortage::is_room_short;
 use super::tick_index::TickIndex;
 use super::upstream_state::{REPORT_LAG_MS, UpstreamState};
 use super::{
@@ -67,6 +68,8 @@
     pub(super) store_load_starts: VecDeque<MonoTime>,
     /// How many loads from the weight store run at full speed.
     pub(super) capacity: StoreCapacity,
+    /// Services whose engines have too little room for their models, as of the last tick.
+    pub(super) short_services: HashSet<ServiceName>,
     /// Copies of each model over all engines; counted at the start of a tick, usable ones again
     /// after each unload order.
     pub(super) index: TickIndex,
@@ -270,6 +273,7 @@
         let Some(catalog) = catalog else {
             return std::mem::take(&mut self.actions);
         };
+        self.find_short_services(&catalog);
         self.count_copies();
         self.index.collect_local(self.upstreams.iter());
         self.index.drop_facts();
@@ -291,6 +295,18 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn find_short_services(&mut self, catalog: &FleetCatalog) {
+        let engine_count = |name: &ServiceName| {
+            let engines = self.upstreams.values();
+            engines.filter(|state| state.service == *name).count()
+        };
+        let short = catalog.services().filter(|service| {
+            let config = service.engine.as_ref();
+            config.is_some_and(|config| is_room_short(config, engine_count(&service.name), false))
+        });
+        self.short_services = short.map(|service| service.name.clone()).collect();
+    }
+
     fn read_stale(&mut self, now: MonoTime) {
         for (key, state) in &mut self.upstreams {
             let is_due =
--- a/tests/room_sim/mod.rs
+++ b/tests/room_sim/mod.rs
@@ -179,11 +179,9 @@
             rank,
             waited_ms: 0,
         });
-        self.record_left(left_ms);
+        self.demand.left_ms.push(left_ms);
     }
 
-    fn record_left(&mut self, _left_ms: u32) {}
-
     /// Advances time, reports demand if due, and carries out the planner's calls.
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
