Begin the load with the highest value first where room is short

The planner loaded models in the order of ranks and arrival, and for an extra copy of a busy model it evicted the last copy of a requested one. Where the models need more than 1.25 times the engines' memory, the order is now that of the value for each second of the load: waiting requests that are still in time and those expected in ten seconds, weighted by rank with a floor of a quarter. The same value as a request rate bounds what may be evicted for it, so a load gains more than the evicted model loses. A last copy gives way to an extra copy or a prefetch only if nobody has asked for its model in eleven seconds. The tests compare both kinds of rooms; the tests of the planner are unchanged.

--- a/src/orders/load_value.rs
+++ b/src/orders/load_value.rs
@@ -7,6 +7,10 @@
 /// which say little about a longer time.
 const HORIZON_S: f64 = 10.0;
 
+/// Requests per second from which on a model counts as requested: one request in the last eleven
+/// seconds.
+pub(super) const REQUESTED_PER_S: f64 = 0.02;
+
 /// Requests per second from which on a load is begun for expected requests alone: more than one in
 /// the window of the measured rates. A single request may be the last one.
 const EXPECTED_PER_S: f64 = 0.3;
@@ -42,6 +46,17 @@
         let gain = rank_weight(total.rank) * (waiting + rate_per_s * HORIZON_S);
         Some(Self { gain, load_ms })
     }
+
+    /// Gain for each second that the load takes.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn per_s(self) -> f64 {
+        self.gain * 1_000.0 / self.load_ms.max(1) as f64
+    }
+
+    /// The gain as a request rate, comparable with the rate of a model that is evicted for it.
+    pub fn rate_per_s(self) -> f64 {
+        self.gain / HORIZON_S
+    }
 }
 
 fn rank_weight(rank: u8) -> f64 {
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -16,6 +16,7 @@
 mod planner_action;
 mod planner_policy;
 mod room_shortage;
+mod short_room;
 mod store_capacity;
 mod tick_index;
 mod upstream_report;
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -5,7 +5,6 @@
 use super::engine_facts::EngineFacts;
 use super::load_option::{CostView, LoadOption, cheapest_load};
 use super::load_purpose::{LoadPurpose, MOST_URGENT_RANK};
-use super::load_value::LoadValue;
 use super::order_planner::{NextOrder, TickView, engine_config};
 use super::upstream_state::UpstreamState;
 use super::{LoadSource, OrderPlanner};
@@ -63,18 +62,19 @@
         }
     }
 
-    /// Loads the models that requests of the given ranks wait for.
+    /// Loads the models that the given requests wait for.
     pub(super) fn load_waiting_models(
         &mut self,
         view: TickView<'_>,
-        has_rank: impl Fn(u8) -> bool,
+        is_due: impl Fn(&WaitingTotal) -> bool,
     ) {
         let mut missing: Vec<(&ModelNeed, &WaitingTotal)> = view
             .wants
             .iter()
-            .filter(|(_, total)| has_rank(total.rank))
+            .filter(|(_, total)| is_due(total))
             .collect();
         missing.sort_by_key(|(_, total)| (total.rank, total.since));
+        self.sort_by_value(view, &mut missing);
         for (need, total) in missing {
             let is_held = self.copies(&need.model) > 0
                 && self.reachable().any(|state| state.can_serve_model_of(need));
@@ -90,31 +90,6 @@
         }
     }
 
-    /// Whether a request gains from a load that begins now. Always where room is enough: the model
-    /// stays for later requests.
-    fn gains_from_load(&self, view: TickView<'_>, need: &ModelNeed, total: &WaitingTotal) -> bool {
-        !self.short_services.contains(&total.service)
-            || self.load_value(view, need, total).is_some()
-    }
-
-    /// Value of a load that begins now; `None` if no request gains from it.
-    fn load_value(
-        &self,
-        view: TickView<'_>,
-        need: &ModelNeed,
-        total: &WaitingTotal,
-    ) -> Option<LoadValue> {
-        let config = view.catalog.service(&total.service)?.engine.as_ref()?;
-        let model_config = config.models.get(&need.model)?;
-        let load_ms = if self.index.local_holders(&need.model).is_empty() {
-            model_config.store_load_ms
-        } else {
-            model_config.disk_load_ms
-        };
-        let rate_per_s = self.demand.rate(view.now, &need.model);
-        LoadValue::of(view.now, total, rate_per_s, load_ms)
-    }
-
     /// Loads a model unless a load from a local copy is pending. If a load from the weight store is
     /// pending, only a load from another engine's local copy may start meanwhile.
     fn load_unless_pending(
@@ -265,7 +240,8 @@
             .catalog
             .service(service)
             .and_then(|service| service.engine.as_ref());
-        let cost_view = config.and_then(|config| self.cost_view(view, config, model, purpose));
+        let cost_view =
+            config.and_then(|config| self.cost_view(view, service, config, model, purpose));
         let Some(cost_view) = cost_view else { return };
         let may_use_store = self.may_load_from_store(view, purpose);
         let candidates: Vec<UpstreamKey> = if may_use_store {
@@ -303,11 +279,14 @@
     fn cost_view<'a>(
         &self,
         view: TickView<'_>,
+        service: &ServiceName,
         config: &'a EngineConfig,
         model: &ModelName,
         purpose: LoadPurpose,
     ) -> Option<CostView<'a>> {
         let gain_per_s = self.gain_per_s(view, model, self.copies(model), config.slots, purpose);
+        let short_gain = self.short_gain_per_s(view, service, model, purpose);
+        let gain_per_s = short_gain.unwrap_or(gain_per_s);
         Some(CostView {
             now: view.now,
             config,
@@ -317,7 +296,8 @@
             gain_per_s,
             may_evict_busy: purpose.may_evict_busy(),
             last_copy_gain_per_s: if purpose.is_copy() {
-                gain_per_s * LAST_COPY_SHARE
+                self.short_copy_gain_per_s(service)
+                    .unwrap_or(gain_per_s * LAST_COPY_SHARE)
             } else {
                 gain_per_s
             },
@@ -358,7 +338,7 @@
         let config = engine_config(view.catalog, state)?;
         let cost_view = CostView {
             may_evict_wanted: true,
-            ..self.cost_view(view, config, model, state.planned_purpose)?
+            ..self.cost_view(view, &state.service, config, model, state.planned_purpose)?
         };
         self.load_option_at(view, &cost_view, key, model)
     }
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -7,7 +7,6 @@
 
 use super::demand_aggregator::WaitingTotal;
 use super::load_purpose::MOST_URGENT_RANK;
-use super::room_shortage::is_room_short;
 use super::tick_index::TickIndex;
 use super::upstream_state::{REPORT_LAG_MS, UpstreamState};
 use super::{
@@ -285,28 +284,19 @@
             wants: &wants,
             wanted: &wanted,
         };
-        let is_urgent = |rank: u8| rank == MOST_URGENT_RANK;
+        let short = self.short_services.clone();
+        // Where room is short, the value of a load decides, whatever the rank.
+        let is_first =
+            |total: &WaitingTotal| total.rank == MOST_URGENT_RANK || short.contains(&total.service);
         self.continue_planned_loads(view);
         self.load_waiting_adapters(view);
-        self.load_waiting_models(view, is_urgent);
+        self.load_waiting_models(view, is_first);
         self.add_copies(view);
-        self.load_waiting_models(view, |rank| !is_urgent(rank));
+        self.load_waiting_models(view, |total| !is_first(total));
         self.prefetch(view);
         std::mem::take(&mut self.actions)
     }
 
-    fn find_short_services(&mut self, catalog: &FleetCatalog) {
-        let engine_count = |name: &ServiceName| {
-            let engines = self.upstreams.values();
-            engines.filter(|state| state.service == *name).count()
-        };
-        let short = catalog.services().filter(|service| {
-            let config = service.engine.as_ref();
-            config.is_some_and(|config| is_room_short(config, engine_count(&service.name), false))
-        });
-        self.short_services = short.map(|service| service.name.clone()).collect();
-    }
-
     fn read_stale(&mut self, now: MonoTime) {
         for (key, state) in &mut self.upstreams {
             let is_due =
--- a/tests/room_shortage.rs
+++ b/tests/room_shortage.rs
@@ -76,3 +76,69 @@
     }
     assert_eq!(fleet.begun_store_loads(19), loads);
 }
+
+/// Guards against a store that serves the models in the order of ranks or arrival, while many
+/// requests wait for another one: each load takes the same time and gains more.
+#[test]
+fn the_load_with_the_highest_value_comes_first() {
+    let mut fleet = RoomFleet::open(RoomSetup {
+        full_speed: 4,
+        ..RoomSetup::default()
+    });
+    for _ in 0..40 {
+        for model in 20..30 {
+            fleet.wait_for(model, 0, 1, 60_000);
+        }
+        fleet.wait_for(35, 2, 12, 60_000);
+        fleet.step();
+    }
+    assert_eq!(fleet.begun_store_loads(35), 1);
+}
+
+/// Guards against a requested model that becomes unusable for an extra copy of a busier one: its
+/// requests then wait for a load, and those of the busier one had copies already.
+#[rstest]
+#[case::short_room(36, true)]
+#[case::enough_room(18, false)]
+fn the_last_copy_of_a_requested_model_stays(#[case] models: usize, #[case] is_kept: bool) {
+    let mut fleet = RoomFleet::open(RoomSetup {
+        models,
+        held: 3,
+        full_speed: 4,
+        ..RoomSetup::default()
+    });
+    let mut lost = 0;
+    while fleet.now_ms() < 60_000 {
+        if fleet.now_ms().is_multiple_of(500) {
+            fleet.add_arrivals(0, 20);
+        }
+        for model in 1..18 {
+            if fleet.now_ms().is_multiple_of(4_000) {
+                fleet.add_arrivals(model, 1);
+            }
+            lost += usize::from(fleet.copies(model) == 0);
+        }
+        fleet.step();
+    }
+    assert_eq!(lost == 0, is_kept, "{lost} times without a copy");
+}
+
+/// Guards against a prefetch that evicts a requested model where room is short.
+#[test]
+fn a_prefetch_evicts_no_requested_model() {
+    let mut fleet = RoomFleet::open(RoomSetup {
+        held: 3,
+        full_speed: 4,
+        ..RoomSetup::default()
+    });
+    while fleet.now_ms() < 60_000 {
+        for model in 0..18 {
+            if fleet.now_ms().is_multiple_of(4_000) {
+                fleet.add_arrivals(model, 1);
+            }
+            let is_rated = fleet.now_ms() > 1_000;
+            assert!(!is_rated || fleet.copies(model) > 0, "m{model} is gone");
+        }
+        fleet.step();
+    }
+}
