Forecast loads in the order in which the planner begins them

The forecast counted the loads ahead by rank and arrival, while the planner begins them by value where room is short. Both now use one order, and the forecast looks up local copies in the index of the tick instead of asking every engine for each model. A need from whose load nobody gains is behind all others. The test compares the forecast of a valuable load with those of others.

--- a/src/orders/load_forecast.rs
+++ b/src/orders/load_forecast.rs
@@ -1,6 +1,8 @@
 //! Forecasts when a missing model becomes usable.
 
 use super::OrderPlanner;
+use std::cmp::Reverse;
+
 use super::demand_aggregator::WaitingTotal;
 use super::load_queue::LoadQueue;
 use super::upstream_state::UpstreamState;
@@ -48,32 +50,23 @@
             configs.find_map(|config| config.models.get(&need.model))
         });
         let load_ms = model_config.map_or(0, |model| model.store_load_ms);
-        let is_learned = self.capacity.load_limit(now).is_some();
+        let limit = self.capacity.load_limit(now);
+        if limit.is_some() || !self.short_services.is_empty() {
+            let limit = limit.unwrap_or(self.policy.store_loads);
+            let mut queue = LoadQueue::open(self.store_loads_left_ms(now), limit);
+            for _ in 0..self.loads_ahead(now, need) {
+                queue.add(load_ms);
+            }
+            return queue.add(load_ms);
+        }
         let wants = self.demand.wants();
         let rank = wants.get(need).map(|total| (total.rank, total.since));
         let is_ahead = |(other, total): &(&ModelNeed, &WaitingTotal)| {
             let has_copy = |state: &UpstreamState| state.local_copies.contains(&other.model);
-            // With a learned capacity, loads in progress count by what is left of them.
-            let is_counted = |state: &UpstreamState| is_learned && state.is_loading(&other.model);
-            // Loads that are equally urgent begin in the order of their needs.
-            let is_before = |rank: (u8, MonoTime)| {
-                let other_rank = (total.rank, total.since);
-                other_rank < rank || (is_learned && other_rank == rank && *other < need)
-            };
-            rank.is_none_or(is_before)
-                && !self
-                    .upstreams
-                    .values()
-                    .any(|state| has_copy(state) || is_counted(state))
+            rank.is_none_or(|rank| (total.rank, total.since) < rank)
+                && !self.upstreams.values().any(has_copy)
         };
         let ahead = wants.iter().filter(is_ahead).count();
-        if let Some(limit) = self.capacity.load_limit(now) {
-            let mut queue = LoadQueue::open(self.store_loads_left_ms(now), limit);
-            for _ in 0..ahead {
-                queue.add(load_ms);
-            }
-            return queue.add(load_ms);
-        }
         let mut due_ms = self.store_loads_left_ms(now);
         due_ms.sort_unstable();
         let slots = self.policy.store_loads.max(1);
@@ -86,6 +79,49 @@
         next_ms + load_ms.saturating_mul(round + 1)
     }
 
+    /// Number of loads from the weight store that wait and begin before that of a need. Loads in
+    /// progress are not among them.
+    fn loads_ahead(&self, now: MonoTime, need: &ModelNeed) -> usize {
+        let loading = self.upstreams.values();
+        let loading: Vec<&UpstreamState> = loading
+            .filter(|state| state.is_loading_from_store())
+            .collect();
+        let is_from_store = |model: &ModelName| {
+            self.index.local_holders(model).is_empty()
+                && !loading.iter().any(|state| state.is_loading(model))
+        };
+        let wants = self.demand.wants();
+        let Some(total) = wants.get(need) else {
+            return wants
+                .keys()
+                .filter(|need| is_from_store(&need.model))
+                .count();
+        };
+        let own = self.load_turn(now, need, total);
+        let others = wants.iter().filter(|(other, other_total)| {
+            let turn = self.load_turn(now, other, other_total);
+            turn.is_some_and(|turn| own.as_ref().is_none_or(|own| turn < *own))
+        });
+        let others = others.filter(|(other, _)| is_from_store(&other.model));
+        others.count()
+    }
+
+    /// Position of a load among those that wait, first the lowest: by value where room is short, by
+    /// urgency elsewhere. `None` if no load begins, since no request gains from it.
+    fn load_turn<'a>(
+        &self,
+        now: MonoTime,
+        need: &'a ModelNeed,
+        total: &WaitingTotal,
+    ) -> Option<(Reverse<u64>, u8, MonoTime, &'a ModelNeed)> {
+        let value = if self.short_services.contains(&total.service) {
+            self.load_value(now, need, total)?.thousandths()
+        } else {
+            0
+        };
+        Some((Reverse(value), total.rank, total.since, need))
+    }
+
     /// Milliseconds until each load from the weight store that is in progress ends.
     fn store_loads_left_ms(&self, now: MonoTime) -> Vec<u64> {
         let loads = self.upstreams.iter();
--- a/src/orders/load_value.rs
+++ b/src/orders/load_value.rs
@@ -47,10 +47,14 @@
         Some(Self { gain, load_ms })
     }
 
-    /// Gain for each second that the load takes.
-    #[allow(clippy::cast_precision_loss)]
-    pub fn per_s(self) -> f64 {
-        self.gain * 1_000.0 / self.load_ms.max(1) as f64
+    /// Thousandths of the gain for each second that the load takes.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    pub fn thousandths(self) -> u64 {
+        (self.gain * 1e6 / self.load_ms.max(1) as f64) as u64
     }
 
     /// The gain as a request rate, comparable with the rate of a model that is evicted for it.
--- a/src/orders/short_room.rs
+++ b/src/orders/short_room.rs
@@ -42,10 +42,8 @@
         }
         missing.sort_by_cached_key(|(need, total)| {
             let is_short = self.short_services.contains(&total.service);
-            let value = self.load_value(view, need, total).filter(|_| is_short);
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let thousandths = value.map_or(0, |value| (value.per_s() * 1_000.0) as u64);
-            Reverse(thousandths)
+            let value = self.load_value(view.now, need, total).filter(|_| is_short);
+            Reverse(value.map_or(0, LoadValue::thousandths))
         });
     }
 
@@ -58,7 +56,7 @@
         total: &WaitingTotal,
     ) -> bool {
         !self.short_services.contains(&total.service)
-            || self.load_value(view, need, total).is_some()
+            || self.load_value(view.now, need, total).is_some()
     }
 
     /// Gain of a load where room is short, in requests per second, which the rate of an evicted model
@@ -77,7 +75,8 @@
             LoadPurpose::Wanted { .. } => {
                 let wants = view.wants.iter();
                 let wants = wants.filter(|(need, _)| need.model == *model);
-                let values = wants.filter_map(|(need, total)| self.load_value(view, need, total));
+                let values =
+                    wants.filter_map(|(need, total)| self.load_value(view.now, need, total));
                 values.map(LoadValue::rate_per_s).reduce(f64::max)
             }
             LoadPurpose::Prefetch => Some(self.demand.rate(view.now, model).max(REQUESTED_PER_S)),
@@ -94,20 +93,21 @@
     }
 
     /// Value of a load that begins now; `None` if no request gains from it.
-    fn load_value(
+    pub(super) fn load_value(
         &self,
-        view: TickView<'_>,
+        now: MonoTime,
         need: &ModelNeed,
         total: &WaitingTotal,
     ) -> Option<LoadValue> {
-        let config = view.catalog.service(&total.service)?.engine.as_ref()?;
+        let catalog = self.catalog.as_ref()?;
+        let config = catalog.service(&total.service)?.engine.as_ref()?;
         let model_config = config.models.get(&need.model)?;
         let load_ms = if self.index.local_holders(&need.model).is_empty() {
             model_config.store_load_ms
         } else {
             model_config.disk_load_ms
         };
-        let rate_per_s = self.demand.rate(view.now, &need.model);
-        LoadValue::of(view.now, total, rate_per_s, load_ms)
+        let rate_per_s = self.demand.rate(now, &need.model);
+        LoadValue::of(now, total, rate_per_s, load_ms)
     }
 }
--- a/tests/room_shortage.rs
+++ b/tests/room_shortage.rs
@@ -142,3 +142,33 @@
         fleet.step();
     }
 }
+
+/// Guards against two orders of loads, one in the planner's decisions and one in its forecasts: a
+/// caller would be refused by a forecast for a load that begins first.
+#[test]
+fn the_forecast_follows_the_order_of_values() {
+    let mut fleet = RoomFleet::open(RoomSetup::default());
+    while fleet.now_ms() < 60_000 {
+        for model in 20..30 {
+            fleet.wait_for(model, 0, 1, 200_000);
+        }
+        fleet.step();
+    }
+    while !fleet.now_ms().is_multiple_of(500) {
+        fleet.step();
+    }
+    for model in 20..30 {
+        fleet.wait_for(model, 0, 1, 200_000);
+    }
+    fleet.wait_for(35, 2, 12, 200_000);
+    for _ in 0..10 {
+        fleet.step();
+    }
+    let waiting = (20..30).filter(|model| fleet.copies(*model) == 0 && !fleet.is_loading(*model));
+    let shortest_ms = waiting.map(|model| fleet.forecast_ms(model)).min();
+    assert!(
+        fleet.forecast_ms(35) <= shortest_ms.expect("a model that waits"),
+        "{} ms, others {shortest_ms:?}",
+        fleet.forecast_ms(35)
+    );
+}
