Begin a load for a caller who comes back

Where room is short, no load began for requests that end before it, unless more than one in five seconds was expected. A rare model with impatient callers was then never loaded, and each was refused with a time to come back in vain. A second request within about ten seconds now begins the load. The test sends two requests nine seconds apart.

--- a/src/orders/load_value.rs
+++ b/src/orders/load_value.rs
@@ -11,9 +11,10 @@
 /// seconds.
 pub(super) const REQUESTED_PER_S: f64 = 0.02;
 
-/// Requests per second from which on a load is begun for expected requests alone: more than one in
-/// the window of the measured rates. A single request may be the last one.
-const EXPECTED_PER_S: f64 = 0.3;
+/// Requests per second from which on a load is begun for expected requests alone. A single request
+/// gives 0.2 and may be the last one; a second one within about ten seconds, such as that of a caller
+/// who comes back, gives more.
+const EXPECTED_PER_S: f64 = 0.205;
 
 /// Weight that a rank loses against the next more urgent one.
 const RANK_STEP: f64 = 0.25;
--- a/tests/room_shortage.rs
+++ b/tests/room_shortage.rs
@@ -172,3 +172,20 @@
         fleet.forecast_ms(35)
     );
 }
+
+/// Guards against callers who come back in vain: a request that ends before the load is not loaded
+/// for, but a second one shows that a third can be served.
+#[test]
+fn a_load_is_begun_when_a_caller_comes_back() {
+    let mut fleet = RoomFleet::open(RoomSetup {
+        full_speed: 4,
+        ..RoomSetup::default()
+    });
+    fleet.run(1_000);
+    for loads in [0, 1] {
+        fleet.add_arrivals(30, 1);
+        fleet.wait_for_model(30, 0, 5_000);
+        fleet.run(9_000);
+        assert_eq!(fleet.begun_store_loads(30), loads);
+    }
+}
--- a/tests/wait_limits.rs
+++ b/tests/wait_limits.rs
@@ -80,6 +80,10 @@
     let first = register(1);
     let same = register(1);
     let urgent = register(0);
-    let news = [&first, &same, &urgent].map(|registration| registration.is_new_want());
+    let news = [
+        first.is_new_want(),
+        same.is_new_want(),
+        urgent.is_new_want(),
+    ];
     assert_eq!(news, [true, false, true]);
 }
