Let requests give way by value while upstreams are full

When all upstreams that could serve a request turned it away as full, a gateway sent it to others up to four times and then refused it, whatever its rank, size or deadline. The new LoadShedder keeps a price for each unit of work, which rises with each request that an upstream turns away as full and halves in a second. A request whose value (rank, urgency, tokens of prompt and answer) is below the price waits, or is refused at once with 503 if the price cannot fall in time; nothing of it was sent. A rank that gets less than a quarter of the service of all, and the largest tenth with less than half, are sent regardless. The price is 0 until an upstream is full, so nothing changes before. Delays and refusals are counted by rank and reason and logged with their inputs.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -318,7 +318,10 @@
                 self.context.record_missing(now, self.key, need);
                 false
             }
-            _ => true,
+            _ => {
+                self.context.record_full(plan, head, status);
+                true
+            }
         }
     }
 }
--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -8,6 +8,7 @@
 use super::buffered_call::BufferedCall;
 use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
+use super::shed_wait::ShedStep;
 use super::stream_relay::StartedStream;
 use super::token_wait::TokenWait;
 use super::{ChoiceInput, GatewayContext, PromptAdmission, UpstreamChoice, choose_upstream};
@@ -51,6 +52,7 @@
         held_since: None,
         has_waited: false,
         has_waited_for_token: false,
+        has_asked_to_send: false,
         resume_after: None,
         software,
         trial: None,
@@ -86,6 +88,8 @@
     has_waited: bool,
     /// Whether the request has waited for a token; logged once.
     has_waited_for_token: bool,
+    /// Whether the load shedder has counted the request.
+    has_asked_to_send: bool,
     /// Id of the last event that the client has received; `None` before the first one.
     resume_after: Option<u64>,
     /// Software version that wrote the events that the client has received, in this answer or before;
@@ -139,6 +143,14 @@
                     if self.hold_prompt(now, key).await {
                         continue;
                     }
+                    match self.ask_to_send(now).await {
+                        ShedStep::Send => {}
+                        ShedStep::Waited => continue,
+                        ShedStep::Refuse(retry_ms) => {
+                            let reason = RefusalReason::Overloaded;
+                            return FlowEnd::Response(self.refuse(reason, Some(retry_ms)));
+                        }
+                    }
                     if self.sends > 0 && !self.try_spend_resend(now) {
                         let reason = RefusalReason::Overloaded;
                         return FlowEnd::Response(self.refuse(reason, Some(DEFAULT_RETRY_MS)));
@@ -396,6 +408,21 @@
         true
     }
 
+    /// Lets the request give way while upstreams are full. A stream that has begun goes on.
+    async fn ask_to_send(&mut self, now: MonoTime) -> ShedStep {
+        if self.resume_after.is_some() {
+            return ShedStep::Send;
+        }
+        let is_first = !std::mem::replace(&mut self.has_asked_to_send, true);
+        let step = self.context.ask_to_send(now, &self.call.plan, is_first);
+        let step = step.await;
+        if matches!(step, ShedStep::Waited) {
+            // Upstreams that were full may have room now.
+            self.tried.clear();
+        }
+        step
+    }
+
     async fn pause(&self, generation: u64, limit_ms: u64) {
         let limit = Duration::from_millis(limit_ms);
         let waking = self.context.waits.woken_after(generation);
@@ -443,6 +470,8 @@
         let left_ms = plan.ends_at.millis_since(now);
         let labels = RefusalLabels::of(refusal);
         self.context.metrics.refused.get_or_create(&labels).inc();
+        let metrics = &self.context.metrics;
+        metrics.record_given_way(plan.rank, labels.reason);
         log::info!(
             request:% = plan.request,
             route:% = plan.route,
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -43,6 +43,8 @@
     pub need: Option<ModelNeed>,
     /// Prompt length in tokens.
     pub prompt_tokens: u32,
+    /// Expected answer length in tokens; 0 if the client gave none.
+    pub answer_tokens: u32,
     /// Id of the last shared part of the prompt; requests with the same id prefer the same upstream.
     pub affinity: Option<CompactString>,
     /// Parts of the prompt that other requests may share: all but the last.
@@ -72,7 +74,8 @@
                 .max(gap_ms.saturating_mul(FIRST_EVENT_GAP_FACTOR)),
             _ => limit_ms,
         };
-        let answer_ms = u64::from(head.output_tokens.unwrap_or(0)) * TOKEN_MS;
+        let answer_tokens = head.output_tokens.unwrap_or(0);
+        let answer_ms = u64::from(answer_tokens) * TOKEN_MS;
         let wait_ms = limit_ms
             .saturating_sub(answer_ms)
             .min(first_event_ms)
@@ -87,6 +90,7 @@
             rank: rule.rank,
             max_attempts: rule.max_attempts,
             prompt_tokens: token_sum(&head.prompt),
+            answer_tokens,
             parts: shared_parts(&head.prompt),
             affinity: shared.map(|index| head.prompt[index].id.clone()),
             need: head.need,
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -32,6 +32,7 @@
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
+use crate::shedding::LoadShedder;
 use crate::stream_origin::{OriginRegistry, SoftwareHistory};
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
@@ -104,6 +105,8 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// Requests that wait for a model.
     pub waits: Rc<WaitRegistry>,
+    /// Decides which requests give way while upstreams are full.
+    pub shedder: RefCell<LoadShedder>,
     /// Notified when an engine has finished reading a prompt of this process.
     pub prompt_read: BroadcastSignal,
     /// Retry budget for requests that are sent again.
@@ -177,6 +180,7 @@
             pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
             waits: WaitRegistry::open(),
+            shedder: RefCell::default(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
             origins: RefCell::new(OriginRegistry::open()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod planner_orders;
 mod planner_server;
 mod prompt_admission;
+mod shed_wait;
 mod start_check;
 mod stream_relay;
 mod takeover_delay;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rpc;
 pub mod run_once;
 pub mod settings;
+pub mod shedding;
 pub mod stream_origin;
 pub mod table;
 pub mod time;
--- a/src/metrics/metric_labels.rs
+++ b/src/metrics/metric_labels.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// Labels of refusals by rank.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RankLabels {
+    /// The rank.
+    pub rank: String,
+    /// The typed reason; for a delay, `delayed`.
+    pub reason: String,
+}
+
 /// Labels of engine orders.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OrderLabels {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,5 +3,5 @@
 mod metric_labels;
 mod node_metrics;
 
-pub use metric_labels::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+pub use metric_labels::{OrderLabels, RankLabels, RefusalLabels, RequestLabels, TableLabels};
 pub use node_metrics::NodeMetrics;
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+use super::{OrderLabels, RankLabels, RefusalLabels, RequestLabels, TableLabels};
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -22,6 +22,8 @@
     pub first_byte_s: LatencyFamily,
     /// Refusals by reason and outcome.
     pub refused: Family<RefusalLabels, Counter>,
+    /// Requests that were refused, or delayed since upstreams were full, by rank and reason.
+    pub given_way: Family<RankLabels, Counter>,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
     /// Requests that waited until an upstream accepted them.
@@ -71,6 +73,7 @@
             answered: Family::default(),
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
+            given_way: Family::default(),
             retried: Counter::default(),
             token_waits: Counter::default(),
             remote_bytes: Counter::default(),
@@ -117,6 +120,11 @@
             self.first_byte_s.clone(),
         );
         registry.register("refused", "Refused requests", self.refused.clone());
+        registry.register(
+            "given_way",
+            "Refused and delayed requests by rank and reason",
+            self.given_way.clone(),
+        );
         registry.register("retried", "Retried requests", self.retried.clone());
         registry.register(
             "token_waits",
@@ -130,6 +138,13 @@
         );
     }
 
+    /// Counts a request that was refused or delayed.
+    pub fn record_given_way(&self, rank: u8, reason: String) {
+        let rank = rank.to_string();
+        let labels = RankLabels { rank, reason };
+        self.given_way.get_or_create(&labels).inc();
+    }
+
     fn register_state(&mut self) {
         let registry = &mut self.registry;
         registry.register("orders", "Engine orders", self.orders.clone());
