--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -33,6 +33,7 @@
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
+use crate::shedding::LoadShedder;
 use crate::stream_origin::{OriginRegistry, SoftwareHistory};
 use crate::table::{TableEra, TableService};
 use crate::time::{DelayWatch, MonoClock};
@@ -112,6 +113,8 @@
     pub allowance_changed: BroadcastSignal,
     /// Requests that wait for a model.
     pub waits: Rc<WaitRegistry>,
+    /// Decides which requests give way while upstreams are full.
+    pub shedder: RefCell<LoadShedder>,
     /// Notified when an engine has finished reading a prompt of this process.
     pub prompt_read: BroadcastSignal,
     /// Retry budget for requests that are sent again.
@@ -188,6 +191,7 @@
             account_limiter: Rc::new(RefCell::new(AccountLimiter::open(clock.now()))),
             allowance_changed: BroadcastSignal::default(),
             waits: WaitRegistry::open(),
+            shedder: RefCell::default(),
             prompt_read: BroadcastSignal::default(),
             crashes: RefCell::new(QuarantineTracker::open()),
             origins: RefCell::new(OriginRegistry::open()),
@@ -347,6 +351,7 @@
         });
         EntryDemand {
             wants: self.waits.wants(self.now()),
+            left_ms: self.waits.left_ms(self.now()),
             runs: running.collect(),
             asked: arrivals
                 .into_iter()
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::{AccountMetrics, OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+use super::{AccountMetrics, OrderLabels, RankLabels, RefusalLabels, RequestLabels, TableLabels};
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -24,6 +24,8 @@
     pub refused: Family<RefusalLabels, Counter>,
     /// Keys and requests of client accounts.
     pub accounts: AccountMetrics,
+    /// Requests that were refused, or delayed since upstreams were full, by rank and reason.
+    pub given_way: Family<RankLabels, Counter>,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
     /// Answers with an odd figure of how long work takes at the upstream.
@@ -84,6 +86,7 @@
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
             accounts: AccountMetrics::default(),
+            given_way: Family::default(),
             retried: Counter::default(),
             odd_figures: Counter::default(),
             paused_streams: Counter::default(),
@@ -137,6 +140,11 @@
         );
         registry.register("refused", "Refused requests", self.refused.clone());
         self.accounts.register(registry);
+        registry.register(
+            "given_way",
+            "Refused and delayed requests by rank and reason",
+            self.given_way.clone(),
+        );
         registry.register("retried", "Retried requests", self.retried.clone());
         registry.register(
             "token_waits",
@@ -179,6 +187,13 @@
         );
     }
 
+    /// Counts a request that was refused or delayed.
+    pub fn record_given_way(&self, rank: u8, reason: String) {
+        let rank = rank.to_string();
+        let labels = RankLabels { rank, reason };
+        self.given_way.get_or_create(&labels).inc();
+    }
+
     fn register_state(&mut self) {
         let registry = &mut self.registry;
         registry.register("orders", "Engine orders", self.orders.clone());
--- a/src/orders/load_forecast.rs
+++ b/src/orders/load_forecast.rs
@@ -1,8 +1,11 @@
 //! Forecasts when a missing model becomes usable.
 
+use super::OrderPlanner;
+use std::cmp::Reverse;
+
 use super::demand_aggregator::WaitingTotal;
+use super::load_queue::LoadQueue;
 use super::upstream_state::UpstreamState;
-use super::{LoadSource, OrderPlanner, OrderVerb};
 use crate::fleet::ModelNeed;
 use crate::prelude::*;
 
@@ -23,11 +26,12 @@
         if upstreams().any(|state| state.can_serve(&need.model)) {
             return 0;
         }
-        let running = upstreams()
-            .filter_map(|state| state.running.as_ref())
-            .find(|order| order.verb == OrderVerb::Load && order.model == need.model);
-        if let Some(order) = running {
-            return order.due_at.millis_since(now);
+        let running = self.upstreams.iter().find(|(_, state)| {
+            is_reachable(state) && is_allowed(state) && state.is_loading(&need.model)
+        });
+        if let Some((key, state)) = running {
+            let left_ms = self.capacity.left_ms(now, key);
+            return left_ms.unwrap_or_else(|| state.due_in_ms(now));
         }
         let pause_ms = self.orders_from.millis_since(now);
         let has_copy =
@@ -46,15 +50,15 @@
             configs.find_map(|config| config.models.get(&need.model))
         });
         let load_ms = model_config.map_or(0, |model| model.store_load_ms);
-        let loads = self
-            .upstreams
-            .values()
-            .filter_map(|state| state.running.as_ref());
-        let mut due_ms: Vec<u64> = loads
-            .filter(|order| order.source == LoadSource::Store && order.verb == OrderVerb::Load)
-            .map(|order| order.due_at.millis_since(now))
-            .collect();
-        due_ms.sort_unstable();
+        let limit = self.capacity.load_limit(now);
+        if limit.is_some() || !self.short_services.is_empty() {
+            let limit = limit.unwrap_or(self.policy.store_loads);
+            let mut queue = LoadQueue::open(self.store_loads_left_ms(now), limit);
+            for _ in 0..self.loads_ahead(now, need) {
+                queue.add(load_ms);
+            }
+            return queue.add(load_ms);
+        }
         let wants = self.demand.wants();
         let rank = wants.get(need).map(|total| (total.rank, total.since));
         let is_ahead = |(other, total): &(&ModelNeed, &WaitingTotal)| {
@@ -63,6 +67,8 @@
                 && !self.upstreams.values().any(has_copy)
         };
         let ahead = wants.iter().filter(is_ahead).count();
+        let mut due_ms = self.store_loads_left_ms(now);
+        due_ms.sort_unstable();
         let slots = self.policy.store_loads.max(1);
         let round = u64::try_from(ahead / slots).unwrap_or(u64::MAX);
         let next_ms = if due_ms.len() < slots {
@@ -72,4 +78,58 @@
         };
         next_ms + load_ms.saturating_mul(round + 1)
     }
+
+    /// Number of loads from the weight store that wait and begin before that of a need. Loads in
+    /// progress are not among them.
+    fn loads_ahead(&self, now: MonoTime, need: &ModelNeed) -> usize {
+        let loading = self.upstreams.values();
+        let loading: Vec<&UpstreamState> = loading
+            .filter(|state| state.is_loading_from_store())
+            .collect();
+        let is_from_store = |model: &ModelName| {
+            self.index.local_holders(model).is_empty()
+                && !loading.iter().any(|state| state.is_loading(model))
+        };
+        let wants = self.demand.wants();
+        let Some(total) = wants.get(need) else {
+            return wants
+                .keys()
+                .filter(|need| is_from_store(&need.model))
+                .count();
+        };
+        let own = self.load_turn(now, need, total);
+        let others = wants.iter().filter(|(other, other_total)| {
+            let turn = self.load_turn(now, other, other_total);
+            turn.is_some_and(|turn| own.as_ref().is_none_or(|own| turn < *own))
+        });
+        let others = others.filter(|(other, _)| is_from_store(&other.model));
+        others.count()
+    }
+
+    /// Position of a load among those that wait, first the lowest: by value where room is short, by
+    /// urgency elsewhere. `None` if no load begins, since no request gains from it.
+    fn load_turn<'a>(
+        &self,
+        now: MonoTime,
+        need: &'a ModelNeed,
+        total: &WaitingTotal,
+    ) -> Option<(Reverse<u64>, u8, MonoTime, &'a ModelNeed)> {
+        let value = if self.short_services.contains(&total.service) {
+            self.load_value(now, need, total)?.thousandths()
+        } else {
+            0
+        };
+        Some((Reverse(value), total.rank, total.since, need))
+    }
+
+    /// Milliseconds until each load from the weight store that is in progress ends.
+    fn store_loads_left_ms(&self, now: MonoTime) -> Vec<u64> {
+        let loads = self.upstreams.iter();
+        let loads = loads.filter(|(_, state)| state.is_loading_from_store());
+        let left_ms = loads.map(|(key, state)| {
+            let left_ms = self.capacity.left_ms(now, key);
+            left_ms.unwrap_or_else(|| state.due_in_ms(now))
+        });
+        left_ms.collect()
+    }
 }
--- a/src/orders/model_orders.rs
+++ b/src/orders/model_orders.rs
@@ -62,22 +62,23 @@
         }
     }
 
-    /// Loads the models that requests of the given ranks wait for.
+    /// Loads the models that the given requests wait for.
     pub(super) fn load_waiting_models(
         &mut self,
         view: TickView<'_>,
-        has_rank: impl Fn(u8) -> bool,
+        is_due: impl Fn(&WaitingTotal) -> bool,
     ) {
         let mut missing: Vec<(&ModelNeed, &WaitingTotal)> = view
             .wants
             .iter()
-            .filter(|(_, total)| has_rank(total.rank))
+            .filter(|(_, total)| is_due(total))
             .collect();
         missing.sort_by_key(|(_, total)| (total.rank, total.since));
+        self.sort_by_value(view, &mut missing);
         for (need, total) in missing {
             let is_held = self.copies(&need.model) > 0
                 && self.reachable().any(|state| state.can_serve_model_of(need));
-            if !is_held {
+            if !is_held && self.gains_from_load(view, need, total) {
                 let waited_ms = view.now.millis_since(total.since);
                 let purpose = LoadPurpose::Wanted {
                     rank: total.rank,
@@ -239,7 +240,8 @@
             .catalog
             .service(service)
             .and_then(|service| service.engine.as_ref());
-        let cost_view = config.and_then(|config| self.cost_view(view, config, model, purpose));
+        let cost_view =
+            config.and_then(|config| self.cost_view(view, service, config, model, purpose));
         let Some(cost_view) = cost_view else { return };
         let may_use_store = self.may_load_from_store(view, purpose);
         let candidates: Vec<UpstreamKey> = if may_use_store {
@@ -277,11 +279,14 @@
     fn cost_view<'a>(
         &self,
         view: TickView<'_>,
+        service: &ServiceName,
         config: &'a EngineConfig,
         model: &ModelName,
         purpose: LoadPurpose,
     ) -> Option<CostView<'a>> {
         let gain_per_s = self.gain_per_s(view, model, self.copies(model), config.slots, purpose);
+        let short_gain = self.short_gain_per_s(view, service, model, purpose);
+        let gain_per_s = short_gain.unwrap_or(gain_per_s);
         Some(CostView {
             now: view.now,
             config,
@@ -291,7 +296,8 @@
             gain_per_s,
             may_evict_busy: purpose.may_evict_busy(),
             last_copy_gain_per_s: if purpose.is_copy() {
-                gain_per_s * LAST_COPY_SHARE
+                self.short_copy_gain_per_s(service)
+                    .unwrap_or(gain_per_s * LAST_COPY_SHARE)
             } else {
                 gain_per_s
             },
@@ -332,7 +338,7 @@
         let config = engine_config(view.catalog, state)?;
         let cost_view = CostView {
             may_evict_wanted: true,
-            ..self.cost_view(view, config, model, state.planned_purpose)?
+            ..self.cost_view(view, &state.service, config, model, state.planned_purpose)?
         };
         self.load_option_at(view, &cost_view, key, model)
     }
@@ -409,6 +415,7 @@
             .values()
             .filter(|state| state.has_pending_store_load())
             .count();
-        loading < purpose.store_load_limit(&self.policy) && is_within_rate
+        let policy = self.store_policy(view.now);
+        loading < purpose.store_load_limit(&policy) && is_within_rate
     }
 }
