--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -1,5 +1,6 @@
-//! Benchmarks of latency, capacity, cold starts and overload.
+//! Benchmarks of latency, capacity, cold starts, overload and single parts.
 
+mod accounts_bench;
 mod capacity_bench;
 mod cold_bench;
 pub mod example_fleet;
@@ -27,6 +28,7 @@
         BenchCmd::Capacity(_) => capacity_bench::run().await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
+        BenchCmd::Accounts(accounts) => Ok(accounts_bench::run(&accounts)),
         BenchCmd::Planner(planner) => Ok(planner_bench::run(&planner)),
     }
 }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -87,6 +87,13 @@
             }
             /// Measure how control-plane cost grows with fleet size; runs real daemons.
             cmd capacity {}
+            /// Measure the processor time of finding the account of a request.
+            cmd accounts {
+                /// Number of accounts.
+                optional --accounts count: usize
+                /// Number of keys of all accounts.
+                optional --keys count: usize
+            }
             /// Measure the processor time of the order planner by fleet size.
             cmd planner {
                 /// Number of engines.
