--- a/cli/src/bench/accounts_bench.rs
+++ b/cli/src/bench/accounts_bench.rs
@@ -1,4 +1,4 @@
-//! `quetzalpin bench accounts`: processor time of finding the account of a request.
+//! `quetzalpin bench accounts`: time of finding the account of a request.
 
 use std::hint::black_box;
 use std::process::ExitCode;
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -87,7 +87,7 @@
             }
             /// Measure how control-plane cost grows with fleet size; runs real daemons.
             cmd capacity {}
-            /// Measure the processor time of finding the account of a request.
+            /// Measure the time of finding the account of a request.
             cmd accounts {
                 /// Number of accounts.
                 optional --accounts count: usize
