--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks of latency, capacity, cold starts and overload.
 
 mod capacity_bench;
+mod choice_bench;
 mod cold_bench;
 pub mod example_fleet;
 mod fleet_thread;
@@ -27,6 +28,7 @@
         BenchCmd::Capacity(_) => capacity_bench::run().await,
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
+        BenchCmd::Choice(choice) => Ok(choice_bench::run(&choice)),
         BenchCmd::Planner(planner) => Ok(planner_bench::run(&planner)),
     }
 }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -94,6 +94,11 @@
                 /// Number of entries.
                 optional --entries count: usize
             }
+            /// Measure the processor time of one choice of an upstream.
+            cmd choice {
+                /// Number of upstreams.
+                optional --upstreams count: usize
+            }
             /// Measure service by rank before, during and after a flood.
             cmd flood {
                 /// background, urgent or both
