--- a/cli/src/bench/mod.rs
+++ b/cli/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts_bench;
 mod capacity_bench;
+mod choice_bench;
 mod cold_bench;
 pub mod example_fleet;
 mod fleet_thread;
@@ -29,6 +30,7 @@
         BenchCmd::Cold(cold) => cold_bench::run(&cold).await,
         BenchCmd::Flood(flood) => flood_bench::run(&flood).await,
         BenchCmd::Accounts(accounts) => Ok(accounts_bench::run(&accounts)),
+        BenchCmd::Choice(choice) => Ok(choice_bench::run(&choice)),
         BenchCmd::Planner(planner) => Ok(planner_bench::run(&planner)),
     }
 }
