Show operators why a model is not loaded and who gives way

Orders are logged with the limit of concurrent loads and the value of the load, refusals with their rank, and the planner logs once for each model that it is not loaded since the requests for it end before the load. The tests of the planner and of short rooms pass unchanged.

--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -476,6 +476,7 @@
             request:% = plan.request,
             route:% = plan.route,
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+            rank = plan.rank,
             reason:? = refusal.reason,
             outcome:? = refusal.outcome,
             sends = self.sends,
--- a/src/gateway/planner_orders.rs
+++ b/src/gateway/planner_orders.rs
@@ -123,6 +123,8 @@
         rate_per_s = basis.rate_per_s,
         copies = basis.copies,
         store_loads = basis.store_loads,
+        store_limit = basis.store_limit,
+        value = basis.value,
         answer:? = answer;
         "order"
     );
--- a/src/orders/order_planner.rs
+++ b/src/orders/order_planner.rs
@@ -1,12 +1,13 @@
 //! Decides which engine loads and unloads which models and adapters.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::SecondaryMap;
 
 use super::demand_aggregator::WaitingTotal;
 use super::load_purpose::MOST_URGENT_RANK;
+use super::load_value::LoadValue;
 use super::tick_index::TickIndex;
 use super::upstream_state::{REPORT_LAG_MS, UpstreamState};
 use super::{
@@ -69,6 +70,8 @@
     pub(super) capacity: StoreCapacity,
     /// Services whose engines have too little room for their models, as of the last tick.
     pub(super) short_services: HashSet<ServiceName>,
+    /// Needs from whose load no waiting request gains, as of the last tick; each is logged once.
+    pub(super) useless_needs: BTreeSet<ModelNeed>,
     /// Copies of each model over all engines; counted at the start of a tick, usable ones again
     /// after each unload order.
     pub(super) index: TickIndex,
@@ -294,6 +297,7 @@
         self.add_copies(view);
         self.load_waiting_models(view, |total| !is_first(total));
         self.prefetch(view);
+        self.log_useless_loads(view);
         std::mem::take(&mut self.actions)
     }
 
@@ -326,6 +330,8 @@
             store_loads: upstreams
                 .filter(|state| state.has_pending_store_load())
                 .count(),
+            store_limit: self.capacity.load_limit(now),
+            value: self.wanted_value(now, model).map(LoadValue::thousandths),
         };
         let state = &mut self.upstreams[key];
         state.record_sent(order.verb, order.need.clone(), order.source);
--- a/src/orders/planner_action.rs
+++ b/src/orders/planner_action.rs
@@ -16,6 +16,11 @@
     pub copies: usize,
     /// Number of loads from the weight store that are in progress, in flight or waiting for room.
     pub store_loads: usize,
+    /// Maximum number of these loads that the capacity of the weight store allows; `None` while
+    /// nothing shows that loads slow each other down.
+    pub store_limit: Option<usize>,
+    /// Thousandths of the value of a load for each second, where room is short; `None` elsewhere.
+    pub value: Option<u64>,
 }
 
 /// A call to an engine that is due now.
--- a/src/orders/short_room.rs
+++ b/src/orders/short_room.rs
@@ -2,6 +2,7 @@
 //! models: which load comes first, and what may be evicted for it.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 use super::OrderPlanner;
 use super::demand_aggregator::WaitingTotal;
@@ -92,6 +93,55 @@
             .then_some(REQUESTED_PER_S)
     }
 
+    /// Highest value of a load of the model for the requests that wait for it. `None` where room is
+    /// enough, or if no request gains from it.
+    pub(super) fn wanted_value(&self, now: MonoTime, model: &ModelName) -> Option<LoadValue> {
+        if self.short_services.is_empty() {
+            return None;
+        }
+        let wants = self.demand.wants().iter().filter(|(need, total)| {
+            need.model == *model && self.short_services.contains(&total.service)
+        });
+        let values = wants.filter_map(|(need, total)| self.load_value(now, need, total));
+        values.max_by(|left, right| left.gain.total_cmp(&right.gain))
+    }
+
+    /// Logs each model that is not loaded, since the requests that wait for it end before its load
+    /// would.
+    pub(super) fn log_useless_loads(&mut self, view: TickView<'_>) {
+        if self.short_services.is_empty() {
+            return;
+        }
+        let is_useless = |(need, total): &(&ModelNeed, &WaitingTotal)| {
+            self.copies(&need.model) == 0
+                && !self.gains_from_load(view, need, total)
+                && !self
+                    .upstreams
+                    .values()
+                    .any(|state| state.has_pending_load(&need.model))
+        };
+        let useless: BTreeSet<ModelNeed> = view
+            .wants
+            .iter()
+            .filter(is_useless)
+            .map(|(need, _)| need.clone())
+            .collect();
+        for need in useless.difference(&self.useless_needs) {
+            let total = &view.wants[need];
+            log::info!(
+                need:% = need,
+                rank = total.rank,
+                count = total.count,
+                left_ms = total.usable_until.map(|until| until.millis_since(view.now)),
+                rate_per_s = self.demand.rate(view.now, &need.model),
+                forecast_ms = self.forecast_ms(view.now, need),
+                store_limit = self.capacity.load_limit(view.now);
+                "model not loaded, requests end before the load"
+            );
+        }
+        self.useless_needs = useless;
+    }
+
     /// Value of a load that begins now; `None` if no request gains from it.
     pub(super) fn load_value(
         &self,
