--- a/src/gateway/call_flow.rs
+++ b/src/gateway/call_flow.rs
@@ -507,6 +507,7 @@
             account = plan.account.as_ref().map(AccountName::as_str),
             cost = plan.cost,
             need:% = plan.need.as_ref().map(ToString::to_string).unwrap_or_default(),
+            rank = plan.rank,
             reason:? = refusal.reason,
             outcome:? = refusal.outcome,
             sends = self.sends,
