Let gateways without a planner use part of the saved allowance

An account with few requests at each of many gateways was refused more than needed while there was no planner, since the rate that a gateway was told says little of its need. The gateways together now use a quarter of the bucket's depth at once when they lose the planner, and the planner charges a gateway's part when it reports again, so that losing it again and again adds nothing.

--- a/src/account_limit/account_bucket.rs
+++ b/src/account_limit/account_bucket.rs
@@ -43,6 +43,11 @@
         &self.limit
     }
 
+    /// Units that it holds at most.
+    pub fn depth(&self) -> f64 {
+        self.bounds.depth(&self.limit)
+    }
+
     /// Applies another limit; what exceeds its depth is dropped.
     pub fn set_limit(&mut self, limit: AccountLimit) {
         self.limit = limit;
--- a/src/account_limit/account_issuer.rs
+++ b/src/account_limit/account_issuer.rs
@@ -84,6 +84,9 @@
         if was_silent || now.millis_since(self.checked_at) >= SILENCE_CHECK_MS {
             self.check_silence(now);
         }
+        if was_silent {
+            self.charge_paced(now);
+        }
         let requests = report.requests.iter();
         requests
             .map(|request| self.exchange_one(now, gateway, request, accounts, before.is_none()))
@@ -140,6 +143,14 @@
         row
     }
 
+    /// Charges what a gateway that was silent may have used at once, of each account.
+    fn charge_paced(&mut self, now: MonoTime) {
+        let counted = self.counted(now);
+        for row in self.rows.values_mut() {
+            row.charge_paced(counted);
+        }
+    }
+
     /// Reserves the rates of gateways that do not report, and forgets accounts that are not used.
     fn check_silence(&mut self, now: MonoTime) {
         self.checked_at = now;
--- a/src/account_limit/account_limiter.rs
+++ b/src/account_limit/account_limiter.rs
@@ -2,8 +2,12 @@
 
 use std::collections::HashMap;
 
+use super::allowance_pace::PaceShare;
 use super::limited_account::LimitedAccount;
-use super::{Allowance, AllowanceGrant, AllowanceReport, PLANNER_SILENCE_MS, least_rate_per_s};
+use super::{
+    AccountBounds, Allowance, AllowanceGrant, AllowanceReport, PLANNER_SILENCE_MS,
+    least_rate_per_s, paced_units,
+};
 use crate::account::{AccountDirectory, AccountLimit};
 use crate::prelude::*;
 use crate::rate_limit::WaitTurn;
@@ -52,6 +56,7 @@
 /// Tracks the allowance of the accounts that were active lately at this gateway.
 #[derive(Debug)]
 pub struct AccountLimiter {
+    bounds: AccountBounds,
     accounts: HashMap<AccountName, LimitedAccount>,
     /// When the last report that a planner answered was sent.
     answered_at: MonoTime,
@@ -68,8 +73,9 @@
 impl AccountLimiter {
     /// Creates a limiter without allowance.
     #[must_use]
-    pub fn open(now: MonoTime) -> Self {
+    pub fn open(now: MonoTime, bounds: AccountBounds) -> Self {
         Self {
+            bounds,
             accounts: HashMap::new(),
             answered_at: now,
             gateway_count: ASSUMED_GATEWAYS,
@@ -94,11 +100,14 @@
         wait: AccountWait,
     ) -> Option<Allowance> {
         let is_silent = self.is_silent(now);
-        let least_per_s = least_rate_per_s(limit.per_s, self.gateway_count);
-        let answered_at = self.answered_at;
+        let share = PaceShare {
+            answered_at: self.answered_at,
+            least_per_s: least_rate_per_s(limit.per_s, self.gateway_count),
+            saved: paced_units(self.bounds.depth(&limit), self.gateway_count),
+        };
         let known = self.known(now, account, limit);
         if is_silent {
-            known.begin_pace(now, answered_at, least_per_s, wait);
+            known.begin_pace(now, share, wait);
         }
         known.take(now, wait)
     }
--- a/src/account_limit/account_row.rs
+++ b/src/account_limit/account_row.rs
@@ -5,8 +5,8 @@
 use super::account_bucket::AccountBucket;
 use super::gateway_share::GatewayShare;
 use super::{
-    AccountBounds, AllowanceGrant, AllowanceRequest, GRANT_WINDOW_MS, WaitingCost, whole_ms,
-    whole_units,
+    AccountBounds, AllowanceGrant, AllowanceRequest, GRANT_WINDOW_MS, WaitingCost, paced_units,
+    whole_ms, whole_units,
 };
 use crate::account::AccountLimit;
 use crate::prelude::*;
@@ -121,6 +121,12 @@
         self.bucket.add(f64::from(expired), assigned);
     }
 
+    /// Charges what a gateway may have used at once without the planner.
+    pub fn charge_paced(&mut self, gateway_count: u32) {
+        let units = paced_units(self.bucket.depth(), gateway_count);
+        self.bucket.charge(whole_units(units.ceil()));
+    }
+
     /// Drops what is known of gateways that no longer use the account.
     pub fn drop_idle(&mut self, now: MonoTime) {
         self.shares
--- a/src/account_limit/allowance_pace.rs
+++ b/src/account_limit/allowance_pace.rs
@@ -6,50 +6,52 @@
 /// Seconds whose allowance is saved while no request needs it.
 const SAVED_S: f64 = 1.0;
 
-/// Rates at which a gateway goes on without a planner, in units per second.
+/// What a gateway may use of an account without a planner.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct PaceRates {
-    /// At first: what the planner named last, and the least rate.
-    pub first_per_s: f64,
-    /// In the long run.
+pub(super) struct PaceShare {
+    /// When the last report that a planner answered was sent.
+    pub answered_at: MonoTime,
+    /// Units per second that it may use for ever.
     pub least_per_s: f64,
+    /// Units that it may use at once.
+    pub saved: f64,
 }
 
 /// Allowance without a planner. Whole requests are admitted; the first one after a random part of its
 /// interval, so that the gateways together keep to the sum of their rates.
 #[derive(Debug)]
 pub(super) struct AllowancePace {
-    rates: PaceRates,
-    /// When the last answer's report was sent.
-    answered_at: MonoTime,
+    share: PaceShare,
+    /// Units per second that the planner named last, used for some seconds besides the least rate.
+    told_per_s: f64,
     saved: f64,
     updated_at: MonoTime,
 }
 
 impl AllowancePace {
     /// Begins with a request of the given cost.
-    pub fn open(now: MonoTime, answered_at: MonoTime, rates: PaceRates, cost: u32) -> Self {
+    pub fn open(now: MonoTime, share: PaceShare, told_per_s: f64, cost: u32) -> Self {
         Self {
-            rates,
-            answered_at,
-            saved: fastrand::f64() * f64::from(cost),
+            share,
+            told_per_s,
+            saved: share.saved + fastrand::f64() * f64::from(cost),
             updated_at: now,
         }
     }
 
     /// Units per second now.
     pub fn per_s(&self, now: MonoTime) -> f64 {
-        if now.millis_since(self.answered_at) < PACE_END_MS {
-            self.rates.first_per_s
+        if now.millis_since(self.share.answered_at) < PACE_END_MS {
+            self.share.least_per_s + self.told_per_s
         } else {
-            self.rates.least_per_s
+            self.share.least_per_s
         }
     }
 
     /// Keeps a part of the rates.
     pub fn scale(&mut self, part: f64) {
-        self.rates.first_per_s *= part;
-        self.rates.least_per_s *= part;
+        self.told_per_s *= part;
+        self.share.least_per_s *= part;
         self.saved *= part;
     }
 
@@ -57,7 +59,7 @@
     pub fn update(&mut self, now: MonoTime, cost: u32) {
         let gained = self.per_s(now) * seconds_between(self.updated_at, now);
         self.updated_at = now;
-        let most = (self.rates.first_per_s * SAVED_S).max(f64::from(cost));
+        let most = (self.per_s(now) * SAVED_S).max(f64::from(cost));
         self.saved = (self.saved + gained).min(most.max(self.saved));
     }
 
--- a/src/account_limit/limited_account.rs
+++ b/src/account_limit/limited_account.rs
@@ -1,7 +1,7 @@
 //! Allowance of one account at a gateway, and the requests that wait for it.
 
 use super::allowance_lease::LeasedUnits;
-use super::allowance_pace::{AllowancePace, PaceRates};
+use super::allowance_pace::{AllowancePace, PaceShare};
 use super::{
     AccountWait, Allowance, AllowanceGrant, AllowanceRequest, LEASE_MS, WaitingCost, decay,
     whole_ms, whole_units,
@@ -148,23 +148,14 @@
     }
 
     /// Goes on without a planner; `wait` is the request that needs allowance.
-    pub fn begin_pace(
-        &mut self,
-        now: MonoTime,
-        answered_at: MonoTime,
-        least_per_s: f64,
-        wait: AccountWait,
-    ) {
+    pub fn begin_pace(&mut self, now: MonoTime, share: PaceShare, wait: AccountWait) {
         if self.pace.is_some() {
             return;
         }
-        let told_per_s = f64::from(self.told.0) * decay(answered_at.millis_since(self.told.1));
-        let rates = PaceRates {
-            first_per_s: told_per_s + least_per_s,
-            least_per_s,
-        };
+        let told_age_ms = share.answered_at.millis_since(self.told.1);
+        let told_per_s = f64::from(self.told.0) * decay(told_age_ms);
         let first = self.waiting.first().unwrap_or(&wait);
-        self.pace = Some(AllowancePace::open(now, answered_at, rates, first.cost));
+        self.pace = Some(AllowancePace::open(now, share, told_per_s, first.cost));
     }
 
     pub fn end_pace(&mut self) {
--- a/src/account_limit/mod.rs
+++ b/src/account_limit/mod.rs
@@ -46,6 +46,15 @@
 /// A gateway's least rate without a planner: its equal share of a limit, divided by this.
 const LEAST_SHARE_DIVISOR: f64 = 4.0;
 
+/// Part of a bucket's depth that the gateways together use at once when they have no planner.
+const PACE_SAVED_PART: f64 = 0.25;
+
+/// Units that one gateway uses at once when it has no planner. The planner charges them when the gateway
+/// reports again.
+fn paced_units(depth: f64, gateway_count: u32) -> f64 {
+    depth * PACE_SAVED_PART / f64::from(gateway_count.max(1))
+}
+
 /// Least rate of one gateway without a planner, in units per second.
 fn least_rate_per_s(per_s: f64, gateway_count: u32) -> f64 {
     per_s / f64::from(gateway_count.max(1)) / LEAST_SHARE_DIVISOR
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -165,6 +165,10 @@
         let (exit_sender, exit_receiver) = oneshot::channel();
         Rc::new(Self {
             resends: RefCell::new(ResendWindow::open(config.resend_reserve / ASSUMED_ENTRIES)),
+            account_limiter: Rc::new(RefCell::new(AccountLimiter::open(
+                clock.now(),
+                config.accounts.bounds(),
+            ))),
             config,
             node,
             ports,
@@ -181,7 +185,6 @@
             loads: RefCell::new(LoadTracker::open()),
             pauses: RefCell::new(PauseRegistry::open()),
             rate_limiter: RefCell::new(RateLimiter::open()),
-            account_limiter: Rc::new(RefCell::new(AccountLimiter::open(clock.now()))),
             allowance_changed: BroadcastSignal::default(),
             waits: WaitRegistry::open(),
             prompt_read: BroadcastSignal::default(),
--- a/tests/account_limits/fleet_sim.rs
+++ b/tests/account_limits/fleet_sim.rs
@@ -147,7 +147,7 @@
         let mut rng = Rng::with_seed(seed);
         let gateways = (0..gateway_count).map(|number| SimGateway {
             name: InstanceName::from(format!("gateway-{number}").as_str()),
-            limiter: AccountLimiter::open(at(0)),
+            limiter: AccountLimiter::open(at(0), BOUNDS),
             limit,
             version: 1,
             state: GatewayState::Running,
@@ -204,7 +204,7 @@
     pub fn restart(&mut self, targets: &[usize]) {
         for index in targets {
             let gateway = &mut self.gateways[*index];
-            gateway.limiter = AccountLimiter::open(at(self.now));
+            gateway.limiter = AccountLimiter::open(at(self.now), BOUNDS);
             gateway.waiting.clear();
             gateway.asked_at = None;
             gateway.state = GatewayState::Running;
@@ -315,7 +315,7 @@
     }
 
     fn check_waiting(&mut self, index: usize) {
-        if self.now % WAIT_CHECK_MS != 0 {
+        if !self.now.is_multiple_of(WAIT_CHECK_MS) {
             return;
         }
         for request in std::mem::take(&mut self.gateways[index].waiting) {
--- a/tests/account_limits/limit_bound.rs
+++ b/tests/account_limits/limit_bound.rs
@@ -161,3 +161,25 @@
         assert_bound(&sim, after, acknowledged_at + 4_000, "lowered");
     }
 }
+
+/// Guards against what a gateway uses at once without a planner adding up, when gateways lose the planner
+/// again and again.
+#[rstest]
+fn gateways_lose_the_planner_again_and_again(
+    #[values(25, 68)] count: usize,
+    #[values(4_200.0, 50_000.0)] per_s: f64,
+) {
+    for seed in SEEDS {
+        let mut sim = FleetSim::open(seed, count, limit(per_s));
+        let hot = hot_per_s(limit(per_s));
+        sim.run(25_000, 0.1, &all(count));
+        sim.run(2_000, hot, &all(count));
+        for _ in 0..6 {
+            sim.set_state(&all(count), GatewayState::CutOff);
+            sim.run(2_200, hot, &all(count));
+            sim.set_state(&all(count), GatewayState::Running);
+            sim.run(700, hot, &all(count));
+        }
+        assert_bound(&sim, limit(per_s), 0, "again and again");
+    }
+}
--- a/tests/account_limits/small_cases.rs
+++ b/tests/account_limits/small_cases.rs
@@ -72,7 +72,7 @@
 
 /// A limiter with units in hand that were asked for at 0.
 fn limiter_with(held: u32) -> AccountLimiter {
-    let mut limiter = AccountLimiter::open(at(0));
+    let mut limiter = AccountLimiter::open(at(0), BOUNDS);
     let first = limiter.take(at(0), &account(), limit(RATE), wait(1, 0, 0, 500));
     assert_eq!(
         first, None,
@@ -241,7 +241,7 @@
 /// Guards against messages of deployments without accounts and of accounts that are not used.
 #[test]
 fn nothing_is_said_without_active_accounts() {
-    let mut limiter = AccountLimiter::open(at(0));
+    let mut limiter = AccountLimiter::open(at(0), BOUNDS);
     assert!(limiter.take_report(at(10)).is_empty());
     limiter.begin_stop();
     assert!(limiter.take_report(at(20)).is_empty());
