Refuse requests that cost more than an account may ever use

A caller states its request's cost, which may be any number. Such a request is now refused at once, at the gateway and at the planner.

--- a/src/account_limit/account_bounds.rs
+++ b/src/account_limit/account_bounds.rs
@@ -32,6 +32,13 @@
         (limit.burst + self.slack / 2.0).max(1.0)
     }
 
+    /// Whether a request costs so much that it cannot be granted: it would exceed the bound, and the
+    /// account would pay for it for long. Callers may state any cost.
+    #[must_use]
+    pub fn is_too_large(&self, limit: &AccountLimit, cost: u32) -> bool {
+        f64::from(cost) > self.exposure(limit).max(limit.per_s)
+    }
+
     /// Units that may be saved and in hand of the gateways together: with the rate over one window
     /// they are all that can arrive in it.
     #[must_use]
--- a/src/account_limit/account_bucket.rs
+++ b/src/account_limit/account_bucket.rs
@@ -48,6 +48,11 @@
         self.bounds.depth(&self.limit)
     }
 
+    /// Whether a request costs too much to be ever granted.
+    pub fn is_too_large(&self, cost: u32) -> bool {
+        self.bounds.is_too_large(&self.limit, cost)
+    }
+
     /// Applies another limit; what exceeds its depth is dropped.
     pub fn set_limit(&mut self, limit: AccountLimit) {
         self.limit = limit;
--- a/src/account_limit/account_limiter.rs
+++ b/src/account_limit/account_limiter.rs
@@ -99,6 +99,9 @@
         limit: AccountLimit,
         wait: AccountWait,
     ) -> Option<Allowance> {
+        if self.is_too_large(&limit, wait.cost) {
+            return None;
+        }
         let is_silent = self.is_silent(now);
         let share = PaceShare {
             answered_at: self.answered_at,
@@ -119,6 +122,12 @@
         }
     }
 
+    /// Whether a request costs too much to be ever granted.
+    #[must_use]
+    pub fn is_too_large(&self, limit: &AccountLimit, cost: u32) -> bool {
+        self.bounds.is_too_large(limit, cost)
+    }
+
     /// Milliseconds until a request gets its allowance, as far as is known.
     #[must_use]
     pub fn forecast_ms(&self, now: MonoTime, account: &AccountName, wait: AccountWait) -> u64 {
--- a/src/account_limit/account_row.rs
+++ b/src/account_limit/account_row.rs
@@ -107,7 +107,9 @@
         }
         let share = self.shares.entry(gateway.clone());
         let share = share.or_insert_with(|| GatewayShare::open(now));
-        share.set_waiting(now, &request.waiting);
+        let bucket = &self.bucket;
+        let grantable = request.waiting.iter().copied();
+        share.set_waiting(now, grantable.filter(|cost| !bucket.is_too_large(cost.1)));
         self.assign(now);
         self.grant(now, gateway, request)
     }
--- a/src/account_limit/gateway_share.rs
+++ b/src/account_limit/gateway_share.rs
@@ -46,7 +46,7 @@
     }
 
     /// Sets the requests that wait; those that units are set apart for count as served.
-    pub fn set_waiting(&mut self, now: MonoTime, waiting: &[WaitingCost]) {
+    pub fn set_waiting(&mut self, now: MonoTime, waiting: impl Iterator<Item = WaitingCost>) {
         self.reported_at = now;
         let mut covered = self.assigned;
         self.waiting.clear();
@@ -54,7 +54,7 @@
             if self.waiting.is_empty() && covered >= cost.1 {
                 covered -= cost.1;
             } else {
-                self.waiting.push_back(*cost);
+                self.waiting.push_back(cost);
             }
         }
         self.waiting_units = self.waiting.iter().map(|cost| f64::from(cost.1)).sum();
--- a/src/gateway/account_admission.rs
+++ b/src/gateway/account_admission.rs
@@ -138,7 +138,8 @@
         let limiter = context.account_limiter.borrow();
         let patience_ms = limiter.patience_ms(now, now.millis_since(since), left_ms);
         let forecast_ms = limiter.forecast_ms(now, &need.account, need.wait);
-        let is_hopeless = limiter.is_hopeless(now, forecast_ms, patience_ms);
+        let is_hopeless = limiter.is_too_large(&need.limit, need.wait.cost)
+            || limiter.is_hopeless(now, forecast_ms, patience_ms);
         drop(limiter);
         if is_hopeless {
             return Err(forecast_ms.max(need.limit.refill_ms(need.wait.cost)));
--- a/tests/account_limits/small_cases.rs
+++ b/tests/account_limits/small_cases.rs
@@ -228,6 +228,37 @@
     );
 }
 
+/// Guards against a caller that states an absurd cost, which would be granted from a full bucket and leave
+/// the account without allowance for days.
+#[test]
+fn request_of_absurd_cost_harms_nobody() {
+    let accounts = directory(limit(RATE));
+    let mut issuer = AccountIssuer::open(at(0), BOUNDS);
+    let waiting = [WaitingCost(0, u32::MAX), WaitingCost(1, 500)];
+    for now in [0, 10_000, 20_000] {
+        let grants = issuer.exchange(at(now), &gateway(1), &ask(&waiting, 0, 0), &accounts);
+        assert_eq!(units(&grants), 500);
+    }
+    let mut limiter = AccountLimiter::open(at(0), BOUNDS);
+    let absurd = wait(0, 20_000, 1, u32::MAX);
+    let usual = wait(1, 20_000, 2, 100);
+    assert!(limiter.is_too_large(&limit(RATE), absurd.cost));
+    assert_eq!(
+        limiter.take(at(20_000), &account(), limit(RATE), absurd),
+        None
+    );
+    // Without a planner, too.
+    let _ = limiter.take(at(20_000), &account(), limit(RATE), usual);
+    let taken = limiter.take(at(30_000), &account(), limit(RATE), usual);
+    assert!(taken.is_some());
+    // The absurd cost has not filled the gateway's own allowance.
+    let large = wait(1, 30_000, 3, 20_000);
+    assert_eq!(
+        limiter.take(at(30_000), &account(), limit(RATE), large),
+        None
+    );
+}
+
 /// Guards against a new planner that grants what gateways still hold from the one before.
 #[test]
 fn new_planner_charges_what_is_in_hand() {
