--- a/src/account_limit/account_row.rs
+++ b/src/account_limit/account_row.rs
@@ -5,8 +5,8 @@
 use super::account_bucket::AccountBucket;
 use super::gateway_share::GatewayShare;
 use super::{
-    AccountBounds, AllowanceGrant, AllowanceRequest, GRANT_WINDOW_MS, WaitingCost, whole_ms,
-    whole_units,
+    AccountBounds, AllowanceGrant, AllowanceRequest, GRANT_WINDOW_MS, WaitingCost, paced_units,
+    whole_ms, whole_units,
 };
 use crate::account::AccountLimit;
 use crate::prelude::*;
@@ -107,7 +107,9 @@
         }
         let share = self.shares.entry(gateway.clone());
         let share = share.or_insert_with(|| GatewayShare::open(now));
-        share.set_waiting(now, &request.waiting);
+        let bucket = &self.bucket;
+        let grantable = request.waiting.iter().copied();
+        share.set_waiting(now, grantable.filter(|cost| !bucket.is_too_large(cost.1)));
         self.assign(now);
         self.grant(now, gateway, request)
     }
@@ -121,6 +123,12 @@
         self.bucket.add(f64::from(expired), assigned);
     }
 
+    /// Charges what a gateway may have used at once without the planner.
+    pub fn charge_paced(&mut self, gateway_count: u32) {
+        let units = paced_units(self.bucket.depth(), gateway_count);
+        self.bucket.charge(whole_units(units.ceil()));
+    }
+
     /// Drops what is known of gateways that no longer use the account.
     pub fn drop_idle(&mut self, now: MonoTime) {
         self.shares
