Skip the exponential for upstreams without failures, and time the fastest batch of choices

A choice among 46 candidates took 5.5 to 10 us on a machine at a load of 21, against 2 us required; each candidate computed the decay of its failure average, also of zero. The average only decays, so one at or below the threshold needs no exponential. The benchmark names the fastest of 200 batches beside the mean, because other processes disturb it. The tests of the choice pass unchanged.

--- a/cli/src/bench/choice_bench.rs
+++ b/cli/src/bench/choice_bench.rs
@@ -21,8 +21,11 @@
 /// Number of candidates without `--upstreams`; the largest deployment has as many engines.
 const DEFAULT_UPSTREAMS: usize = 46;
 
+/// Measurements of each case; the fastest one has been disturbed least by other processes.
+const BATCHES: u32 = 200;
+
 /// Choices of one measurement.
-const CHOICES: u32 = 100_000;
+const CHOICES: u32 = 500;
 
 /// Time at which all choices are made.
 const NOW: MonoTime = MonoTime::from_millis(10_000);
@@ -48,8 +51,14 @@
     ];
     for (name, is_uneven, shares_prompt) in cases {
         let load = ChoiceLoad::open(upstreams, is_uneven);
-        let mean_us = load.measure(&call_plan(shares_prompt));
-        println!("{name:<14} {mean_us:8.3} us each, {upstreams} candidates");
+        let plan = call_plan(shares_prompt);
+        let batches: Vec<f64> = (0..BATCHES).map(|_| load.measure(&plan)).collect();
+        let least_us = batches.iter().copied().fold(f64::INFINITY, f64::min);
+        let mean_us = batches.iter().sum::<f64>() / f64::from(BATCHES);
+        println!(
+            "{name:<14} {least_us:8.3} us each in the fastest batch, {mean_us:.3} us in the mean, \
+             {upstreams} candidates"
+        );
     }
     ExitCode::SUCCESS
 }
--- a/src/gateway/load_tracker.rs
+++ b/src/gateway/load_tracker.rs
@@ -185,9 +185,10 @@
     /// Whether the upstream failed so often recently that others are preferred.
     #[must_use]
     pub fn is_suspect(&self, now: MonoTime, key: UpstreamKey) -> bool {
-        self.loads
-            .get(key)
-            .is_some_and(|load| decayed_failures(load, now) > SUSPECT_FAILURE_SHARE)
+        // The average only decays, so that most upstreams need no exponential.
+        let may_be = |load: &&UpstreamLoad| load.failures > SUSPECT_FAILURE_SHARE;
+        let load = self.loads.get(key).filter(may_be);
+        load.is_some_and(|load| decayed_failures(load, now) > SUSPECT_FAILURE_SHARE)
     }
 
     /// Drops the state of upstreams that no longer exist.
