--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use compio::io::AsyncWriteExt;
+use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use quetzalpin_platform_soak::{
     CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, call_gateway,
@@ -29,6 +29,9 @@
     plain_workers: 1,
 };
 
+/// Number of lines in a head within the limit of 16,384 bytes.
+const HEAD_LINES: usize = 120;
+
 /// Part of a request that has no end.
 #[derive(Debug, Clone, Copy)]
 enum Endless {
@@ -108,3 +111,30 @@
         assert_eq!(fleet.audit.runs("r1"), 0);
     });
 }
+
+/// Guards against 431 for a head that has many lines and is far smaller than the limit in bytes.
+#[test]
+fn a_head_of_many_short_lines_is_served() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
+        let address = fleet.gateways[0].process.address;
+        let lines: String = (0..HEAD_LINES)
+            .map(|number| format!("x-{number}: 1\r\n"))
+            .collect();
+        let request = format!(
+            "POST /lookup/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: many-lines\r\n{lines}\
+             content-length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let sending = stream.write_all(request.into_bytes());
+        sending.await.0.expect("a sent request");
+        let reading = stream.read(Vec::with_capacity(4_096));
+        let compio::BufResult(read, bytes) = reading.await;
+        read.expect("an answer");
+        let answer = String::from_utf8_lossy(&bytes).into_owned();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    });
+}
