Close connections of clients without progress before they take all descriptors

Cause: a server took up to 4,096 connections, more than the descriptors of an instance, and each one held 16 KB of buffers in front of the socket. Clients that only hold connections kept others out. Change: a table of connections with a limit in total and per address. If it is full, the connection that does least gives way: one whose first head is longest on its way, or else the one that is idle for longest; never one with a request. Heads have a time of their own, and a client that takes no byte of what is ready is cut off. One timer per server runs only while a head or a blocked write is on its way. The server reads and writes the socket without buffers in between. A head may have 256 lines (100 before): a head of 120 short lines is served.

--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -44,6 +44,7 @@
     ) -> Result<Self, DaemonError> {
         let front_limits = ServerLimits {
             header_ms: config.idle_ms,
+            ..ServerLimits::default()
         };
         let front = HttpServer::bind(node.listen)
             .await?
--- a/src/metrics/metric_labels.rs
+++ b/src/metrics/metric_labels.rs
@@ -1,6 +1,8 @@
 //! Label sets of the metrics.
 
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 
 use crate::refusal::{ProblemDocument, RequestRefusal};
 
@@ -50,3 +52,13 @@
     /// `ok` or `failed`.
     pub result: String,
 }
+
+/// Labels of clients that were cut off.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClosureLabels {
+    /// The limit that the client met.
+    pub reason: &'static str,
+}
+
+/// Counts clients that were cut off, by reason.
+pub type ClosureCounter = Family<ClosureLabels, Counter>;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,5 +3,7 @@
 mod metric_labels;
 mod node_metrics;
 
-pub use metric_labels::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+pub use metric_labels::{
+    ClosureCounter, ClosureLabels, OrderLabels, RefusalLabels, RequestLabels, TableLabels,
+};
 pub use node_metrics::NodeMetrics;
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::{OrderLabels, RefusalLabels, RequestLabels, TableLabels};
+use super::{ClosureCounter, OrderLabels, RefusalLabels, RequestLabels, TableLabels};
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -22,6 +22,8 @@
     pub first_byte_s: LatencyFamily,
     /// Refusals by reason and outcome.
     pub refused: Family<RefusalLabels, Counter>,
+    /// Clients that were cut off, by the limit that they met.
+    pub cut_clients: ClosureCounter,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
     /// Requests that waited until an upstream accepted them.
@@ -71,6 +73,7 @@
             answered: Family::default(),
             first_byte_s: Family::new_with_constructor(latency_histogram),
             refused: Family::default(),
+            cut_clients: ClosureCounter::default(),
             retried: Counter::default(),
             token_waits: Counter::default(),
             remote_bytes: Counter::default(),
@@ -117,6 +120,11 @@
             self.first_byte_s.clone(),
         );
         registry.register("refused", "Refused requests", self.refused.clone());
+        registry.register(
+            "cut_clients",
+            "Clients that were cut off",
+            self.cut_clients.clone(),
+        );
         registry.register("retried", "Retried requests", self.retried.clone());
         registry.register(
             "token_waits",
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use cyper_core::{CompioExecutor, CompioTimer};
 use derive_more::{Display, Error};
 use futures_channel::oneshot;
 use futures_util::future::{LocalBoxFuture, Shared};
@@ -17,6 +17,11 @@
 use hyper_util::server::conn::auto;
 use send_wrapper::SendWrapper;
 
+use super::answer_body::AnswerBody;
+use super::caller_stream::CallerStream;
+use super::client_closures::ClientClosures;
+use super::connection_progress::ConnectionProgress;
+use super::connection_table::{ConnectionLimits, ConnectionTable};
 use super::{HttpBody, NetError, socket_options};
 
 /// Limits that a server applies to its clients.
@@ -24,19 +29,24 @@
 pub struct ServerLimits {
     /// Milliseconds within which a request head must arrive, including the idle time before it.
     pub header_ms: u64,
+    /// Limits on connections.
+    pub connections: ConnectionLimits,
 }
 
 impl Default for ServerLimits {
     fn default() -> Self {
-        Self { header_ms: 5_000 }
+        Self {
+            header_ms: 5_000,
+            connections: ConnectionLimits::default(),
+        }
     }
 }
 
 /// Largest request head in bytes.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
 
-/// Largest number of open connections; further ones are closed at once.
-const MAX_CONNECTIONS: usize = 4_096;
+/// Largest number of lines in a request head. The parser takes memory for all of them with each head.
+const MAX_HEADER_LINES: usize = 256;
 
 /// Interval and timeout of HTTP/2 pings in milliseconds.
 const PING_INTERVAL_MS: u64 = 1_000;
@@ -79,6 +89,7 @@
 pub struct HttpServer {
     listener: TcpListener,
     limits: ServerLimits,
+    closures: ClientClosures,
 }
 
 /// Handle of a running server; dropping it stops the server at once.
@@ -100,6 +111,7 @@
         Ok(Self {
             listener,
             limits: ServerLimits::default(),
+            closures: ClientClosures::default(),
         })
     }
 
@@ -110,6 +122,13 @@
         self
     }
 
+    /// Counts the clients that are cut off.
+    #[must_use]
+    pub fn with_closures(mut self, closures: ClientClosures) -> Self {
+        self.closures = closures;
+        self
+    }
+
     /// The bound address.
     ///
     /// # Errors
@@ -129,6 +148,7 @@
         let accepting = accept_loop(
             self.listener,
             self.limits,
+            self.closures,
             handler,
             stop_receiver.map(|_| ()).boxed_local().shared(),
             Rc::clone(&open_count),
@@ -184,19 +204,37 @@
 async fn accept_loop<H: HttpHandler>(
     listener: TcpListener,
     limits: ServerLimits,
+    closures: ClientClosures,
     handler: Rc<H>,
     stop: StopSignal,
     open_count: Rc<Cell<usize>>,
 ) {
-    let serve = |stream, peer| {
-        if open_count.get() >= MAX_CONNECTIONS || socket_options::apply(&stream).is_err() {
+    let table = ConnectionTable::open(limits.connections, closures);
+    let sweeping_table = Rc::clone(&table);
+    let _sweeping = compio::runtime::spawn(async move { sweeping_table.run_sweeps().await });
+    let serve = |stream: TcpStream, peer: SocketAddr| {
+        if socket_options::apply(&stream).is_err() {
             return;
         }
+        let Some((slot, closed)) = table.admit(peer.ip()) else {
+            return;
+        };
         let guard = ConnectionGuard::open(&open_count);
-        let serving = serve_connection(stream, peer, limits, Rc::clone(&handler), stop.clone());
+        let open_connection = OpenConnection {
+            stream,
+            peer,
+            progress: Rc::clone(&slot.progress),
+        };
+        let serving = serve_connection(open_connection, limits, Rc::clone(&handler), stop.clone());
         compio::runtime::spawn(async move {
-            serving.await;
-            drop(guard);
+            let mut closed = closed.fuse();
+            let serving = serving.fuse();
+            pin_mut!(serving);
+            select! {
+                () = serving => {}
+                _ = closed => {}
+            }
+            drop((slot, guard));
         })
         .detach();
     };
@@ -223,26 +261,42 @@
     }
 }
 
-async fn serve_connection<H: HttpHandler>(
+/// An accepted connection.
+struct OpenConnection {
     stream: TcpStream,
     peer: SocketAddr,
+    progress: Rc<ConnectionProgress>,
+}
+
+async fn serve_connection<H: HttpHandler>(
+    connection: OpenConnection,
     limits: ServerLimits,
     handler: Rc<H>,
     stop: StopSignal,
 ) {
+    let OpenConnection {
+        stream: socket,
+        peer,
+        progress,
+    } = connection;
+    let Ok(stream) = CallerStream::open(&socket, Rc::clone(&progress)) else {
+        return;
+    };
     let handler = SendWrapper::new(handler);
-    let socket = stream.clone();
+    let progress = SendWrapper::new(progress);
     // Version of the latest request; `None` before the first one.
     let version = Rc::new(Cell::new(None));
     let version_cell = SendWrapper::new(Rc::clone(&version));
     let service = service_fn(move |request: Request<Incoming>| {
         version_cell.set(Some(request.version()));
+        let is_multiplexed = request.version() == Version::HTTP_2;
+        let answer = SendWrapper::new(progress.begin_answer(is_multiplexed));
         let answering = Rc::clone(&handler).handle(peer, request);
         SendWrapper::new(async move {
             let response = answering.await;
             match response.extensions().get::<AbortConnection>() {
                 Some(_) => Err(ConnectionAborted),
-                None => Ok(response),
+                None => Ok(response.map(|body| AnswerBody::open(body, answer))),
             }
         })
     });
@@ -251,6 +305,7 @@
         .http1()
         .timer(CompioTimer)
         .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_headers(MAX_HEADER_LINES)
         .max_buf_size(MAX_HEADER_BYTES);
     builder
         .http2()
@@ -258,7 +313,7 @@
         .keep_alive_interval(Duration::from_millis(PING_INTERVAL_MS))
         .keep_alive_timeout(Duration::from_millis(PING_INTERVAL_MS))
         .max_header_list_size(u32::try_from(MAX_HEADER_BYTES).unwrap_or(u32::MAX));
-    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let connection = builder.serve_connection(stream, service);
     let mut stopping = stop.fuse();
     pin_mut!(connection);
     let mut ended = {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,11 @@
 //! HTTP server and clients over compio.
 
+mod answer_body;
 mod buffer_budget;
+mod caller_stream;
+mod client_closures;
+mod connection_progress;
+mod connection_table;
 mod errors;
 mod event_buffer;
 mod head_limit;
@@ -9,12 +14,15 @@
 mod peer_client;
 mod scheduled_timeout;
 mod socket_options;
+mod sweep_signal;
 mod tcp_dial;
 mod unpooled_call;
 
 pub use buffer_budget::{
     BufferBudget, BufferLease, BufferPurpose, BufferShortage, SMALL_MESSAGE_BYTES,
 };
+pub use client_closures::{ClientClosures, ClosureReason};
+pub use connection_table::ConnectionLimits;
 pub use errors::NetError;
 pub use event_buffer::{EventBuffer, OversizedEvent};
 pub use http_body::{
