Hold bodies of all roles within a budget, and let those without progress give way

Cause: entries and agents had no bound on the sum of bodies, and at a gateway four stalled large bodies kept all legal ones out until their deadline (146 of 150 got 503). Change: entries and agents hold bodies and calls of peers within the budget that gateways have; a body of a caller must keep a pace (256 bytes per second over 5 s, after 5 s) and gets 408 otherwise; when memory is short, the large body that brings least for what it holds is ended with 503. A refused body is read on only up to the limit of a body and as long as it keeps the pace. The section [clients] states all limits; the number of connections follows from memory and descriptors. Counter cut_clients by reason, one log line in 5 s for each reason.

--- a/daemon/tests/caller_trouble.rs
+++ b/daemon/tests/caller_trouble.rs
@@ -121,9 +121,10 @@
         let spawning = SoakFleet::spawn_ready(daemon, SIZE);
         let fleet = spawning.await.expect("a ready fleet");
         let address = fleet.gateways[0].process.address;
-        let lines: String = (0..HEAD_LINES)
+        let lines: Vec<String> = (0..HEAD_LINES)
             .map(|number| format!("x-{number}: 1\r\n"))
             .collect();
+        let lines = lines.concat();
         let request = format!(
             "POST /lookup/x HTTP/1.1\r\nhost: soak.example\r\nrequest-id: many-lines\r\n{lines}\
              content-length: 0\r\n\r\n"
--- a/daemon/tests/large_answers.rs
+++ b/daemon/tests/large_answers.rs
@@ -81,7 +81,8 @@
     let (head, body) = bytes.split_at(head_end.unwrap_or_default());
     let status = String::from_utf8_lossy(head);
     let status = status.lines().next().unwrap_or_default().to_owned();
-    (status, body.iter().filter(|byte| **byte == b'x').count())
+    let parts = body.split(|byte| *byte == b'x');
+    (status, parts.count() - 1)
 }
 
 /// Guards against the loss of work that has been done: a whole answer of more than 256 KB to a request
--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -18,7 +18,7 @@
 use super::slot_controller::run_slots;
 use crate::config::{AgentConfig, NodeConfig};
 use crate::daemon::{DaemonError, NodeContext, spawn_node_loops};
-use crate::net::{HttpServer, ServerHandle};
+use crate::net::{HttpServer, ServerHandle, ServerLimits};
 
 /// Interval of checks for open requests during a shutdown, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
@@ -44,10 +44,17 @@
     /// # Errors
     /// [`DaemonError`] if the address is taken or a client cannot be set up.
     pub async fn spawn(node: NodeConfig, config: AgentConfig) -> Result<Self, DaemonError> {
-        let server = HttpServer::bind(node.listen).await?;
+        let clients = &node.clients;
+        let limits = ServerLimits {
+            connections: clients.connection_limits(clients.memory_bytes()),
+            ..ServerLimits::default()
+        };
+        let server = HttpServer::bind(node.listen).await?.with_limits(limits);
         let node = NodeContext::open(node, server.local_addr()?)?;
         let context = AgentContext::open(node, config);
-        let serving = server.spawn(AgentServer::open(Rc::clone(&context)))?;
+        let serving = server
+            .with_closures(context.node.closures.clone())
+            .spawn(AgentServer::open(Rc::clone(&context)))?;
         let mut loops = spawn_node_loops(&context.node, MEMBER_POLLS_PER_SETTINGS_POLL);
         loops.extend([
             compio::runtime::spawn(follow_settings(Rc::clone(&context))),
--- a/src/agent/agent_server.rs
+++ b/src/agent/agent_server.rs
@@ -13,7 +13,10 @@
 use super::report_controller::build_report;
 use super::run_controller::serve_attempt;
 use crate::daemon::{bearer_token, common_route, decision_page};
-use crate::net::{HttpBody, HttpHandler, empty_body, json_response, read_body};
+use crate::net::{
+    BodyError, BufferPurpose, HttpBody, HttpHandler, discard_body, empty_body, json_response,
+    read_leased,
+};
 use crate::prelude::*;
 use crate::rpc::{ControlApiServer, RpcEndpoint, WORK_HEADER, WorkMetadata};
 use crate::settings::credential_digest;
@@ -34,7 +37,8 @@
     /// Creates the handler.
     #[must_use]
     pub fn open(context: Rc<AgentContext>) -> Rc<Self> {
-        let rpc = RpcEndpoint::open(AgentRpc::open(Rc::clone(&context)).into_rpc());
+        let rpc = RpcEndpoint::open(AgentRpc::open(Rc::clone(&context)).into_rpc())
+            .within(Rc::clone(&context.node.buffers));
         Rc::new(Self { context, rpc })
     }
 
@@ -85,10 +89,25 @@
             let refusal = RequestRefusal::not_run(RefusalReason::MalformedHeader);
             return refusal_response(refusal, None);
         };
-        let body = read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT_MS).await;
-        let Ok(body) = body else {
-            let refusal = RequestRefusal::not_run(RefusalReason::MalformedBody);
-            return refusal_response(refusal, None);
+        let buffers = &self.context.node.buffers;
+        let mut lease = buffers.lease(BufferPurpose::Call);
+        let mut body = request.into_body();
+        let read = read_leased(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT_MS, &mut lease).await;
+        if matches!(read, Err(BodyError::NoMemory(_))) {
+            // The entry still sends the body, and would not read a response that resets its
+            // connection.
+            let left = MAX_BODY_BYTES.saturating_sub(lease.held_bytes());
+            discard_body(body, buffers.pace(), left, BODY_TIMEOUT_MS);
+        }
+        let body = match read {
+            Ok(body) => body,
+            Err(error) => {
+                let reason = match error {
+                    BodyError::NoMemory(_) | BodyError::GaveWay => RefusalReason::Overloaded,
+                    _ => RefusalReason::MalformedBody,
+                };
+                return refusal_response(RequestRefusal::not_run(reason), None);
+            }
         };
         serve_attempt(Rc::clone(&self.context), metadata, body).await
     }
--- a/src/agent/service_run.rs
+++ b/src/agent/service_run.rs
@@ -44,7 +44,10 @@
     fn from(error: BodyError) -> Self {
         match error {
             BodyError::TooLarge(_) => Self::TooLarge,
-            BodyError::TooSlow(_) | BodyError::Truncated | BodyError::NoMemory(_) => Self::Sent,
+            BodyError::TooSlow(_)
+            | BodyError::Truncated
+            | BodyError::NoMemory(_)
+            | BodyError::GaveWay => Self::Sent,
         }
     }
 }
--- a/src/config/daemon_config.rs
+++ b/src/config/daemon_config.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, FromStr};
 use ini::{Ini, Properties};
 
-use super::{ConfigError, DecimalValue};
+use super::{ClientLimits, ConfigError, DecimalValue};
 use crate::admission::QueuePolicy;
 use crate::placement::HoldingPolicy;
 use crate::prelude::*;
@@ -81,6 +81,16 @@
     pub timeout_ms: u64,
     /// Milliseconds between polls of the settings and the list of instances.
     pub poll_ms: u64,
+    /// Limits on clients.
+    pub clients: ClientLimits,
+}
+
+impl NodeConfig {
+    /// Bytes that all messages which an entry or agent holds may use together.
+    #[must_use]
+    pub fn buffer_bytes(&self) -> usize {
+        usize::try_from(self.clients.memory_bytes() / BUFFER_DIVISOR).unwrap_or(usize::MAX)
+    }
 }
 
 /// Settings of the entry role.
@@ -160,9 +170,14 @@
     /// Bytes that all messages which the process holds may use together.
     #[must_use]
     pub fn buffer_bytes(&self) -> usize {
+        usize::try_from(self.memory_bytes() / BUFFER_DIVISOR).unwrap_or(usize::MAX)
+    }
+
+    /// Bytes of memory that the process may use.
+    #[must_use]
+    pub fn memory_bytes(&self) -> u64 {
         let memory_mb = self.memory_mb.unwrap_or(SMALLEST_MEMORY_MB);
-        let memory_bytes = u64::from(memory_mb.thousandths()) * 1_000;
-        usize::try_from(memory_bytes / BUFFER_DIVISOR).unwrap_or(usize::MAX)
+        u64::from(memory_mb.thousandths()) * 1_000
     }
 }
 
@@ -198,10 +213,14 @@
             source,
         })?;
         let mut config = Self::parse(&file, &text)?;
-        if let RoleConfig::Gateway(gateway) = &mut config.role
-            && gateway.memory_mb.is_none()
-        {
-            gateway.memory_mb = memory_of_environment()?;
+        let clients = &mut config.node.clients;
+        if let RoleConfig::Gateway(gateway) = &mut config.role {
+            gateway.memory_mb = gateway.memory_mb.or(clients.memory_mb);
+            if gateway.memory_mb.is_none() {
+                gateway.memory_mb = memory_of_environment()?;
+            }
+        } else if clients.memory_mb.is_none() {
+            clients.memory_mb = memory_of_environment()?;
         }
         Ok(config)
     }
@@ -269,6 +288,7 @@
                 members: unset,
                 timeout_ms: 0,
                 poll_ms: 0,
+                clients: ClientLimits::default(),
             };
             (role, node)
         });
@@ -282,6 +302,7 @@
             node.timeout_ms = reader.or_default("timeout_ms", EXPECTED_MILLIS, 1_000);
             node.poll_ms = reader.or_default("poll_ms", EXPECTED_MILLIS, 1_000);
         });
+        node.clients = self.section("clients", ClientLimits::read);
         (role, node)
     }
 
@@ -380,7 +401,9 @@
             RoleConfig::Gateway(_) => &["gateway", "regions"],
         };
         for section in self.document.sections().flatten() {
-            if !["daemon", "platform"].contains(&section) && !role_sections.contains(&section) {
+            if !["daemon", "platform", "clients"].contains(&section)
+                && !role_sections.contains(&section)
+            {
                 self.faults.push(SettingsFault {
                     file: self.file.to_owned(),
                     line: None,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! The daemon's own settings file.
 
+mod client_limits;
 mod daemon_config;
 mod decimal_value;
 mod errors;
 
+pub use client_limits::ClientLimits;
 pub use daemon_config::{
     AgentConfig, DaemonConfig, DaemonRole, EntryConfig, GatewayConfig, NodeConfig, RoleConfig,
     UpstreamKind,
--- a/src/daemon/daemon_handle.rs
+++ b/src/daemon/daemon_handle.rs
@@ -51,7 +51,8 @@
         let DaemonConfig { node, role } = config;
         match role {
             RoleConfig::Gateway(gateway) => {
-                let buffers = BufferBudget::open(gateway.buffer_bytes());
+                let buffers =
+                    BufferBudget::open_with_pace(gateway.buffer_bytes(), node.clients.body_pace());
                 let ports = open_ports(&node, &buffers);
                 let handle = GatewayHandle::spawn(node, gateway, ports, buffers).await?;
                 Ok(Self::Gateway(handle))
--- a/src/daemon/node_context.rs
+++ b/src/daemon/node_context.rs
@@ -10,7 +10,7 @@
 use crate::ids::new_start_id;
 use crate::membership::{MembershipClient, MembershipView};
 use crate::metrics::NodeMetrics;
-use crate::net::PeerClient;
+use crate::net::{BufferBudget, ClientClosures, PeerClient};
 use crate::prelude::*;
 use crate::rpc::PeerRpc;
 use crate::settings::{FleetSettings, SettingsFollower, SettingsRow};
@@ -39,6 +39,10 @@
     pub membership_client: MembershipClient,
     /// The platform's table, with its calls counted.
     pub table: Rc<dyn TableService>,
+    /// Memory for the messages that this process holds.
+    pub buffers: Rc<BufferBudget>,
+    /// Counts clients that are cut off.
+    pub closures: ClientClosures,
     /// Connections to peers.
     pub peers: Rc<PeerClient>,
     /// Decision log.
@@ -62,7 +66,13 @@
         let metrics = Rc::new(NodeMetrics::open());
         let table = HttpTable::open(config.table, config.timeout_ms)?;
         let membership_client = MembershipClient::open(config.members, config.timeout_ms)?;
+        let closures = ClientClosures::open(metrics.cut_clients.clone());
+        let buffers =
+            BufferBudget::open_with_pace(config.buffer_bytes(), config.clients.body_pace());
+        buffers.count_closures(closures.clone());
         Ok(Rc::new(Self {
+            buffers,
+            closures,
             address: config.advertise.unwrap_or(address),
             start_id: new_start_id(),
             clock: MonoClock::open(),
--- a/src/entry/entry_handle.rs
+++ b/src/entry/entry_handle.rs
@@ -10,7 +10,7 @@
 use super::quarantine_controller::sync_quarantine;
 use crate::config::{EntryConfig, NodeConfig};
 use crate::daemon::{DaemonError, NodeContext, spawn_node_loops};
-use crate::net::{HttpServer, ServerHandle};
+use crate::net::{HttpServer, ServerHandle, ServerLimits};
 use crate::rpc::AgentReport;
 
 /// Member list reads per settings poll: one, so that entries are the first to see a change.
@@ -29,10 +29,17 @@
     /// # Errors
     /// [`DaemonError`] if the address is taken or a client cannot be set up.
     pub async fn spawn(node: NodeConfig, config: EntryConfig) -> Result<Self, DaemonError> {
-        let server = HttpServer::bind(node.listen).await?;
+        let clients = &node.clients;
+        let limits = ServerLimits {
+            connections: clients.connection_limits(clients.memory_bytes()),
+            ..ServerLimits::default()
+        };
+        let server = HttpServer::bind(node.listen).await?.with_limits(limits);
         let node = NodeContext::open(node, server.local_addr()?)?;
         let context = EntryContext::open(node, config);
-        let server_handle = server.spawn(EntryServer::open(Rc::clone(&context)))?;
+        let server_handle = server
+            .with_closures(context.node.closures.clone())
+            .spawn(EntryServer::open(Rc::clone(&context)))?;
         let mut loops = spawn_node_loops(&context.node, LIST_READS_PER_SETTINGS_POLL);
         loops.push(compio::runtime::spawn(sync_quarantine(Rc::clone(&context))));
         Ok(Self {
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -20,7 +20,10 @@
 use crate::daemon::{common_route, decision_page};
 use crate::decision::DecisionEvent;
 use crate::metrics::RequestLabels;
-use crate::net::{BodyError, HttpBody, HttpHandler, json_response, read_body};
+use crate::net::{
+    BodyError, BufferLease, BufferPurpose, HttpBody, HttpHandler, discard_body, json_response,
+    read_leased,
+};
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
 use crate::rpc::{ControlApiServer, RpcEndpoint};
@@ -55,7 +58,8 @@
     /// Creates the handler.
     #[must_use]
     pub fn open(context: Rc<EntryContext>) -> Rc<Self> {
-        let rpc = RpcEndpoint::open(EntryRpc::open(Rc::clone(&context)).into_rpc());
+        let rpc = RpcEndpoint::open(EntryRpc::open(Rc::clone(&context)).into_rpc())
+            .within(Rc::clone(&context.node.buffers));
         Rc::new(Self { context, rpc })
     }
 
@@ -154,19 +158,32 @@
         body: Incoming,
     ) -> Result<(), RequestRefusal> {
         filter_head(&self.context, draft)?;
-        draft.body = self.read_caller_body(body).await?;
+        let mut lease = self.context.node.buffers.lease(BufferPurpose::Call);
+        draft.body = self.read_caller_body(body, &mut lease).await?;
+        draft.memory = Some(Rc::new(lease));
         filter_body(&self.context, draft)
     }
 
-    async fn read_caller_body(&self, body: Incoming) -> Result<Bytes, RequestRefusal> {
+    async fn read_caller_body(
+        &self,
+        mut body: Incoming,
+        lease: &mut BufferLease,
+    ) -> Result<Bytes, RequestRefusal> {
         let config = &self.context.config;
-        let read = read_body(body, config.max_body_bytes, config.body_ms).await;
+        let read = read_leased(&mut body, config.max_body_bytes, config.body_ms, lease).await;
+        if matches!(read, Err(BodyError::NoMemory(_))) {
+            // The caller still sends the body, and would not read a response that resets its
+            // connection.
+            let pace = self.context.node.buffers.pace();
+            let left = config.max_body_bytes.saturating_sub(lease.held_bytes());
+            discard_body(body, pace, left, config.body_ms);
+        }
         read.map_err(|error| {
             RequestRefusal::not_run(match error {
                 BodyError::TooLarge(_) => RefusalReason::OversizedBody,
                 BodyError::TooSlow(_) => RefusalReason::SlowBody,
                 BodyError::Truncated => RefusalReason::MalformedBody,
-                BodyError::NoMemory(_) => RefusalReason::Overloaded,
+                BodyError::NoMemory(_) | BodyError::GaveWay => RefusalReason::Overloaded,
             })
         })
     }
--- a/src/entry/request_draft.rs
+++ b/src/entry/request_draft.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
+use crate::net::BufferLease;
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
 use crate::rpc::{ChatParams, UpstreamCall};
@@ -64,6 +65,8 @@
     pub headers: HeaderMap,
     /// The body; empty until the head filters have passed.
     pub body: Bytes,
+    /// Memory that the body takes; `None` until it is read.
+    pub memory: Option<Rc<BufferLease>>,
     /// Arrival time of the request.
     pub arrived_at: MonoTime,
     /// Team of the caller; empty until the credential is checked.
@@ -106,6 +109,7 @@
             route,
             headers,
             body: Bytes::new(),
+            memory: None,
             arrived_at,
             team: TeamName::default(),
             kind: None,
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -68,7 +68,12 @@
                 log::warn!(request:% = plan.request, error:% = shortage; "request body not held");
                 // The caller still sends the body, and would not read a response that resets its
                 // connection.
-                discard_body(incoming, body_ms);
+                let left = limit.saturating_sub(lease.held_bytes());
+                discard_body(incoming, self.context.buffers.pace(), left, body_ms);
+                let retry_ms = self.context.large_calls.forecast_ms();
+                return self.refuse(&plan, RefusalReason::Overloaded, Some(retry_ms));
+            }
+            Err(BodyError::GaveWay) => {
                 let retry_ms = self.context.large_calls.forecast_ms();
                 return self.refuse(&plan, RefusalReason::Overloaded, Some(retry_ms));
             }
@@ -168,7 +173,7 @@
         BodyError::TooLarge(_) => RefusalReason::OversizedBody,
         BodyError::TooSlow(_) => RefusalReason::SlowBody,
         BodyError::Truncated => RefusalReason::MalformedBody,
-        BodyError::NoMemory(_) => RefusalReason::Overloaded,
+        BodyError::NoMemory(_) | BodyError::GaveWay => RefusalReason::Overloaded,
     };
     log::info!(request:% = plan.request, error:% = error, reason:? = reason; "refused");
     refusal_response(RequestRefusal::not_run(reason), None)
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -18,7 +18,7 @@
 use super::{GatewayContext, GatewayPorts};
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::DaemonError;
-use crate::net::{BufferBudget, HttpServer, ServerHandle, ServerLimits};
+use crate::net::{BufferBudget, ClientClosures, HttpServer, ServerHandle, ServerLimits};
 
 /// Milliseconds reserved at the end of the drain time for the exit.
 const EXIT_RESERVE_MS: u64 = 400;
@@ -43,6 +43,10 @@
         buffers: Rc<BufferBudget>,
     ) -> Result<Self, DaemonError> {
         let front_limits = ServerLimits {
+            header_ms: config.idle_ms,
+            connections: node.clients.connection_limits(config.memory_bytes()),
+        };
+        let control_limits = ServerLimits {
             header_ms: config.idle_ms,
             ..ServerLimits::default()
         };
@@ -51,7 +55,7 @@
             .with_limits(front_limits);
         let mut control_servers = Vec::new();
         for address in [config.ready, config.peers, config.metrics] {
-            control_servers.push(HttpServer::bind(address).await?.with_limits(front_limits));
+            control_servers.push(HttpServer::bind(address).await?.with_limits(control_limits));
         }
         let context = GatewayContext::open(node, config, ports, buffers);
         let loops = vec![
@@ -71,6 +75,9 @@
         for server in control_servers {
             controls.push(server.spawn(Rc::clone(&handler))?);
         }
+        let closures = ClientClosures::open(context.metrics.cut_clients.clone());
+        context.buffers.count_closures(closures.clone());
+        let front = front.with_closures(closures);
         let front = front.spawn(FrontServer::open(Rc::clone(&context)))?;
         Ok(Self {
             context,
--- a/src/net/buffer_budget.rs
+++ b/src/net/buffer_budget.rs
@@ -1,11 +1,15 @@
 //! Memory that a process may spend on the messages it holds.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
 
 use derive_more::Error;
 use displaydoc::Display;
 
+use super::body_pace::BodyProgress;
+use super::{BodyPace, ClientClosures, ClosureReason};
+use crate::time::MonoClock;
+
 /// Largest message in bytes that counts as small. Usual requests, reports and rows are smaller.
 pub const SMALL_MESSAGE_BYTES: usize = 32 * 1024;
 
@@ -49,18 +53,49 @@
     limit_bytes: usize,
     /// Sum over all leases.
     used_bytes: Cell<usize>,
+    pace: BodyPace,
+    clock: MonoClock,
+    /// Large bodies of callers that are being read, and some that have ended since the last look.
+    readers: RefCell<Vec<Weak<BodyProgress>>>,
+    closures: RefCell<ClientClosures>,
 }
 
 impl BufferBudget {
     /// Creates a budget of which nothing is in use.
     #[must_use]
     pub fn open(limit_bytes: usize) -> Rc<Self> {
+        Self::open_with_pace(limit_bytes, BodyPace::default())
+    }
+
+    /// Creates a budget whose bodies of callers must keep a pace.
+    #[must_use]
+    pub fn open_with_pace(limit_bytes: usize, pace: BodyPace) -> Rc<Self> {
         Rc::new(Self {
             limit_bytes,
             used_bytes: Cell::new(0),
+            pace,
+            clock: MonoClock::open(),
+            readers: RefCell::default(),
+            closures: RefCell::default(),
         })
     }
 
+    /// Counts the bodies that are cut off.
+    pub fn count_closures(&self, closures: ClientClosures) {
+        self.closures.replace(closures);
+    }
+
+    /// Pace that bodies of callers must keep.
+    #[must_use]
+    pub const fn pace(&self) -> BodyPace {
+        self.pace
+    }
+
+    /// Counts a body that was cut off.
+    pub(super) fn record_closure(&self, reason: ClosureReason) {
+        self.closures.borrow().record(self.clock.now(), reason);
+    }
+
     /// A lease for a message of which nothing is held yet.
     #[must_use]
     pub fn lease(self: &Rc<Self>, purpose: BufferPurpose) -> BufferLease {
@@ -68,6 +103,27 @@
             budget: Rc::clone(self),
             purpose,
             bytes: 0,
+            reader: None,
+        }
+    }
+
+    /// Makes room for `more` bytes below a ceiling: bodies that bring too little for what they hold
+    /// give way, the worst first.
+    fn make_room(&self, more: usize, ceiling: usize) {
+        let now = self.clock.now();
+        let mut readers = self.readers.borrow_mut();
+        readers.retain(|reader| reader.strong_count() > 0);
+        while self.used_bytes.get().saturating_add(more) > ceiling {
+            let live = readers.iter().filter_map(Weak::upgrade);
+            let burdens = live.filter_map(|reader| Some((reader.burden(now)?, reader)));
+            let Some((_, worst)) = burdens.max_by_key(|(burden, _)| *burden) else {
+                return;
+            };
+            let freed = worst.give_way();
+            self.used_bytes.set(self.used_bytes.get() - freed);
+            self.closures
+                .borrow()
+                .record(now, ClosureReason::DroppedBody);
         }
     }
 
@@ -89,8 +145,10 @@
 pub struct BufferLease {
     budget: Rc<BufferBudget>,
     purpose: BufferPurpose,
-    /// Bytes taken from the budget.
+    /// Bytes taken from the budget; zero while `reader` counts them.
     bytes: usize,
+    /// Set while the message is read and is large.
+    reader: Option<Rc<BodyProgress>>,
 }
 
 impl BufferLease {
@@ -99,11 +157,14 @@
     /// # Errors
     /// [`BufferShortage`] if that leaves too little to others; the lease keeps what it has.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), BufferShortage> {
-        let more = bytes.saturating_sub(self.bytes);
+        let more = bytes.saturating_sub(self.held_bytes());
         let budget = &self.budget;
-        let used_bytes = budget.used_bytes.get();
         let percent = self.purpose.ceiling_percent(bytes <= SMALL_MESSAGE_BYTES);
         let ceiling = budget.limit_bytes / 100 * percent;
+        if more > 0 && budget.used_bytes.get().saturating_add(more) > ceiling {
+            budget.make_room(more, ceiling);
+        }
+        let used_bytes = budget.used_bytes.get();
         if more > 0 && used_bytes.saturating_add(more) > ceiling {
             return Err(BufferShortage {
                 bytes,
@@ -112,14 +173,58 @@
             });
         }
         budget.used_bytes.set(used_bytes + more);
-        self.bytes += more;
+        match &self.reader {
+            Some(reader) => reader.held_bytes.set(reader.held_bytes.get() + more),
+            None => self.bytes += more,
+        }
         Ok(())
     }
+
+    /// Begins to watch the progress of a large body, which may have to give way until it is whole.
+    pub(super) fn begin_reading(&mut self) -> Rc<BodyProgress> {
+        let budget = &self.budget;
+        let reader = Rc::new(BodyProgress::open(budget.clock.now()));
+        reader.held_bytes.set(std::mem::take(&mut self.bytes));
+        budget.readers.borrow_mut().push(Rc::downgrade(&reader));
+        self.reader = Some(Rc::clone(&reader));
+        reader
+    }
+
+    /// Records that the body which is being read has `bytes` bytes now.
+    pub(super) fn record_progress(&self, bytes: usize) {
+        if let Some(reader) = &self.reader {
+            reader.record(self.budget.clock.now(), bytes);
+        }
+    }
+
+    /// Ends what [`Self::begin_reading`] began: a whole body does not give way.
+    pub(super) fn end_reading(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            self.bytes = reader.held_bytes.get();
+        }
+    }
+
+    /// The budget that the lease is a part of.
+    pub(super) const fn budget(&self) -> &Rc<BufferBudget> {
+        &self.budget
+    }
+
+    /// What the message is held for.
+    pub(super) const fn purpose(&self) -> BufferPurpose {
+        self.purpose
+    }
+
+    /// Bytes taken from the budget for this message.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let read = self.reader.as_ref();
+        self.bytes + read.map_or(0, |reader| reader.held_bytes.get())
+    }
 }
 
 impl Drop for BufferLease {
     fn drop(&mut self) {
         let used_bytes = self.budget.used_bytes.get();
-        self.budget.used_bytes.set(used_bytes - self.bytes);
+        self.budget.used_bytes.set(used_bytes - self.held_bytes());
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP server and clients over compio.
 
 mod answer_body;
+mod body_pace;
+mod body_reader;
 mod buffer_budget;
 mod caller_stream;
 mod client_closures;
@@ -18,6 +20,8 @@
 mod tcp_dial;
 mod unpooled_call;
 
+pub use body_pace::BodyPace;
+pub use body_reader::{discard_body, read_body, read_leased};
 pub use buffer_budget::{
     BufferBudget, BufferLease, BufferPurpose, BufferShortage, SMALL_MESSAGE_BYTES,
 };
@@ -25,10 +29,7 @@
 pub use connection_table::ConnectionLimits;
 pub use errors::NetError;
 pub use event_buffer::{EventBuffer, OversizedEvent};
-pub use http_body::{
-    BodyError, HttpBody, discard_body, empty_body, full_body, json_response, read_body,
-    read_leased, stream_body,
-};
+pub use http_body::{BodyError, HttpBody, empty_body, full_body, json_response, stream_body};
 pub use http_server::{AbortConnection, HttpHandler, HttpServer, ServerHandle, ServerLimits};
 pub use peer_client::PeerClient;
 pub use scheduled_timeout::scheduled_timeout;
--- a/standins/src/standin_fleet.rs
+++ b/standins/src/standin_fleet.rs
@@ -299,6 +299,7 @@
             members: self.platform.address(),
             timeout_ms: 1_000,
             poll_ms: plan.poll_ms,
+            clients: quetzalpin::config::ClientLimits::default(),
         }
     }
 
--- a/tests/record_sweep.rs
+++ b/tests/record_sweep.rs
@@ -34,6 +34,7 @@
         members: platform.address(),
         timeout_ms: 5_000,
         poll_ms: 1_000,
+        clients: quetzalpin::config::ClientLimits::default(),
     };
     NodeContext::open(config, any_port()).expect("the node context opens")
 }
--- a/tests/settings_follow.rs
+++ b/tests/settings_follow.rs
@@ -44,6 +44,7 @@
         members: platform.address(),
         timeout_ms: 5_000,
         poll_ms: 40,
+        clients: quetzalpin::config::ClientLimits::default(),
     };
     NodeContext::open(config, any_port()).expect("a context")
 }
