Deliver whole answers of any size, held within the budget or passed on as they are read

Cause: an answer of more than 256 KB to a request that ran was replaced by 502, so that work was lost. Change: an answer is read whole as long as the budget for messages allows (up to a quarter of it for one answer, three quarters for all messages); the rest of a longer one is read as fast as the caller reads. Small answers take the same path as before. An upstream that breaks off the part that is passed on breaks off the answer to the caller as well, and counts as failed.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -5,7 +5,7 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
 use super::answer_framing::unsent_length;
@@ -15,18 +15,16 @@
 use super::stream_relay::StartedStream;
 use super::upstream_call::{CallFailure, UpstreamConnection, call_upstream};
 use super::upstream_stream::{StreamFailure, UpstreamStream};
+use super::whole_answer::WholeAnswer;
 use super::{AnswerHead, AttemptHead, AttemptResult, GatewayContext};
 use crate::fleet::{UpstreamEntry, UpstreamKey};
-use crate::net::{HttpBody, full_body, read_body};
+use crate::net::{HttpBody, full_body};
 use crate::prelude::*;
 use crate::rate_limit::RequestRate;
 
 /// Connect timeout to an upstream in milliseconds; remote regions answer within 60 ms.
 const CONNECT_TIMEOUT_MS: u64 = 350;
 
-/// Largest response of a non-streaming service in bytes; it is buffered before it is forwarded.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
-
 /// How one attempt ended.
 pub enum AttemptEnd {
     /// The response for the client.
@@ -252,16 +250,17 @@
             };
         }
         let left_ms = self.call.plan.ends_at.millis_since(now);
-        match read_body(incoming, MAX_BUFFERED_ANSWER_BYTES, left_ms).await {
-            Ok(body) => {
-                guard.set_outcome("complete");
+        match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
+            Ok(answer) => {
                 if parts.status.is_success() {
                     context.record_part_answer(&self.call.plan);
                 }
-                if let Some(length) = unsent_length {
+                let length = answer.stated_length().map(HeaderValue::from);
+                if let Some(length) = unsent_length.or(length) {
                     parts.headers.insert(CONTENT_LENGTH, length);
                 }
-                let end = AttemptEnd::Answer(Response::from_parts(parts, full_body(body)));
+                let body = answer.into_body(guard, connection);
+                let end = AttemptEnd::Answer(Response::from_parts(parts, body));
                 AttemptOutcome::sent(end, false)
             }
             Err(error) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod upstream_stream;
 mod wait_registry;
 mod watched_feed;
+mod whole_answer;
 
 pub use call_plan::CallPlan;
 pub use feed_calls::{FeedCall, first_answer};
--- a/src/net/buffer_budget.rs
+++ b/src/net/buffer_budget.rs
@@ -22,6 +22,8 @@
     Report,
     /// Requests of callers.
     Call,
+    /// Answers of upstreams to requests that ran.
+    Answer,
 }
 
 impl BufferPurpose {
@@ -29,7 +31,7 @@
     const fn ceiling_percent(self, is_small: bool) -> usize {
         match (self, is_small) {
             (Self::Control, _) => 100,
-            (Self::Report | Self::Call, true) => 75,
+            (Self::Report | Self::Call, true) | (Self::Answer, _) => 75,
             (Self::Call, false) => 50,
             (Self::Report, false) => 25,
         }
@@ -217,8 +219,10 @@
     /// Bytes taken from the budget for this message.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
-        let read = self.reader.as_ref();
-        self.bytes + read.map_or(0, |reader| reader.held_bytes.get())
+        match &self.reader {
+            Some(reader) => self.bytes + reader.held_bytes.get(),
+            None => self.bytes,
+        }
     }
 }
 
