--- a/src/net/connection_table.rs
+++ b/src/net/connection_table.rs
@@ -24,6 +24,10 @@
 /// one only if there is no older one: an ordinary caller sends its head at once.
 const YOUNG_MS: u64 = 1_000;
 
+/// Part of the limit for unread answers after which a connection may give way to another one, as a
+/// divisor.
+const STALLED_DIVISOR: u64 = 3;
+
 /// Milliseconds between two looks at connections in which a head or an unread answer is on its way.
 const SWEEP_MS: u64 = 500;
 
@@ -165,13 +169,21 @@
     }
 
     /// Closes the connection that does least: one whose first head is longest on its way, or else the
-    /// one that is idle for longest. `false` if all have a request.
+    /// one that is idle for longest, or else one whose client has long read nothing. `false` if there is
+    /// none.
     fn make_room(&self, now: MonoTime, address: Option<IpAddr>) -> bool {
-        let rank = |progress: &ConnectionProgress| match progress.phase() {
-            ConnectionPhase::Busy => None,
-            _ if progress.has_served() => Some(1),
-            _ if progress.phase_ms(now) < YOUNG_MS => Some(2),
-            _ => Some(0),
+        let stalled_ms = self.limits.unread_ms / STALLED_DIVISOR;
+        let rank = |progress: &ConnectionProgress| {
+            // The server may have given up the body of an answer whose last bytes are still unread.
+            if let Some(unread_ms) = progress.unread_ms(now) {
+                return (unread_ms > stalled_ms).then_some(3);
+            }
+            match progress.phase() {
+                ConnectionPhase::Busy => None,
+                _ if progress.has_served() => Some(1),
+                _ if progress.phase_ms(now) < YOUNG_MS => Some(2),
+                _ => Some(0),
+            }
         };
         let victim = {
             let connections = self.connections.borrow();
