--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod upstream_stream;
 mod wait_registry;
 mod watched_feed;
+mod whole_answer;
 mod work_samples;
 
 pub use call_plan::CallPlan;
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -9,7 +9,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::{AccountMetrics, OrderLabels, RankLabels, RefusalLabels, RequestLabels, TableLabels};
+use super::{
+    AccountMetrics, ClosureCounter, OrderLabels, RankLabels, RefusalLabels, RequestLabels,
+    TableLabels,
+};
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -26,6 +29,8 @@
     pub accounts: AccountMetrics,
     /// Requests that were refused, or delayed since upstreams were full, by rank and reason.
     pub given_way: Family<RankLabels, Counter>,
+    /// Clients that were cut off, by the limit that they met.
+    pub cut_clients: ClosureCounter,
     /// Requests sent to another upstream after a first attempt.
     pub retried: Counter,
     /// Answers with an odd figure of how long work takes at the upstream.
@@ -87,6 +92,7 @@
             refused: Family::default(),
             accounts: AccountMetrics::default(),
             given_way: Family::default(),
+            cut_clients: ClosureCounter::default(),
             retried: Counter::default(),
             odd_figures: Counter::default(),
             paused_streams: Counter::default(),
@@ -145,6 +151,11 @@
             "Refused and delayed requests by rank and reason",
             self.given_way.clone(),
         );
+        registry.register(
+            "cut_clients",
+            "Clients that were cut off",
+            self.cut_clients.clone(),
+        );
         registry.register("retried", "Retried requests", self.retried.clone());
         registry.register(
             "token_waits",
