--- a/src/gateway/account_check.rs
+++ b/src/gateway/account_check.rs
@@ -1,6 +1,5 @@
 //! Finds the account of a request, or refuses the request with 401.
 
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::body::{Body, Incoming};
 use hyper::header::{EXPECT, HeaderMap};
@@ -10,7 +9,7 @@
 use crate::account::{CallerCredential, ClientAccount, KeyFault};
 use crate::fleet::{FleetCatalog, RouteRule};
 use crate::metrics::{AccountOutcome, RefusalLabels};
-use crate::net::{HttpBody, discard_body};
+use crate::net::{BodyPace, HttpBody, discard_body};
 use crate::prelude::*;
 
 /// Longest time in milliseconds for which the body of a refused request is discarded.
@@ -105,8 +104,8 @@
 /// Discards the body of a refused request in the background, up to `limit` bytes. If the connection
 /// closed at once while the caller still sends, the caller would see a reset instead of the refusal.
 /// A caller that waits for a go-ahead sends no body, and must not be told to.
-pub fn discard_refused(headers: &HeaderMap, incoming: Incoming, limit: usize) {
+pub fn discard_refused(headers: &HeaderMap, incoming: Incoming, pace: BodyPace, limit: usize) {
     if !incoming.is_end_stream() && !headers.contains_key(EXPECT) {
-        discard_body(Limited::new(incoming, limit), DISCARD_MS);
+        discard_body(incoming, pace, limit, DISCARD_MS);
     }
 }
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -62,8 +62,8 @@
         let account = match self.context.identify(&catalog, rule, &head) {
             Ok(account) => account,
             Err(fault) => {
-                discard_refused(&parts.headers, incoming, limit);
                 let context = &self.context;
+                discard_refused(&parts.headers, incoming, context.buffers.pace(), limit);
                 return context.refuse_key(&catalog, &head.request, &rule.name, fault);
             }
         };
