--- a/cli/src/bench/choice_bench.rs
+++ b/cli/src/bench/choice_bench.rs
@@ -137,6 +137,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_key_exempt: false,
     };
     let part = |id: &str| PromptPart {
         id: id.into(),
--- a/tests/even_choice.rs
+++ b/tests/even_choice.rs
@@ -114,6 +114,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_key_exempt: false,
     };
     let head = CallHead {
         request: request.into(),
--- a/tests/uneven_sim/mod.rs
+++ b/tests/uneven_sim/mod.rs
@@ -182,6 +182,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        is_key_exempt: false,
     };
     let head = CallHead {
         request: request.into(),
