Cut off nobody because this process was suspended, and let no read of the store give way

Cause: after a suspension timers end before the connections have read what arrived meanwhile, so that a sound body would get 408 and a sound head would be closed. And a read of the store's rows, which is a large message like others, could have had to give way to a caller's body. No test suspends a process while a body arrives.

--- a/src/net/body_reader.rs
+++ b/src/net/body_reader.rs
@@ -15,6 +15,10 @@
 use super::body_pace::BodyProgress;
 use super::{BodyError, BodyPace, BufferLease, BufferPurpose, ClosureReason, SMALL_MESSAGE_BYTES};
 
+/// Time that a body which is behind its pace has left. After this process was suspended, the timer ends
+/// before the connection has read what arrived in the meantime.
+const LAST_CHANCE: Duration = Duration::from_millis(250);
+
 /// Reads a whole body of at most `limit` bytes within `limit_ms`.
 ///
 /// # Errors
@@ -94,9 +98,10 @@
     let began_at = Instant::now();
     let limit = Duration::from_millis(limit_ms);
     let mut window = pace.map_or(limit, |pace| Duration::from_millis(pace.grace_ms));
+    let mut received_before = 0;
+    let mut is_last_chance = false;
     loop {
         let left = limit.saturating_sub(began_at.elapsed());
-        let received_before = received.get();
         let waiting = compio::time::sleep(window.min(left));
         pin_mut!(waiting);
         match select(reading.as_mut(), waiting).await {
@@ -105,9 +110,15 @@
         }
         let brought = received.get() - received_before;
         let is_behind = pace.is_some_and(|pace| brought < pace.window_bytes());
-        if is_behind || began_at.elapsed() >= limit {
+        if began_at.elapsed() >= limit || (is_behind && is_last_chance) {
             return Err(BodyError::TooSlow(limit_ms));
         }
+        is_last_chance = is_behind;
+        if is_behind {
+            window = LAST_CHANCE;
+            continue;
+        }
+        received_before = received.get();
         window = pace.map_or(limit, |pace| Duration::from_millis(pace.window_ms));
     }
 }
@@ -163,7 +174,7 @@
         return Ok(());
     };
     lease.grow_to(bytes).map_err(BodyError::NoMemory)?;
-    let is_watched = lease.purpose() != BufferPurpose::Report && bytes > SMALL_MESSAGE_BYTES;
+    let is_watched = lease.purpose().may_give_way() && bytes > SMALL_MESSAGE_BYTES;
     if is_watched && progress.is_none() {
         *progress = Some(lease.begin_reading());
     }
--- a/src/net/buffer_budget.rs
+++ b/src/net/buffer_budget.rs
@@ -16,8 +16,10 @@
 /// What a message is held for. It decides who is refused first when memory is short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BufferPurpose {
-    /// Responses of the platform, and calls between the system's own processes.
+    /// Responses of the platform, and responses to calls between the system's own processes.
     Control,
+    /// Calls that arrive at the control interface, which anyone may open.
+    PeerCall,
     /// Reports of engines.
     Report,
     /// Requests of callers.
@@ -27,10 +29,15 @@
 }
 
 impl BufferPurpose {
+    /// Whether a large message of this purpose may have to give way while it is read.
+    pub(super) const fn may_give_way(self) -> bool {
+        matches!(self, Self::Call | Self::PeerCall)
+    }
+
     /// Percentage of the budget that may be in use once a message of this purpose has grown.
     const fn ceiling_percent(self, is_small: bool) -> usize {
         match (self, is_small) {
-            (Self::Control, _) => 100,
+            (Self::Control | Self::PeerCall, _) => 100,
             (Self::Report | Self::Call, true) | (Self::Answer, _) => 75,
             (Self::Call, false) => 50,
             (Self::Report, false) => 25,
--- a/src/net/connection_table.rs
+++ b/src/net/connection_table.rs
@@ -31,6 +31,9 @@
 /// Milliseconds between two looks at connections in which a head or an unread answer is on its way.
 const SWEEP_MS: u64 = 500;
 
+/// Multiple of [`SWEEP_MS`] after which a sweep is late and left out.
+const LATE_FACTOR: u64 = 3;
+
 /// Limits on the connections of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -137,8 +140,12 @@
     pub async fn run_sweeps(&self) {
         loop {
             self.sweeps.armed().await;
+            let slept_from = self.clock.now();
             compio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
-            if !self.sweep() {
+            // After this process was suspended, the timer ends before the connections have read and
+            // written what they could in the meantime.
+            let is_late = self.clock.now().millis_since(slept_from) > LATE_FACTOR * SWEEP_MS;
+            if !is_late && !self.sweep() {
                 self.sweeps.disarm();
             }
         }
--- a/src/rpc/rpc_endpoint.rs
+++ b/src/rpc/rpc_endpoint.rs
@@ -45,7 +45,7 @@
     pub async fn handle(&self, request: Request<Incoming>) -> Response<HttpBody> {
         let body = request.into_body();
         let buffers = self.buffers.as_ref();
-        let mut lease = buffers.map(|buffers| buffers.lease(BufferPurpose::Control));
+        let mut lease = buffers.map(|buffers| buffers.lease(BufferPurpose::PeerCall));
         let read = match &mut lease {
             Some(lease) => read_leased(body, MAX_CALL_BYTES, CALL_BODY_TIMEOUT_MS, lease).await,
             None => read_body(body, MAX_CALL_BYTES, CALL_BODY_TIMEOUT_MS).await,
