Refuse a request that its account's queue would make late

Cause: requests could wait 1.5 s whatever their target; beyond the limit that queue is always full. Change: with the planner's word on the queue, a request is refused at once if it would wait for half of its target, or 250 ms for others. An account with room, and the time without a planner, are as before.

--- a/src/account_limit/account_limiter.rs
+++ b/src/account_limit/account_limiter.rs
@@ -19,6 +19,13 @@
 /// serves no more requests, it only serves them later.
 const LONGEST_WAIT_MS: u64 = 1_500;
 
+/// Longest known wait of a request as a part of its target, as a divisor.
+const TARGET_DIVISOR: u64 = 2;
+
+/// Longest known wait in milliseconds for the requests ahead. The queue of an account beyond its limit
+/// is always as long as requests may wait; patient ones would keep the others out.
+const LONGEST_QUEUE_MS: u64 = 250;
+
 /// Milliseconds without an answer after which no planner is expected soon.
 const LOST_PLANNER_MS: u64 = 10_000;
 
@@ -155,6 +162,24 @@
         patience_ms == 0 || (is_known && forecast_ms > patience_ms)
     }
 
+    /// Whether the planner's word on the account says that a request waits too long, which has waited for
+    /// `waited_ms`: half of its target or more in all, or long for others that are ahead of it. `own_ms`
+    /// is what its own cost takes. A request whose account has room waits on.
+    #[must_use]
+    pub fn is_late(
+        &self,
+        now: MonoTime,
+        waited_ms: u64,
+        forecast_ms: u64,
+        own_ms: u64,
+        target_ms: u64,
+    ) -> bool {
+        let wait_ms = waited_ms + forecast_ms;
+        let is_known = forecast_ms > 0 && !self.is_silent(now);
+        let is_beyond_target = wait_ms > target_ms / TARGET_DIVISOR;
+        is_known && (is_beyond_target || wait_ms.saturating_sub(own_ms) > LONGEST_QUEUE_MS)
+    }
+
     /// Registers a request that waits. Returns whether it is the first one of its account.
     pub fn begin_wait(&mut self, account: &AccountName, wait: AccountWait) -> bool {
         let known = self.accounts.get_mut(account);
--- a/src/gateway/account_admission.rs
+++ b/src/gateway/account_admission.rs
@@ -136,13 +136,16 @@
         let left_ms = context.wait_limit(plan).millis_since(now);
         let since = self.waiting.as_ref().map_or(now, |waiting| waiting.since);
         let limiter = context.account_limiter.borrow();
-        let patience_ms = limiter.patience_ms(now, now.millis_since(since), left_ms);
+        let waited_ms = now.millis_since(since);
+        let patience_ms = limiter.patience_ms(now, waited_ms, left_ms);
         let forecast_ms = limiter.forecast_ms(now, &need.account, need.wait);
+        let own_ms = need.limit.refill_ms(need.wait.cost);
         let is_hopeless = limiter.is_too_large(&need.limit, need.wait.cost)
-            || limiter.is_hopeless(now, forecast_ms, patience_ms);
+            || limiter.is_hopeless(now, forecast_ms, patience_ms)
+            || limiter.is_late(now, waited_ms, forecast_ms, own_ms, plan.target_ms);
         drop(limiter);
         if is_hopeless {
-            return Err(forecast_ms.max(need.limit.refill_ms(need.wait.cost)));
+            return Err(forecast_ms.max(own_ms));
         }
         if !std::mem::replace(&mut self.has_waited, true) {
             context.metrics.accounts.waits.inc();
--- a/tests/account_limits/small_cases.rs
+++ b/tests/account_limits/small_cases.rs
@@ -344,3 +344,29 @@
         "{}"
     );
 }
+
+/// Load: an account at several times its limit. Guards against a queue in which every admitted request
+/// waits so long that it misses its target, and against patient requests that keep the others out.
+#[test]
+fn request_that_would_be_late_by_its_accounts_queue_is_refused_at_once() {
+    let mut limiter = limiter_with(0);
+    grant(&mut limiter, 0, 10, account(), 0);
+    let now = at(20);
+    let (own_ms, urgent_ms, patient_ms) = (40, 400, 6_000);
+    assert!(
+        !limiter.is_late(now, 0, 0, own_ms, urgent_ms),
+        "there is room"
+    );
+    assert!(!limiter.is_late(now, 0, 200, own_ms, urgent_ms));
+    assert!(limiter.is_late(now, 0, 201, own_ms, urgent_ms));
+    assert!(limiter.is_late(now, 150, 51, own_ms, urgent_ms));
+    assert!(!limiter.is_late(now, 0, 290, own_ms, patient_ms));
+    assert!(limiter.is_late(now, 0, 291, own_ms, patient_ms));
+    // A large request that nobody is ahead of waits for what it costs itself.
+    assert!(!limiter.is_late(now, 0, 2_000, 1_900, patient_ms));
+    let after_silence = at(5_000);
+    assert!(
+        !limiter.is_late(after_silence, 0, 900, own_ms, urgent_ms),
+        "no word of a planner"
+    );
+}
