--- a/src/account_limit/account_limiter.rs
+++ b/src/account_limit/account_limiter.rs
@@ -162,9 +162,9 @@
         patience_ms == 0 || (is_known && forecast_ms > patience_ms)
     }
 
-    /// Whether the planner's word on the account says that a request waits too long, which has waited for
-    /// `waited_ms`: half of its target or more in all, or long for others that are ahead of it. `own_ms`
-    /// is what its own cost takes. A request whose account has room waits on.
+    /// Whether the planner's forecast says that a request waits too long, which has waited for
+    /// `waited_ms`: over half of its target in all, or long for others that are ahead of it. `own_ms` is
+    /// what its own cost takes. A request whose account has room goes on waiting.
     #[must_use]
     pub fn is_late(
         &self,
