--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -167,8 +167,8 @@
     pub service: String,
     pub kind: String,
     pub restart_ms: u64,
-    /// Milliseconds after which it crashes by itself; 0 if it doesn't.
-    pub life_ms: u64,
+    /// Milliseconds after which it crashes by itself, at its first, second, ... start; 0 if it doesn't.
+    pub lives_ms: Vec<u64>,
     /// Whether it keeps its id, and the versions of its software at its first, second, ... start; the
     /// last one stays.
     pub keeps_id: bool,
@@ -249,6 +249,14 @@
         self.record.add(&gateway.name, "started");
     }
 
+    /// Starts a gateway again that was killed.
+    pub fn start_again(&self, index: usize) {
+        let mut gateway = self.gateways[index].lock().unwrap();
+        gateway.end();
+        gateway.start();
+        self.record.add(&gateway.name, "started again");
+    }
+
     /// Milliseconds for which a gateway has run; 0 while it is stopped or restarted.
     pub fn runs_for_ms(&self, index: usize) -> u64 {
         let gateway = self.gateways[index].try_lock();
@@ -266,9 +274,10 @@
                 let id = if plan.keeps_id { format!("i-{number}") } else { format!("i-{number}-{start}") };
                 let version = plan.versions.get(start).or(plan.versions.last()).cloned().unwrap_or_default();
                 let kind = if start > 0 && plan.kind == "engine-loaded" { "engine" } else { &plan.kind };
+                let life_ms = plan.lives_ms.get(start).copied().unwrap_or(0);
                 let born = unix_ms();
                 let program = std::env::current_exe().expect("own path");
-                let words = ["worker", &id, &born.to_string(), &version, kind, &port.to_string(), &plan.life_ms.to_string()];
+                let words = ["worker", &id, &born.to_string(), &version, kind, &port.to_string(), &life_ms.to_string()];
                 let mut child = Command::new(program).args(words).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().expect("worker");
                 processes.lock().unwrap().push(child.id());
                 record.add(&id, &format!("started, version {version}, born {born}, 127.0.0.1:{port}"));
@@ -305,6 +314,20 @@
         self.workers.lock().unwrap().clone()
     }
 
+    /// Keeps the entry of a worker that is cold after its start changing with each of its heartbeats.
+    pub fn spawn_cold_entry(&self) {
+        let (store, is_ending) = (Arc::clone(&self.store), Arc::clone(&self.is_ending));
+        let (born, port) = (unix_ms(), free_port());
+        std::thread::spawn(move || {
+            let mut cold_ms = 120_000;
+            while !is_ending.load(Ordering::Relaxed) {
+                store.put("servers", "i-cold", &format!("{{\"service\":\"pressroom\",\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldLeftMs\":{cold_ms},\"sequence\":1,\"born\":{born}}}"));
+                cold_ms -= HEARTBEAT_MS;
+                std::thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+            }
+        });
+    }
+
     /// Sends a request to a gateway and records it and its answer.
     pub fn call(&self, index: usize, request: &ClientRequest) -> Answer {
         let mut headers = vec![("Host", HOST), ("Request-Id", request.id.as_str())];
@@ -381,7 +404,7 @@
 }
 
 fn entry(plan: &WorkerPlan, version: &str, born: u64, port: u16, models: &[String]) -> String {
-    let slots = if plan.kind.starts_with("engine") { 64 } else { 6 };
+    let slots = if plan.service == "pressroom" { 6 } else { 64 };
     format!(
         "{{\"service\":{},\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\"version\":{},\"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,\"born\":{born},\"stage\":\"colocated\",\"models\":{}}}",
         quote(&plan.service), quote(version), models_json(models)
@@ -400,12 +423,13 @@
     let routes = [
         route("r-draft", "/draft/", "streaming", "dreamwriter", stream),
         route("r-chat", "/chat/", "streaming", "dreamwriter", chat),
+        route("r-read", "/read/", "streaming", "reader", stream),
         route("r-order", "/order/", "non_idempotent", "pressroom", once),
         route("r-status", "/status/", "idempotent", "pressroom", plain),
     ];
     let model = "{\"name\":\"m0\",\"weightsSize\":34300.0,\"loadTimeS\":6.0,\"adapters\":0,\"adapterMb\":40.0,\"warmS\":0.28,\"diskS\":0.4}";
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"dreamwriter\",\"healthPath\":\"/health\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kvCapacity\":154719,\"weightsSize\":200000.0,\"adapterSlots\":8,\"loadsPerS\":4.5,\"models\":[{model}]}}}},{{\"name\":\"pressroom\",\"healthPath\":\"/health\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":10000}}}}",
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"dreamwriter\",\"healthPath\":\"/health\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kvCapacity\":154719,\"weightsSize\":200000.0,\"adapterSlots\":8,\"loadsPerS\":4.5,\"models\":[{model}]}}}},{{\"name\":\"pressroom\",\"healthPath\":\"/health\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"reader\",\"healthPath\":\"/health\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":10000}}}}",
         routes.join(",")
     )
 }
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -8,6 +8,7 @@
 mod parts;
 mod poison;
 mod store;
+mod versions;
 mod worker;
 
 use std::path::Path;
@@ -34,6 +35,7 @@
         "crowd" => crowd::bodies(&record, has_trouble),
         "poison-for-long" => poison::for_long(&record, has_trouble),
         "deadly-part" => parts::first_event(&record, has_trouble),
+        "versions" => versions::mixed(&record, has_trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     let (code, text) = match verdict {
--- a/review/lib-2/src/parts.rs
+++ b/review/lib-2/src/parts.rs
@@ -40,7 +40,7 @@
             service: "dreamwriter".to_owned(),
             kind: "engine-loaded".to_owned(),
             restart_ms: 2_000,
-            life_ms: 0,
+            lives_ms: Vec::new(),
             keeps_id: false,
             versions: vec!["v1".to_owned()],
         });
--- a/review/lib-2/src/poison.rs
+++ b/review/lib-2/src/poison.rs
@@ -25,7 +25,7 @@
             service: "pressroom".to_owned(),
             kind: "app".to_owned(),
             restart_ms: RESTART_MS,
-            life_ms: 0,
+            lives_ms: Vec::new(),
             keeps_id: false,
             versions: vec!["v1".to_owned()],
         });
