--- a/review/lib-2/src/crowd.rs
+++ b/review/lib-2/src/crowd.rs
@@ -3,12 +3,14 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use crate::fleet::{config, ClientRequest, Fleet, WorkerPlan, CONTACT_MS, HOST, MEMORY_MB, SIGKILL};
 use crate::Verdict;
+use crate::fleet::{
+    CONTACT_MS, ClientRequest, Fleet, HOST, MEMORY_MB, SIGKILL, WorkerPlan, config,
+};
 
 const GATEWAYS: usize = 2;
 const WORKERS: usize = 12;
@@ -24,16 +26,22 @@
 /// Largest resident size of a process in kilobytes; `None` once it has ended.
 fn peak_kb(pid: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
     line.trim().trim_end_matches("kB").trim().parse().ok()
 }
 
 /// Sends a whole request on a new connection; `None` if the connection is refused.
 fn send_whole(front: SocketAddr, number: usize, note: &str, body: &[u8]) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(front).ok()?;
-    let head = format!("POST /draft/new HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: x{number:05}\r\nDeadline-Ms: 25000\r\nModel: m0\r\nToken-Counts: 826,950\r\nPrompt-Prefix: aa01:119,bb02:79,{number:08x}:628\r\nX-Note: {note}\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let head = format!(
+        "POST /draft/new HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: x{number:05}\r\nDeadline-Ms: 25000\r\nModel: m0\r\nToken-Counts: 826,950\r\nPrompt-Prefix: aa01:119,bb02:79,{number:08x}:628\r\nX-Note: {note}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    );
     // A process that was killed meanwhile takes no more.
-    let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body));
+    let _ = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body));
     Some(stream)
 }
 
@@ -45,7 +53,10 @@
         headers: vec![
             ("Model".to_owned(), "m0".to_owned()),
             ("Token-Counts".to_owned(), "826,210".to_owned()),
-            ("Prompt-Prefix".to_owned(), format!("aa01:119,bb02:79,{number:08x}:628")),
+            (
+                "Prompt-Prefix".to_owned(),
+                format!("aa01:119,bb02:79,{number:08x}:628"),
+            ),
         ],
         body: format!("ordinary {number}"),
         deadline_ms: 25_000,
@@ -58,14 +69,17 @@
     let fleet = Arc::new(Fleet::open(record, GATEWAYS));
     fleet.store.put("op", "config", &config(1));
     for number in 1..=WORKERS {
-        fleet.spawn_worker(number, WorkerPlan {
-            service: "dreamwriter".to_owned(),
-            kind: "engine-loaded".to_owned(),
-            restart_ms: 2_000,
-            lives_ms: Vec::new(),
-            keeps_id: false,
-            versions: vec!["v1".to_owned()],
-        });
+        fleet.spawn_worker(
+            number,
+            WorkerPlan {
+                service: "dreamwriter".to_owned(),
+                kind: "engine-loaded".to_owned(),
+                restart_ms: 2_000,
+                lives_ms: Vec::new(),
+                keeps_id: false,
+                versions: vec!["v1".to_owned()],
+            },
+        );
     }
     std::thread::sleep(Duration::from_millis(500));
     fleet.start_gateways();
@@ -89,7 +103,9 @@
                     // As the platform does with a process that exceeds the memory of its machine.
                     if kb > MEMORY_MB * 1_024 {
                         is_killed = true;
-                        fleet.record.add("platform", &format!("kills edge-a-1, which uses {kb} kB"));
+                        fleet
+                            .record
+                            .add("platform", &format!("kills edge-a-1, which uses {kb} kB"));
                         fleet.gateways[0].lock().unwrap().signal(SIGKILL);
                     }
                 }
@@ -97,23 +113,41 @@
             }
         })
     };
-    fleet.record.add("judge", &format!("edge-a-1 has used {} kB at most so far", peak_kb(pid).unwrap_or(0)));
+    fleet.record.add(
+        "judge",
+        &format!(
+            "edge-a-1 has used {} kB at most so far",
+            peak_kb(pid).unwrap_or(0)
+        ),
+    );
     let mut clients = Vec::new();
     if has_trouble {
         let note = "n".repeat(NOTE_BYTES);
         let body = vec![b'x'; BODY_BYTES];
         let front = fleet.fronts[0];
-        let openers: Vec<_> = (0..OPENERS).map(|opener| {
-            let (note, body) = (note.clone(), body.clone());
-            std::thread::spawn(move || {
-                let numbers = (0..CROWD).filter(|number| number % OPENERS == opener);
-                numbers.filter_map(|number| Some((number, send_whole(front, number, &note, &body)?))).collect::<Vec<_>>()
+        let openers: Vec<_> = (0..OPENERS)
+            .map(|opener| {
+                let (note, body) = (note.clone(), body.clone());
+                std::thread::spawn(move || {
+                    let numbers = (0..CROWD).filter(|number| number % OPENERS == opener);
+                    numbers
+                        .filter_map(|number| {
+                            Some((number, send_whole(front, number, &note, &body)?))
+                        })
+                        .collect::<Vec<_>>()
+                })
             })
-        }).collect();
+            .collect();
         for opener in openers {
             clients.extend(opener.join().unwrap_or_default());
         }
-        fleet.record.add("crowd", &format!("{} clients have sent a request with a body of {BODY_BYTES} bytes", clients.len()));
+        fleet.record.add(
+            "crowd",
+            &format!(
+                "{} clients have sent a request with a body of {BODY_BYTES} bytes",
+                clients.len()
+            ),
+        );
     }
     std::thread::sleep(Duration::from_secs(12));
     let mut counts = std::collections::BTreeMap::new();
@@ -125,11 +159,15 @@
         let got = match (text.get(..12), end) {
             (None, Ok(_)) => "no answer, closed".to_owned(),
             (None, Err(error)) => format!("no answer, {}", error.kind()),
-            (Some(status), _) if text.ends_with("0\r\n\r\n") || !text.contains("chunked") => format!("{status} whole"),
+            (Some(status), _) if text.ends_with("0\r\n\r\n") || !text.contains("chunked") => {
+                format!("{status} whole")
+            }
             (Some(status), Ok(_)) => format!("{status} broken off"),
             (Some(status), Err(error)) => format!("{status} unfinished, {}", error.kind()),
         };
-        fleet.record.add("crowd", &format!("x{number:05} got {got}"));
+        fleet
+            .record
+            .add("crowd", &format!("x{number:05} got {got}"));
         *counts.entry(got).or_insert(0) += 1;
     }
     drop(clients);
@@ -144,6 +182,13 @@
     let _ = watching.join();
     let peak_kb = peak.load(Ordering::Relaxed);
     let limit_kb = MEMORY_MB * 1_024;
-    let text = format!("edge-a-1 used {peak_kb} kB at most, its machine has {limit_kb} kB; ended for its memory or by itself: {}; an ordinary request afterwards is served: {is_served}; the crowd got {counts:?}", !is_alive);
-    if peak_kb > limit_kb || !is_alive || !is_served { Verdict::Broken(text) } else { Verdict::Held(text) }
+    let text = format!(
+        "edge-a-1 used {peak_kb} kB at most, its machine has {limit_kb} kB; ended for its memory or by itself: {}; an ordinary request afterwards is served: {is_served}; the crowd got {counts:?}",
+        !is_alive
+    );
+    if peak_kb > limit_kb || !is_alive || !is_served {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    }
 }
--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{call, Answer};
+use crate::http::{Answer, call};
 use crate::json::quote;
 use crate::store::Store;
 use crate::worker::models_json;
@@ -48,7 +48,9 @@
 }
 
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("time of day");
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("time of day");
     since.as_millis() as u64
 }
 
@@ -83,7 +85,10 @@
 impl Record {
     pub fn open(path: &Path) -> Arc<Self> {
         let file = File::create(path).expect("record.txt");
-        Arc::new(Self { began_ms: unix_ms(), state: Mutex::new((file, Vec::new())) })
+        Arc::new(Self {
+            began_ms: unix_ms(),
+            state: Mutex::new((file, Vec::new())),
+        })
     }
 
     pub fn add(&self, who: &str, text: &str) {
@@ -92,8 +97,16 @@
 
     pub fn add_at(&self, at_ms: u64, who: &str, text: &str) {
         let (file, events) = &mut *self.state.lock().unwrap();
-        let _ = writeln!(file, "{:8.3} {who}: {text}", at_ms.saturating_sub(self.began_ms) as f64 / 1_000.0);
-        events.push(Event { at_ms, who: who.to_owned(), text: text.to_owned() });
+        let _ = writeln!(
+            file,
+            "{:8.3} {who}: {text}",
+            at_ms.saturating_sub(self.began_ms) as f64 / 1_000.0
+        );
+        events.push(Event {
+            at_ms,
+            who: who.to_owned(),
+            text: text.to_owned(),
+        });
     }
 
     pub fn events(&self) -> Vec<Event> {
@@ -120,20 +133,42 @@
 
 impl Gateway {
     fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET", "/-/readiness", &[("Host", "ready")], b"", Duration::from_millis(500));
+        let answer = call(
+            self.ready,
+            "GET",
+            "/-/readiness",
+            &[("Host", "ready")],
+            b"",
+            Duration::from_millis(500),
+        );
         answer.status == 200
     }
 
     fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("log");
         let mut command = Command::new("target/release/quetzalpind");
         command.arg("--config").arg(&self.config);
-        command.env_clear().env("PATH", "/usr/bin:/bin").env("HOME", "/tmp").env("LANG", "C.UTF-8");
-        command.env("QUETZALPIN_MEMORY_MB", MEMORY_MB.to_string()).stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        command
+            .env_clear()
+            .env("PATH", "/usr/bin:/bin")
+            .env("HOME", "/tmp")
+            .env("LANG", "C.UTF-8");
+        command
+            .env("QUETZALPIN_MEMORY_MB", MEMORY_MB.to_string())
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null());
         // SAFETY: lowers a limit of the new process alone, by one system call.
         unsafe {
             command.pre_exec(|| {
-                let limit = Limit { soft: MAX_FDS, hard: MAX_FDS };
+                let limit = Limit {
+                    soft: MAX_FDS,
+                    hard: MAX_FDS,
+                };
                 setrlimit(RLIMIT_NOFILE, &limit);
                 Ok(())
             });
@@ -192,21 +227,35 @@
         std::fs::create_dir_all(&folder).expect("temporary folder");
         let store = Store::spawn();
         let template = std::fs::read_to_string("deploy/gateway.ini.template").expect("template");
-        let gateways: Vec<Gateway> = (1..=gateway_count).map(|number| {
-            let name = format!("edge-a-{number}");
-            let (front, ready, peers, metrics) = (free_port(), free_port(), free_port(), free_port());
-            let config = folder.join(format!("{name}.ini"));
-            let text = filled(&template, &name, &store, front, ready, peers, metrics);
-            std::fs::write(&config, text).expect("settings");
-            let log = folder.join(format!("{name}.log"));
-            let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-            Gateway { name, front: address(front), ready: address(ready), config, log, child: None, started_ms: 0 }
-        }).collect();
+        let gateways: Vec<Gateway> = (1..=gateway_count)
+            .map(|number| {
+                let name = format!("edge-a-{number}");
+                let (front, ready, peers, metrics) =
+                    (free_port(), free_port(), free_port(), free_port());
+                let config = folder.join(format!("{name}.ini"));
+                let text = filled(&template, &name, &store, front, ready, peers, metrics);
+                std::fs::write(&config, text).expect("settings");
+                let log = folder.join(format!("{name}.log"));
+                let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+                Gateway {
+                    name,
+                    front: address(front),
+                    ready: address(ready),
+                    config,
+                    log,
+                    child: None,
+                    started_ms: 0,
+                }
+            })
+            .collect();
         Self {
             store,
             record: Record::open(record_path),
             fronts: gateways.iter().map(|gateway| gateway.front).collect(),
-            gateways: gateways.into_iter().map(|gateway| Arc::new(Mutex::new(gateway))).collect(),
+            gateways: gateways
+                .into_iter()
+                .map(|gateway| Arc::new(Mutex::new(gateway)))
+                .collect(),
             folder,
             is_ending: Arc::default(),
             workers: Arc::default(),
@@ -225,7 +274,11 @@
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
-            if self.gateways.iter().all(|gateway| gateway.lock().unwrap().is_ready()) {
+            if self
+                .gateways
+                .iter()
+                .all(|gateway| gateway.lock().unwrap().is_ready())
+            {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(100));
@@ -239,7 +292,12 @@
         self.record.add(&gateway.name, "SIGTERM");
         gateway.signal(SIGTERM);
         let until = Instant::now() + Duration::from_millis(GRACE_MS);
-        while Instant::now() < until && gateway.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+        while Instant::now() < until
+            && gateway
+                .child
+                .as_mut()
+                .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        {
             std::thread::sleep(Duration::from_millis(20));
         }
         gateway.end();
@@ -271,24 +329,63 @@
         std::thread::spawn(move || {
             let mut start = 0;
             while !is_ending.load(Ordering::Relaxed) {
-                let id = if plan.keeps_id { format!("i-{number}") } else { format!("i-{number}-{start}") };
-                let version = plan.versions.get(start).or(plan.versions.last()).cloned().unwrap_or_default();
-                let kind = if start > 0 && plan.kind == "engine-loaded" { "engine" } else { &plan.kind };
+                let id = if plan.keeps_id {
+                    format!("i-{number}")
+                } else {
+                    format!("i-{number}-{start}")
+                };
+                let version = plan
+                    .versions
+                    .get(start)
+                    .or(plan.versions.last())
+                    .cloned()
+                    .unwrap_or_default();
+                let kind = if start > 0 && plan.kind == "engine-loaded" {
+                    "engine"
+                } else {
+                    &plan.kind
+                };
                 let life_ms = plan.lives_ms.get(start).copied().unwrap_or(0);
                 let born = unix_ms();
                 let program = std::env::current_exe().expect("own path");
-                let words = ["worker", &id, &born.to_string(), &version, kind, &port.to_string(), &life_ms.to_string()];
-                let mut child = Command::new(program).args(words).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().expect("worker");
+                let words = [
+                    "worker",
+                    &id,
+                    &born.to_string(),
+                    &version,
+                    kind,
+                    &port.to_string(),
+                    &life_ms.to_string(),
+                ];
+                let mut child = Command::new(program)
+                    .args(words)
+                    .stdin(Stdio::piped())
+                    .stdout(Stdio::piped())
+                    .spawn()
+                    .expect("worker");
                 processes.lock().unwrap().push(child.id());
-                record.add(&id, &format!("started, version {version}, born {born}, 127.0.0.1:{port}"));
-                let mut models: Vec<String> = if kind == "engine-loaded" { vec!["m0".to_owned()] } else { Vec::new() };
+                record.add(
+                    &id,
+                    &format!("started, version {version}, born {born}, 127.0.0.1:{port}"),
+                );
+                let mut models: Vec<String> = if kind == "engine-loaded" {
+                    vec!["m0".to_owned()]
+                } else {
+                    Vec::new()
+                };
                 let lines = BufReader::new(child.stdout.take().expect("its output")).lines();
                 for line in lines.map_while(Result::ok) {
-                    let Some((at, text)) = line.split_once(' ') else { continue };
+                    let Some((at, text)) = line.split_once(' ') else {
+                        continue;
+                    };
                     record.add_at(at.parse().unwrap_or_else(|_| unix_ms()), &id, text);
                     let listed = text.strip_prefix("models ");
                     if let Some(listed) = listed {
-                        models = listed.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect();
+                        models = listed
+                            .split(',')
+                            .filter(|name| !name.is_empty())
+                            .map(str::to_owned)
+                            .collect();
                     }
                     if text == "ready" || listed.is_some() {
                         store.put("servers", &id, &entry(&plan, &version, born, port, &models));
@@ -297,7 +394,8 @@
                 let _ = child.wait();
                 processes.lock().unwrap().retain(|pid| *pid != child.id());
                 record.add(&id, "process ended");
-                let (next_store, old_id, keeps_id) = (Arc::clone(&store), id.clone(), plan.keeps_id);
+                let (next_store, old_id, keeps_id) =
+                    (Arc::clone(&store), id.clone(), plan.keeps_id);
                 if !keeps_id || plan.restart_ms > 3 * HEARTBEAT_MS {
                     std::thread::spawn(move || {
                         std::thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
@@ -333,13 +431,34 @@
         let mut headers = vec![("Host", HOST), ("Request-Id", request.id.as_str())];
         let deadline = request.deadline_ms.to_string();
         headers.push(("Deadline-Ms", &deadline));
-        headers.extend(request.headers.iter().map(|(name, value)| (name.as_str(), value.as_str())));
+        headers.extend(
+            request
+                .headers
+                .iter()
+                .map(|(name, value)| (name.as_str(), value.as_str())),
+        );
         let gateway = format!("edge-a-{}", index + 1);
         let short: String = request.body.chars().take(40).collect();
-        self.record.add("client", &format!("sends {} {} {} {short} to {gateway}", request.id, request.method, request.path));
+        self.record.add(
+            "client",
+            &format!(
+                "sends {} {} {} {short} to {gateway}",
+                request.id, request.method, request.path
+            ),
+        );
         let limit = Duration::from_millis(request.deadline_ms + 500);
-        let answer = call(self.fronts[index], request.method, &request.path, &headers, request.body.as_bytes(), limit);
-        self.record.add("client", &format!("{} got {}", request.id, answer.summary()));
+        let answer = call(
+            self.fronts[index],
+            request.method,
+            &request.path,
+            &headers,
+            request.body.as_bytes(),
+            limit,
+        );
+        self.record.add(
+            "client",
+            &format!("{} got {}", request.id, answer.summary()),
+        );
         answer
     }
 }
@@ -377,7 +496,15 @@
 }
 
 /// The template of the deploy file, filled in as for a small deployment.
-fn filled(template: &str, name: &str, store: &Store, front: u16, ready: u16, peers: u16, metrics: u16) -> String {
+fn filled(
+    template: &str,
+    name: &str,
+    store: &Store,
+    front: u16,
+    ready: u16,
+    peers: u16,
+    metrics: u16,
+) -> String {
     let mut lines = Vec::new();
     let mut is_left_out = false;
     for line in template.lines() {
@@ -391,30 +518,44 @@
     }
     let local = |port: u16| format!("127.0.0.1:{port}");
     let fields = [
-        ("{{nodeName}}", name.to_owned()), ("{{zone}}", "zone-a".to_owned()), ("{{region}}", "region-a".to_owned()),
-        ("{{bind.frontend}}", local(front)), ("{{bind.ready}}", local(ready)),
-        ("{{ip}}:{{portRange.0}}", local(peers)), ("{{ip}}:{{portRange.1}}", local(metrics)),
+        ("{{nodeName}}", name.to_owned()),
+        ("{{zone}}", "zone-a".to_owned()),
+        ("{{region}}", "region-a".to_owned()),
+        ("{{bind.frontend}}", local(front)),
+        ("{{bind.ready}}", local(ready)),
+        ("{{ip}}:{{portRange.0}}", local(peers)),
+        ("{{ip}}:{{portRange.1}}", local(metrics)),
         ("{{platform.address}}", store.address.to_string()),
-        ("{{policyParams.graceS}}", "8".to_owned()), ("{{policyParams.leaseMs}}", "3000".to_owned()),
-        ("{{policyParams.retrySlack}}", "56".to_owned()), ("{{limits.cpuShare}}", "0.19".to_owned()),
-        ("{{limits.cpuCores}}", "1".to_owned()), ("{{@}}", "zone-a".to_owned()), ("{{.}}", "region-a".to_owned()),
+        ("{{policyParams.graceS}}", "8".to_owned()),
+        ("{{policyParams.leaseMs}}", "3000".to_owned()),
+        ("{{policyParams.retrySlack}}", "56".to_owned()),
+        ("{{limits.cpuShare}}", "0.19".to_owned()),
+        ("{{limits.cpuCores}}", "1".to_owned()),
+        ("{{@}}", "zone-a".to_owned()),
+        ("{{.}}", "region-a".to_owned()),
     ];
     let text = lines.join("\n") + "\n";
-    fields.iter().fold(text, |text, (field, value)| text.replace(field, value))
+    fields
+        .iter()
+        .fold(text, |text, (field, value)| text.replace(field, value))
 }
 
 fn entry(plan: &WorkerPlan, version: &str, born: u64, port: u16, models: &[String]) -> String {
     let slots = if plan.service == "pressroom" { 6 } else { 64 };
     format!(
         "{{\"service\":{},\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\"version\":{},\"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,\"born\":{born},\"stage\":\"colocated\",\"models\":{}}}",
-        quote(&plan.service), quote(version), models_json(models)
+        quote(&plan.service),
+        quote(version),
+        models_json(models)
     )
 }
 
 /// A configuration with one engine service and one application, as the operator writes it.
 pub fn config(version: u64) -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, extra: &str| {
-        format!("{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"routeType\":\"{kind}\",\"service\":\"{service}\",{extra}}}")
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"routeType\":\"{kind}\",\"service\":\"{service}\",{extra}}}"
+        )
     };
     let plain = "\"timeoutMs\":3000,\"targetLatencyMs\":200,\"priority\":2,\"maxAttempts\":2,\"sticky\":false,\"resumable\":false";
     let once = "\"timeoutMs\":3000,\"targetLatencyMs\":200,\"priority\":2,\"maxAttempts\":1,\"sticky\":false,\"resumable\":false";
--- a/review/lib-2/src/http.rs
+++ b/review/lib-2/src/http.rs
@@ -23,13 +23,17 @@
 
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.target.split_once('?')?;
-        let pair = query.split('&').find_map(|pair| pair.strip_prefix(&format!("{name}=")))?;
+        let pair = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix(&format!("{name}=")))?;
         Some(percent_decoded(pair))
     }
 }
 
 fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -38,7 +42,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -108,11 +114,20 @@
         body.resize(length.parse().ok()?, 0);
         reader.read_exact(&mut body).ok()?;
     }
-    Some(Request { target, headers, body })
+    Some(Request {
+        target,
+        headers,
+        body,
+    })
 }
 
 /// Writes a whole response.
-pub fn write_response(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> std::io::Result<()> {
+pub fn write_response(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<()> {
     let mut head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
@@ -141,15 +156,35 @@
             return format!("no answer ({}) after {} ms", self.error, self.took_ms);
         }
         let end = if self.is_whole { "whole" } else { "broken off" };
-        format!("{} {end} {} bytes after {} ms", self.status, self.body.len(), self.took_ms)
+        format!(
+            "{} {end} {} bytes after {} ms",
+            self.status,
+            self.body.len(),
+            self.took_ms
+        )
     }
 }
 
 /// Sends a request on a new connection and reads the answer until `limit`.
-pub fn call(address: SocketAddr, method: &str, target: &str, headers: &[(&str, &str)], body: &[u8], limit: Duration) -> Answer {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> Answer {
     let began = Instant::now();
     let mut answer = Answer::default();
-    let result = exchange(address, method, target, headers, body, began + limit, &mut answer);
+    let result = exchange(
+        address,
+        method,
+        target,
+        headers,
+        body,
+        began + limit,
+        &mut answer,
+    );
     if let Err(error) = result {
         answer.error = error.to_string();
     }
@@ -157,8 +192,20 @@
     answer
 }
 
-fn exchange(address: SocketAddr, method: &str, target: &str, headers: &[(&str, &str)], body: &[u8], until: Instant, answer: &mut Answer) -> std::io::Result<()> {
-    let left = || until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+fn exchange(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    until: Instant,
+    answer: &mut Answer,
+) -> std::io::Result<()> {
+    let left = || {
+        until
+            .saturating_duration_since(Instant::now())
+            .max(Duration::from_millis(1))
+    };
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(left()))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(left()))?;
--- a/review/lib-2/src/json.rs
+++ b/review/lib-2/src/json.rs
@@ -103,7 +103,10 @@
         '"' => Some(Json::Text(string(text, at)?)),
         _ => {
             let start = *at;
-            while *at < text.len() && !matches!(text[*at], ',' | '}' | ']') && !text[*at].is_whitespace() {
+            while *at < text.len()
+                && !matches!(text[*at], ',' | '}' | ']')
+                && !text[*at].is_whitespace()
+            {
                 *at += 1;
             }
             let word: String = text[start..*at].iter().collect();
--- a/review/lib-2/src/poison.rs
+++ b/review/lib-2/src/poison.rs
@@ -1,13 +1,13 @@
 //! A request that crashes each worker that begins to run it, and comes again.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{config, ClientRequest, Event, Fleet, WorkerPlan, CONTACT_MS};
-use crate::worker::{CRASH, CRASH_IN_ANSWER};
 use crate::Verdict;
+use crate::fleet::{CONTACT_MS, ClientRequest, Event, Fleet, WorkerPlan, config};
+use crate::worker::{CRASH, CRASH_IN_ANSWER};
 
 /// Arrivals at workers that the rule allows later than `contactMs` after the third crash.
 const ALLOWED: usize = 3;
@@ -21,19 +21,24 @@
     let fleet = Fleet::open(record, gateways);
     fleet.store.put("op", "config", &config(1));
     for number in 1..=WORKERS {
-        fleet.spawn_worker(number, WorkerPlan {
-            service: "pressroom".to_owned(),
-            kind: "app".to_owned(),
-            restart_ms: RESTART_MS,
-            lives_ms: Vec::new(),
-            keeps_id: false,
-            versions: vec!["v1".to_owned()],
-        });
+        fleet.spawn_worker(
+            number,
+            WorkerPlan {
+                service: "pressroom".to_owned(),
+                kind: "app".to_owned(),
+                restart_ms: RESTART_MS,
+                lives_ms: Vec::new(),
+                keeps_id: false,
+                versions: vec!["v1".to_owned()],
+            },
+        );
     }
     std::thread::sleep(Duration::from_millis(500));
     fleet.start_gateways();
     if !fleet.wait_ready(Duration::from_secs(20)) {
-        return Err(Verdict::NotRun("the gateways did not become ready".to_owned()));
+        return Err(Verdict::NotRun(
+            "the gateways did not become ready".to_owned(),
+        ));
     }
     // Two heartbeats and the time after which the machines are in touch.
     std::thread::sleep(Duration::from_millis(CONTACT_MS + 500));
@@ -80,24 +85,55 @@
 /// Judges the rule from what workers have seen. `is_in_touch` says whether the machine that passed the attempt on
 /// counted at that time.
 fn judge(events: &[Event], began_ms: u64, is_in_touch: impl Fn(&str, u64) -> bool) -> Verdict {
-    let crashes: Vec<&Event> = events.iter().filter(|event| event.text.starts_with("crash p")).collect();
-    let runs: Vec<&Event> = events.iter().filter(|event| event.text.starts_with("run p")).collect();
+    let crashes: Vec<&Event> = events
+        .iter()
+        .filter(|event| event.text.starts_with("crash p"))
+        .collect();
+    let runs: Vec<&Event> = events
+        .iter()
+        .filter(|event| event.text.starts_with("run p"))
+        .collect();
     let seconds = |at_ms: u64| (at_ms - began_ms) as f64 / 1_000.0;
     let Some(third) = crashes.get(2) else {
-        return Verdict::Held(format!("{} arrivals, {} crashes; no third crash", runs.len(), crashes.len()));
+        return Verdict::Held(format!(
+            "{} arrivals, {} crashes; no third crash",
+            runs.len(),
+            crashes.len()
+        ));
     };
     let from_ms = third.at_ms + CONTACT_MS;
-    let late: Vec<&&Event> = runs.iter().filter(|run| {
-        let id = run.text.split(' ').nth(1).unwrap_or("");
-        run.at_ms > from_ms && is_in_touch(id, run.at_ms)
-    }).collect();
-    let times: Vec<String> = late.iter().map(|run| format!("{:.1}", seconds(run.at_ms))).collect();
-    let orders = |ends: &str| events.iter().filter(|event| event.text.starts_with("c0") && event.text.contains(ends)).count();
+    let late: Vec<&&Event> = runs
+        .iter()
+        .filter(|run| {
+            let id = run.text.split(' ').nth(1).unwrap_or("");
+            run.at_ms > from_ms && is_in_touch(id, run.at_ms)
+        })
+        .collect();
+    let times: Vec<String> = late
+        .iter()
+        .map(|run| format!("{:.1}", seconds(run.at_ms)))
+        .collect();
+    let orders = |ends: &str| {
+        events
+            .iter()
+            .filter(|event| event.text.starts_with("c0") && event.text.contains(ends))
+            .count()
+    };
     let text = format!(
         "third crash at {:.1} s, {} crashes in all; {} arrivals at workers later than contactMs after it (allowed: {ALLOWED}), at {} s; ordinary requests: {} got 200, {} got 502, {} got no answer",
-        seconds(third.at_ms), crashes.len(), late.len(), times.join(", "), orders("got 200 whole"), orders("got 502"), orders("got no answer")
+        seconds(third.at_ms),
+        crashes.len(),
+        late.len(),
+        times.join(", "),
+        orders("got 200 whole"),
+        orders("got 502"),
+        orders("got no answer")
     );
-    if late.len() > ALLOWED { Verdict::Broken(text) } else { Verdict::Held(text) }
+    if late.len() > ALLOWED {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    }
 }
 
 /// The worker crashes after it has written the head of its answer.
@@ -108,7 +144,11 @@
     };
     let is_over = Arc::new(AtomicBool::new(false));
     let callers = spawn_callers(&fleet, &is_over);
-    let body = if has_trouble { CRASH_IN_ANSWER } else { "sound" };
+    let body = if has_trouble {
+        CRASH_IN_ANSWER
+    } else {
+        "sound"
+    };
     for number in 0..24 {
         send(&fleet, number % GATEWAYS, number, body);
         std::thread::sleep(Duration::from_millis(1_500));
@@ -165,7 +205,9 @@
     let is_in_touch = |id: &str, at_ms: u64| {
         let gateway = gateway_of(id);
         let disturbances = events.iter().filter(|event| event.who == gateway);
-        !disturbances.clone().any(|event| event.at_ms <= at_ms && event.at_ms + CONTACT_MS >= at_ms)
+        !disturbances
+            .clone()
+            .any(|event| event.at_ms <= at_ms && event.at_ms + CONTACT_MS >= at_ms)
     };
     judge(&events, fleet.record.began_ms(), is_in_touch)
 }
--- a/review/lib-2/src/store.rs
+++ b/review/lib-2/src/store.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{read_request, write_response, Request};
-use crate::json::{base64, parse, quote, Json};
+use crate::http::{Request, read_request, write_response};
+use crate::json::{Json, base64, parse, quote};
 
 type RowKey = (String, String, String);
 
@@ -50,7 +50,8 @@
         rows.ver += 1;
         let ver = rows.ver;
         let row_key = (table.to_owned(), String::new(), key.to_owned());
-        rows.rows.insert(row_key, (Some(base64(value.as_bytes())), ver));
+        rows.rows
+            .insert(row_key, (Some(base64(value.as_bytes())), ver));
         drop(rows);
         self.changed.notify_all();
     }
@@ -58,7 +59,11 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut rows = self.rows.lock().unwrap();
         let row_key = (table.to_owned(), String::new(), key.to_owned());
-        if rows.rows.get(&row_key).is_some_and(|(value, _)| value.is_some()) {
+        if rows
+            .rows
+            .get(&row_key)
+            .is_some_and(|(value, _)| value.is_some())
+        {
             rows.ver += 1;
             let ver = rows.ver;
             rows.rows.insert(row_key, (None, ver));
@@ -69,7 +74,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             std::thread::sleep(Duration::from_millis(4));
@@ -78,7 +85,10 @@
             if write_response(&mut writer, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
-            if request.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+            if request
+                .header("connection")
+                .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+            {
                 return;
             }
         }
@@ -87,7 +97,13 @@
     fn respond(&self, request: &Request) -> (u16, String) {
         let text = |name: &str| request.query(name).unwrap_or_default();
         match request.path() {
-            "/-/rows-get" => self.get(&text("table"), &text("part"), &text("from"), request.query("to"), request.query("limit")),
+            "/-/rows-get" => self.get(
+                &text("table"),
+                &text("part"),
+                &text("from"),
+                request.query("to"),
+                request.query("limit"),
+            ),
             "/-/rows-feed" => {
                 let number = |name: &str| text(name).parse().unwrap_or(0);
                 self.feed(&text("table"), number("after"), number("waitMs"))
@@ -100,25 +116,59 @@
         }
     }
 
-    fn page(&self, rows: &Rows, found: &[(&RowKey, &(Option<String>, u64))], has_more: bool) -> String {
-        let entries: Vec<String> = found.iter().map(|((table, part, key), (value, ver))| {
-            let state = match value {
-                Some(value) => format!("\"value\":{}", quote(value)),
-                None => "\"deleted\":true".to_owned(),
-            };
-            format!("{{\"table\":{},\"part\":{},\"key\":{},{state},\"ver\":{ver}}}", quote(table), quote(part), quote(key))
-        }).collect();
+    fn page(
+        &self,
+        rows: &Rows,
+        found: &[(&RowKey, &(Option<String>, u64))],
+        has_more: bool,
+    ) -> String {
+        let entries: Vec<String> = found
+            .iter()
+            .map(|((table, part, key), (value, ver))| {
+                let state = match value {
+                    Some(value) => format!("\"value\":{}", quote(value)),
+                    None => "\"deleted\":true".to_owned(),
+                };
+                format!(
+                    "{{\"table\":{},\"part\":{},\"key\":{},{state},\"ver\":{ver}}}",
+                    quote(table),
+                    quote(part),
+                    quote(key)
+                )
+            })
+            .collect();
         let now_ms = self.began.elapsed().as_millis();
-        format!("{{\"rows\":[{}],\"ver\":{},\"nowMs\":{now_ms},\"hasMore\":{has_more}}}", entries.join(","), rows.ver)
+        format!(
+            "{{\"rows\":[{}],\"ver\":{},\"nowMs\":{now_ms},\"hasMore\":{has_more}}}",
+            entries.join(","),
+            rows.ver
+        )
     }
 
-    fn get(&self, table: &str, part: &str, from: &str, to: Option<String>, limit: Option<String>) -> (u16, String) {
+    fn get(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<String>,
+        limit: Option<String>,
+    ) -> (u16, String) {
         let rows = self.rows.lock().unwrap();
-        let limit = limit.and_then(|text| text.parse().ok()).unwrap_or(500usize).min(500);
-        let mut found: Vec<_> = rows.rows.iter().filter(|((row_table, row_part, key), (value, _))| {
-            row_table == table && row_part == part && value.is_some() && key.as_str() >= from
-                && to.as_ref().is_none_or(|to| key < to)
-        }).collect();
+        let limit = limit
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(500usize)
+            .min(500);
+        let mut found: Vec<_> = rows
+            .rows
+            .iter()
+            .filter(|((row_table, row_part, key), (value, _))| {
+                row_table == table
+                    && row_part == part
+                    && value.is_some()
+                    && key.as_str() >= from
+                    && to.as_ref().is_none_or(|to| key < to)
+            })
+            .collect();
         let has_more = found.len() > limit;
         found.truncate(limit);
         (200, self.page(&rows, &found, has_more))
@@ -128,7 +178,11 @@
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut rows = self.rows.lock().unwrap();
         loop {
-            let mut found: Vec<_> = rows.rows.iter().filter(|((row_table, _, _), (_, ver))| row_table == table && *ver > after).collect();
+            let mut found: Vec<_> = rows
+                .rows
+                .iter()
+                .filter(|((row_table, _, _), (_, ver))| row_table == table && *ver > after)
+                .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
                 found.sort_by_key(|(_, (_, ver))| *ver);
@@ -139,25 +193,46 @@
     }
 
     fn transact(&self, txn: &Json) -> (u16, String) {
-        let key_of = |row: &Json| (row.text("table").to_owned(), row.text("part").to_owned(), row.text("key").to_owned());
+        let key_of = |row: &Json| {
+            (
+                row.text("table").to_owned(),
+                row.text("part").to_owned(),
+                row.text("key").to_owned(),
+            )
+        };
         let mut rows = self.rows.lock().unwrap();
         let written = txn.list("puts").iter().chain(txn.list("remove"));
-        if written.clone().any(|row| matches!(row.text("table"), "op" | "servers")) {
+        if written
+            .clone()
+            .any(|row| matches!(row.text("table"), "op" | "servers"))
+        {
             return (403, String::new());
         }
         let is_met = |rows: &Rows, row: &Json| {
-            let known = rows.rows.get(&key_of(row)).filter(|(value, _)| value.is_some());
+            let known = rows
+                .rows
+                .get(&key_of(row))
+                .filter(|(value, _)| value.is_some());
             known.map_or(0, |(_, ver)| *ver) == row.number("ver")
         };
-        if !txn.list("precondition").iter().all(|row| is_met(&rows, row)) {
+        if !txn
+            .list("precondition")
+            .iter()
+            .all(|row| is_met(&rows, row))
+        {
             let keys: Vec<RowKey> = txn.list("precondition").iter().map(key_of).collect();
-            let found: Vec<_> = rows.rows.iter().filter(|(key, (value, _))| keys.contains(key) && value.is_some()).collect();
+            let found: Vec<_> = rows
+                .rows
+                .iter()
+                .filter(|(key, (value, _))| keys.contains(key) && value.is_some())
+                .collect();
             return (412, self.page(&rows, &found, false));
         }
         rows.ver += 1;
         let ver = rows.ver;
         for row in txn.list("puts") {
-            rows.rows.insert(key_of(row), (Some(row.text("value").to_owned()), ver));
+            rows.rows
+                .insert(key_of(row), (Some(row.text("value").to_owned()), ver));
         }
         for row in txn.list("remove") {
             if rows.rows.contains_key(&key_of(row)) {
--- a/review/lib-2/src/versions.rs
+++ b/review/lib-2/src/versions.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{config, ClientRequest, Fleet, WorkerPlan, CONTACT_MS};
-use crate::http::Answer;
 use crate::Verdict;
+use crate::fleet::{CONTACT_MS, ClientRequest, Fleet, WorkerPlan, config};
+use crate::http::Answer;
 
 const GATEWAYS: usize = 5;
 const WORKERS: usize = 3;
@@ -26,8 +26,15 @@
     for event in text.split("\n\n") {
         let id = event.lines().find_map(|line| line.strip_prefix("id: "));
         let data = event.lines().find_map(|line| line.strip_prefix("data: "));
-        let (Some(id), Some(data)) = (id.and_then(|id| id.parse().ok()), data) else { continue };
-        let word = |name: &str| data.split(' ').find_map(|word| word.strip_prefix(name)).unwrap_or("").to_owned();
+        let (Some(id), Some(data)) = (id.and_then(|id| id.parse().ok()), data) else {
+            continue;
+        };
+        let word = |name: &str| {
+            data.split(' ')
+                .find_map(|word| word.strip_prefix(name))
+                .unwrap_or("")
+                .to_owned()
+        };
         events.push((id, word("version="), word("worker=")));
     }
     events
@@ -38,14 +45,25 @@
     fleet.store.put("op", "config", &config(1));
     for number in 1..=WORKERS {
         let crashes = number == 1 && has_trouble;
-        fleet.spawn_worker(number, WorkerPlan {
-            service: "reader".to_owned(),
-            kind: "app".to_owned(),
-            restart_ms: DOWN_MS,
-            lives_ms: if crashes { vec![10_000, SECOND_LIFE_MS] } else { Vec::new() },
-            keeps_id: true,
-            versions: if crashes { vec!["v1".to_owned(), "v2".to_owned()] } else { vec!["v1".to_owned()] },
-        });
+        fleet.spawn_worker(
+            number,
+            WorkerPlan {
+                service: "reader".to_owned(),
+                kind: "app".to_owned(),
+                restart_ms: DOWN_MS,
+                lives_ms: if crashes {
+                    vec![10_000, SECOND_LIFE_MS]
+                } else {
+                    Vec::new()
+                },
+                keeps_id: true,
+                versions: if crashes {
+                    vec!["v1".to_owned(), "v2".to_owned()]
+                } else {
+                    vec!["v1".to_owned()]
+                },
+            },
+        );
     }
     fleet.spawn_cold_entry();
     std::thread::sleep(Duration::from_millis(500));
@@ -70,7 +88,10 @@
                 deadline_ms: 25_000,
             };
             let answer = fleet.call(number % GATEWAYS, &request);
-            streams.lock().unwrap().push((request.id, events_of(&answer)));
+            streams
+                .lock()
+                .unwrap()
+                .push((request.id, events_of(&answer)));
         }));
         number += 1;
         std::thread::sleep(Duration::from_millis(40));
@@ -84,11 +105,26 @@
         let versions: BTreeSet<&str> = events.iter().map(|event| event.1.as_str()).collect();
         let change = events.windows(2).find(|pair| pair[0].1 != pair[1].1);
         if let Some(pair) = change.filter(|_| versions.len() > 1) {
-            let text = format!("event {} by {} of {}, event {} by {} of {}", pair[0].0, pair[0].2, pair[0].1, pair[1].0, pair[1].2, pair[1].1);
-            fleet.record.add("judge", &format!("{id} holds events of two versions: {text}"));
+            let text = format!(
+                "event {} by {} of {}, event {} by {} of {}",
+                pair[0].0, pair[0].2, pair[0].1, pair[1].0, pair[1].2, pair[1].1
+            );
+            fleet.record.add(
+                "judge",
+                &format!("{id} holds events of two versions: {text}"),
+            );
             mixed.push(id.clone());
         }
     }
-    let text = format!("{} streams, {} with events of two versions (allowed: {ALLOWED}): {}", streams.len(), mixed.len(), mixed.join(" "));
-    if mixed.len() > ALLOWED { Verdict::Broken(text) } else { Verdict::Held(text) }
+    let text = format!(
+        "{} streams, {} with events of two versions (allowed: {ALLOWED}): {}",
+        streams.len(),
+        mixed.len(),
+        mixed.join(" ")
+    );
+    if mixed.len() > ALLOWED {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    }
 }
