--- a/review/lib-2/src/crowd.rs
+++ b/review/lib-2/src/crowd.rs
@@ -128,10 +128,12 @@
         let openers: Vec<_> = (0..OPENERS)
             .map(|opener| {
                 let (note, body) = (note.clone(), body.clone());
+                let record = Arc::clone(&fleet.record);
                 std::thread::spawn(move || {
                     let numbers = (0..CROWD).filter(|number| number % OPENERS == opener);
                     numbers
                         .filter_map(|number| {
+ record.add("crowd", &format!("sends x{number:05} POST /draft/new, {BODY_BYTES} bytes, to edge-a-1"));
                             Some((number, send_whole(front, number, &note, &body)?))
                         })
                         .collect::<Vec<_>>()
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and cases of the second review: `review-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
+//! Stand-ins and cases of the second review: `review-2 CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held and 2 if the case could not run.
 
 mod crowd;
@@ -27,15 +27,14 @@
     if name == "worker" {
         return worker::run(rest);
     }
-    let folder = Path::new(rest.first().expect("a folder"));
-    let record = folder.join("record.txt");
+    let record = Path::new(rest.first().expect("the path of the record"));
     let verdict = match name.as_str() {
-        "poison-restarts" => poison::restarts(&record, has_trouble),
-        "poison-in-answer" => poison::in_answer(&record, has_trouble),
-        "crowd" => crowd::bodies(&record, has_trouble),
-        "poison-for-long" => poison::for_long(&record, has_trouble),
-        "deadly-part" => parts::first_event(&record, has_trouble),
-        "versions" => versions::mixed(&record, has_trouble),
+        "poison-restarts" => poison::restarts(record, has_trouble),
+        "poison-in-answer" => poison::in_answer(record, has_trouble),
+        "crowd" => crowd::bodies(record, has_trouble),
+        "poison-for-long" => poison::for_long(record, has_trouble),
+        "deadly-part" => parts::first_event(record, has_trouble),
+        "versions" => versions::mixed(record, has_trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     let (code, text) = match verdict {
@@ -44,7 +43,7 @@
         Verdict::NotRun(text) => (2, format!("not run: {text}")),
     };
     println!("{text}");
-    if let Ok(mut file) = std::fs::File::options().append(true).open(&record) {
+    if let Ok(mut file) = std::fs::File::options().append(true).open(record) {
         use std::io::Write;
         let _ = writeln!(file, "{text}");
     }
