Hold a request that crashes upstreams back at gateways that were restarted

Cause: the crashes of whole requests were kept in the memory of each process, and the planner passed them on for two seconds only. A process that started later never heard of them. Parts of prompts had their own tracker, with records that any process could fetch and a row in the table.

Ruled out: a fingerprint that changes with the process (it hashes path and body); parts of prompts, whose test of restarted gateways holds on the former code.

Change: one tracker for both kinds of suspects. Reports to the planner and its answers bring the records that the other side lacks, and all of them to a process that has just started or meets another planner. The table keeps the records of what is held back, so that an upstream that was merely killed costs no call. A request that was at two crashes by chance is free when another suspect was at these and more.

Tests: crash_suspects, two new cases for whole requests.

--- a/daemon/tests/deadly_parts.rs
+++ b/daemon/tests/crash_suspects.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts that crash engines, at real gateways.
+//! Requests and parts of prompts that crash engines, at real gateways.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -7,6 +7,7 @@
     CallKind, CallOutcome, FleetSize, RawAnswer, RawWorker, SoakCall, SoakFleet, USUAL_PROMPT,
     WorkerKind, call_gateway, encoded,
 };
+use rstest::rstest;
 
 const SIZE: FleetSize = FleetSize {
     gateways: 2,
@@ -17,11 +18,11 @@
 /// Time limit for an event that a test waits for.
 const EVENT_LIMIT: Duration = Duration::from_secs(30);
 
-/// Line that a gateway writes when it begins to hold a part back.
-const HELD_BACK: &str = "part of prompts held back";
+/// Line that a gateway writes when it begins to hold a suspect back.
+const HELD_BACK: &str = "suspect of crashes held back";
 
 /// Line that the planner writes when the table holds its records.
-const STORED: &str = "records of prompt parts stored";
+const STORED: &str = "records of crashes stored";
 
 const POLL: Duration = Duration::from_millis(50);
 
@@ -31,6 +32,37 @@
 /// Models that only the engines in trouble have loaded.
 const TROUBLED_MODELS: [&str; 2] = ["m7", "m8"];
 
+/// What crashes each engine that runs it.
+#[derive(Debug, Clone, Copy)]
+enum Deadly {
+    /// A part of a prompt, in requests that differ; the engine ends after the head of its answer.
+    Part,
+    /// Copies of one request; the engine ends before the head of its answer.
+    Request,
+}
+
+impl Deadly {
+    /// A request that crashes the engine that runs it.
+    fn call(self, gateway: usize, model: &str) -> SoakCall {
+        let own_part = fastrand::u32(..);
+        match self {
+            Self::Part => stream(gateway, model, &format!("aa:80,dead:30,{own_part:x}:20")),
+            Self::Request => SoakCall {
+                id: "deadly".to_owned(),
+                ..stream(gateway, model, "aa:80,bb:30,cc:20")
+            },
+        }
+    }
+
+    /// How an engine answers such a request.
+    const fn answer(self) -> RawAnswer {
+        match self {
+            Self::Part => RawAnswer::CrashAtHead,
+            Self::Request => RawAnswer::CrashBeforeHead,
+        }
+    }
+}
+
 fn stream(gateway: usize, model: &str, prompt: &str) -> SoakCall {
     SoakCall {
         id: format!("case-{:016x}", fastrand::u64(..)),
@@ -71,41 +103,45 @@
     }
 }
 
-async fn assert_held_back(fleet: &SoakFleet, gateway: usize) {
-    let deadly = stream(gateway, SOUND_MODEL, "aa:80,dead:30,c3:20");
-    assert_eq!(send(fleet, &deadly).await, CallOutcome::Status(503));
-    let sound = stream(gateway, SOUND_MODEL, "aa:80,ee:30,c4:20");
+async fn assert_held_back(fleet: &SoakFleet, gateway: usize, deadly: Deadly) {
+    let call = deadly.call(gateway, SOUND_MODEL);
+    assert_eq!(send(fleet, &call).await, CallOutcome::Status(503));
+    let sound = stream(gateway, SOUND_MODEL, "aa:80,bb:30,c4:20");
     let outcome = send(fleet, &sound).await;
     assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
 }
 
-/// Guards against requests with one part that crash engine after engine (BUDGET) because each gateway
-/// sees only one of the crashes, or has just started; and against sound requests with the other
-/// parts that are refused beside them (LOST).
-#[test]
-fn a_part_that_crashed_engines_of_two_gateways_is_held_back_at_all() {
+/// Guards against requests, or requests with one part, that crash engine after engine (BUDGET) because
+/// each gateway sees only one of the crashes, or has just started; and against sound requests with the
+/// other parts that are refused beside them (LOST).
+#[rstest]
+#[case::part(Deadly::Part)]
+#[case::request(Deadly::Request)]
+fn what_crashed_engines_of_two_gateways_is_held_back_at_all(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let mut fleet = fleet_with_a_part_held_back().await;
+        let mut fleet = fleet_with_a_held_suspect(deadly).await;
         for gateway in 0..SIZE.gateways {
-            assert_held_back(&fleet, gateway).await;
+            assert_held_back(&fleet, gateway, deadly).await;
         }
         fleet.gateways[1].kill();
         let restarted = fleet.gateways[1].start_if_ended();
         restarted.expect("a started gateway");
         wait_until_answered(&fleet, 1).await;
         wait_for_lines(&fleet, 1, HELD_BACK, 2).await;
-        assert_held_back(&fleet, 1).await;
+        assert_held_back(&fleet, 1, deadly).await;
     });
 }
 
 /// Guards against engines that crash again after each deployment (BUDGET), because the gateways are
 /// restarted one after the other, or all at once, and the one that plans next knows nothing.
-#[test]
-fn a_part_stays_held_back_after_all_gateways_were_ended() {
+#[rstest]
+#[case::part(Deadly::Part)]
+#[case::request(Deadly::Request)]
+fn a_suspect_stays_held_back_after_all_gateways_were_ended(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let mut fleet = fleet_with_a_part_held_back().await;
+        let mut fleet = fleet_with_a_held_suspect(deadly).await;
         let deadline = Instant::now() + EVENT_LIMIT;
         while !fleet
             .gateways
@@ -124,20 +160,20 @@
         for gateway in 0..SIZE.gateways {
             wait_until_answered(&fleet, gateway).await;
             wait_for_lines(&fleet, gateway, HELD_BACK, 2).await;
-            assert_held_back(&fleet, gateway).await;
+            assert_held_back(&fleet, gateway, deadly).await;
         }
     });
 }
 
-/// A fleet at whose gateways requests with one part have crashed one engine each.
-async fn fleet_with_a_part_held_back() -> SoakFleet {
+/// A fleet at whose gateways deadly requests have crashed one engine each.
+async fn fleet_with_a_held_suspect(deadly: Deadly) -> SoakFleet {
     let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
     let spawning = SoakFleet::spawn_ready(daemon, SIZE);
     let fleet = spawning.await.expect("a ready fleet");
     let mut engines = Vec::new();
     for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
         let id = format!("i-raw-{number}");
-        let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::CrashAtHead);
+        let spawning = RawWorker::spawn(&id, WorkerKind::Engine, deadly.answer());
         let engine = spawning.await.expect("an engine");
         let entry = encoded(&engine.entry(&[model]));
         fleet.store.state.put("servers", &id, entry);
@@ -151,8 +187,8 @@
         wait_until_answered(&fleet, gateway).await;
     }
     for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
-        let deadly = stream(gateway, model, &format!("aa:80,dead:30,c{gateway}:20"));
-        assert_eq!(send(&fleet, &deadly).await, CallOutcome::Status(502));
+        let call = deadly.call(gateway, model);
+        assert_eq!(send(&fleet, &call).await, CallOutcome::Status(502));
         assert_eq!(engines[gateway].requests(), 1);
     }
     for gateway in 0..SIZE.gateways {
--- a/src/gateway/buffered_call.rs
+++ b/src/gateway/buffered_call.rs
@@ -7,7 +7,7 @@
 
 use super::{CallPlan, LargeCallGuard};
 use crate::net::BufferLease;
-use crate::quarantine::RequestFingerprint;
+use crate::quarantine::{RequestFingerprint, RequestSuspects};
 
 /// A client request with its body buffered, so that it can be sent more than once.
 pub struct BufferedCall {
@@ -18,16 +18,26 @@
     /// Route, service and deadlines of the request.
     pub plan: Rc<CallPlan>,
     /// Memory of the body.
-    pub memory: BodyMemory,
+    pub _memory: BodyMemory,
     /// Identical for each copy of the request.
     pub fingerprint: RequestFingerprint,
 }
 
+impl BufferedCall {
+    /// What of the request may be at fault if an upstream crashes.
+    pub fn suspects(&self) -> RequestSuspects<'_> {
+        RequestSuspects {
+            request: self.fingerprint,
+            parts: &self.plan.parts,
+        }
+    }
+}
+
 /// Memory that the body of a request takes; dropping it returns the memory.
 #[derive(Debug)]
 pub struct BodyMemory {
     /// Part of the process's budget for messages.
-    pub lease: BufferLease,
+    pub _lease: BufferLease,
     /// Set for a large body.
-    pub large: Option<LargeCallGuard>,
+    pub _large: Option<LargeCallGuard>,
 }
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -20,6 +20,7 @@
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::net::{HttpBody, full_body};
 use crate::prelude::*;
+use crate::quarantine::{PromptPartId, RequestSuspects};
 use crate::rate_limit::RequestRate;
 use crate::upstream_speed::BeginForecast;
 
@@ -208,7 +209,7 @@
             CallFailure::Lost(error) => {
                 guard.set_outcome("lost");
                 self.record(AttemptResult::Failed);
-                self.context.record_crash(self.call.fingerprint, self.key);
+                self.record_crash(&[]);
                 log::warn!(request:% = request, error:% = error; "upstream lost");
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
                 AttemptOutcome::sent(end, true)
@@ -272,7 +273,7 @@
         match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
             Ok(answer) => {
                 if parts.status.is_success() {
-                    context.record_part_answer(&self.call.plan);
+                    context.record_sound(self.call.suspects());
                 }
                 let length = answer.stated_length().map(HeaderValue::from);
                 if let Some(length) = unsent_length.or(length) {
@@ -302,10 +303,19 @@
         if !has_crashed(upstream.address).await {
             return AttemptOutcome::sent(end, true);
         }
-        self.context.record_part_crash(self.call, &upstream);
+        self.record_crash(&self.call.plan.parts);
         AttemptOutcome::sent(AttemptEnd::Crashed, true)
     }
 
+    fn record_crash(&self, parts: &[PromptPartId]) {
+        let suspects = RequestSuspects {
+            request: self.call.fingerprint,
+            parts,
+        };
+        let request = &self.call.plan.request;
+        self.context.record_crash(request, self.key, suspects);
+    }
+
     /// Whether the response cannot be the upstream's answer to this request.
     fn is_wrong_answer(&self, head: &AnswerHead, status: StatusCode) -> bool {
         // These statuses promise that the request did not run, which the upstream did not say.
--- a/src/gateway/call_flow/mod.rs
+++ b/src/gateway/call_flow/mod.rs
@@ -17,7 +17,7 @@
 use crate::metrics::RefusalLabels;
 use crate::net::HttpBody;
 use crate::prelude::*;
-use crate::quarantine::{PartVerdict, TrialGuard, TrialPermit};
+use crate::quarantine::{SuspectVerdict, TrialGuard, TrialPermit};
 
 /// Default `Retry-After` in milliseconds, used where there is no forecast.
 const DEFAULT_RETRY_MS: u64 = 400;
@@ -85,7 +85,7 @@
     /// Software version that wrote the events that the client has received, in this answer or before;
     /// `None` before the first one, or if it is not known.
     software: Option<SoftwareVersion>,
-    /// Set while this request tries an uncertain part of its prompt.
+    /// Set while this request tries an uncertain suspect.
     trial: Option<TrialGuard>,
     /// Allowance of the request's account.
     admission: AccountAdmission,
@@ -234,7 +234,7 @@
 
     /// Refuses a request that cannot be served whatever the upstreams do.
     fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
-        if self.context.is_quarantined(self.call.fingerprint) || !self.may_run_parts() {
+        if !self.may_run_suspects() {
             return Some(self.refuse(RefusalReason::CrashSuspect, None));
         }
         if now >= self.call.plan.ends_at {
@@ -249,24 +249,24 @@
         is_exit_near.then(|| self.refuse(RefusalReason::UpstreamLeaving, Some(DEFAULT_RETRY_MS)))
     }
 
-    /// Whether the parts of the prompt may reach an upstream. An uncertain part is tried by one
-    /// request at a time, in the process that plans.
-    fn may_run_parts(&mut self) -> bool {
-        let (part, is_uncertain) = match self.context.parts.verdict(&self.call.plan) {
-            PartVerdict::Clear => return true,
-            PartVerdict::Uncertain(part) => (part, true),
-            PartVerdict::HeldBack(part) => (part, false),
+    /// Whether the request and the parts of its prompt may reach an upstream. An uncertain suspect is
+    /// tried by one request at a time, in the process that plans.
+    fn may_run_suspects(&mut self) -> bool {
+        let (suspect, is_uncertain) = match self.context.crashes.verdict(self.call.suspects()) {
+            SuspectVerdict::Clear => return true,
+            SuspectVerdict::Uncertain(suspect) => (suspect, true),
+            SuspectVerdict::HeldBack(suspect) => (suspect, false),
         };
         if is_uncertain && self.trial.is_none() && self.context.host.is_active() {
-            self.trial = TrialPermit::take(&self.context.parts.trial);
+            self.trial = TrialPermit::take(&self.context.crashes.trial);
         }
         let is_trial = is_uncertain && self.trial.is_some();
         log::info!(
             request:% = self.call.plan.request,
-            part:% = part,
+            suspect:% = suspect,
             is_uncertain,
             is_trial;
-            "part of the prompt is held back"
+            "suspect of crashes"
         );
         is_trial
     }
--- a/src/gateway/part_store.rs
+++ b/src/gateway/crash_store.rs
@@ -1,4 +1,4 @@
-//! Keeps the records of prompt parts in the platform's table, for a planner that knows none.
+//! Keeps the records for which suspects are held back in the platform's table, for a planner that knows none.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,11 +7,11 @@
 
 use super::GatewayContext;
 use crate::decision::unix_ms;
-use crate::quarantine::PartRecord;
+use crate::quarantine::CrashRecord;
 use crate::table::{RowRevision, TableEra, TableError, TableTxn, TxnOutcome};
 
 /// Table key of the records.
-const PARTS_KEY: &str = "quarantine-parts";
+const CRASHES_KEY: &str = "crash-records";
 
 /// Milliseconds between two checks for records that are not stored.
 const CHECK_MS: u64 = 250;
@@ -24,10 +24,10 @@
 
 /// The table row.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct StoredParts {
+struct StoredCrashes {
     /// When it was written, in milliseconds since the Unix epoch; the ages count from then.
     at_unix_ms: u64,
-    records: Vec<PartRecord>,
+    records: Vec<CrashRecord>,
 }
 
 /// What a planner knows of the row.
@@ -41,13 +41,13 @@
 }
 
 /// Reads the records when this process begins to plan, and stores them while it plans.
-pub async fn run_part_store(context: Rc<GatewayContext>) {
+pub async fn run_crash_store(context: Rc<GatewayContext>) {
     let mut state: Option<StoredState> = None;
     loop {
         let mut pause_ms = CHECK_MS;
         if context.host.is_active() {
             if let Err(error) = sync(&context, &mut state).await {
-                log::warn!(dependency = "table", error:% = error; "records of prompt parts not read or stored");
+                log::warn!(dependency = "table", error:% = error; "records of crashes not read or stored");
                 pause_ms = RETRY_MS;
             }
         } else {
@@ -64,25 +64,25 @@
         *state = Some(read(context).await?);
         return Ok(());
     };
-    if context.parts.digest() != known.digest {
+    if context.crashes.held_back_digest() != known.digest {
         *state = store(context, known.revision).await?;
     }
     Ok(())
 }
 
 async fn read(context: &GatewayContext) -> Result<StoredState, TableError> {
-    let row = context.ports.table.read(PARTS_KEY.to_owned()).await?;
-    let stored: StoredParts = row.decode()?.unwrap_or_default();
+    let row = context.ports.table.read(CRASHES_KEY.to_owned()).await?;
+    let stored: StoredCrashes = row.decode()?.unwrap_or_default();
     let elapsed_ms = unix_ms().saturating_sub(stored.at_unix_ms);
-    let records: Vec<PartRecord> = stored
+    let records: Vec<CrashRecord> = stored
         .records
         .into_iter()
-        .map(|record| PartRecord {
+        .map(|record| CrashRecord {
             age_ms: record.age_ms.saturating_add(elapsed_ms),
             ..record
         })
         .collect();
-    context.parts.merge(context.now(), &records);
+    context.crashes.merge(context.now(), &records);
     Ok(StoredState {
         revision: row.revision,
         digest: 0,
@@ -95,21 +95,20 @@
     context: &GatewayContext,
     revision: RowRevision,
 ) -> Result<Option<StoredState>, TableError> {
-    let knowledge = context.parts.knowledge(context.now(), 0);
-    let digest = knowledge.digest;
-    let mut records = knowledge.records;
+    let digest = context.crashes.held_back_digest();
+    let mut records = context.crashes.held_back_records(context.now());
     records.sort_by_key(|record| record.age_ms);
     records.truncate(MAX_STORED_RECORDS);
-    let row = StoredParts {
+    let row = StoredCrashes {
         at_unix_ms: unix_ms(),
         records,
     };
     let txn = TableTxn::default()
-        .check(PARTS_KEY, revision)
-        .write(PARTS_KEY, &row)?;
+        .check(CRASHES_KEY, revision)
+        .write(CRASHES_KEY, &row)?;
     match context.ports.table.commit(txn).await? {
         TxnOutcome::Committed(revision) => {
-            log::info!(digest, records = row.records.len(); "records of prompt parts stored");
+            log::info!(digest, records = row.records.len(); "records of crashes stored");
             Ok(Some(StoredState {
                 revision,
                 digest,
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -128,7 +128,7 @@
         context
             .feeds
             .repeat_overdue_calls(now, has_planner(&context));
-        context.parts.expire(now);
+        context.crashes.expire(now);
         context.rate_limiter.borrow_mut().advance(now);
         context.check_allowance();
         context.expire_upstreams();
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -97,8 +97,8 @@
             calls.begin(self.context.clock, arrived_at)
         };
         let memory = BodyMemory {
-            lease,
-            large: is_large.then(begin_large),
+            _lease: lease,
+            _large: is_large.then(begin_large),
         };
         if self.context.refuses_arrivals() {
             return self.refuse(
@@ -122,7 +122,7 @@
             parts,
             body,
             plan: Rc::new(plan),
-            memory,
+            _memory: memory,
             fingerprint,
         };
         serve_call(&self.context, call, software).await
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -9,10 +9,9 @@
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 
-use super::buffered_call::BufferedCall;
+use super::crash_watch::CrashWatch;
 use super::feed_watch::FeedWatch;
 use super::fleet_follower::FEED_CHECK_MS;
-use super::part_watch::PartWatch;
 use super::planner_host::PlannerHost;
 use super::{
     CallPlan, HeaderCodec, LargeCalls, LoadTracker, PauseRegistry, PlacementView, WaitRegistry,
@@ -20,16 +19,14 @@
 use crate::account_limit::AccountLimiter;
 use crate::config::{GatewayConfig, NodeConfig};
 use crate::daemon::{BroadcastSignal, WakeSignal};
-use crate::fleet::{
-    FleetCatalog, FleetSource, ModelNeed, UpstreamEntry, UpstreamKey, UpstreamRoster,
-};
+use crate::fleet::{FleetCatalog, FleetSource, ModelNeed, UpstreamKey, UpstreamRoster};
 use crate::ids::new_start_id;
 use crate::metrics::{AccountOutcome, NodeMetrics, RequestLabels};
 use crate::net::{BufferBudget, PeerClient};
 use crate::orders::{ArrivedRequests, EngineControl, EntryDemand, RunningRequests};
-use crate::planner_rpc::CrashRecord;
+use crate::planner_rpc::CrashUpdate;
 use crate::prelude::*;
-use crate::quarantine::{QuarantineTracker, QuarantineVerdict, RequestFingerprint, crash_id};
+use crate::quarantine::RequestSuspects;
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
@@ -56,9 +53,6 @@
 /// so that the refusal still reaches the client.
 const EXIT_REFUSAL_MS: u64 = 900;
 
-/// Milliseconds that a request stays quarantined after its last crash.
-const CRASH_QUARANTINE_MS: u64 = 60_000;
-
 /// Interfaces that a platform adapter implements.
 pub struct GatewayPorts {
     /// The platform's table.
@@ -119,16 +113,14 @@
     pub prompt_read: BroadcastSignal,
     /// Retry budget for requests that are sent again.
     pub resends: RefCell<ResendWindow>,
-    /// Requests that were in flight at crashes.
-    pub crashes: RefCell<QuarantineTracker>,
+    /// Requests and parts of prompts that were in flight at crashes.
+    pub crashes: CrashWatch,
     /// Software versions that began streams.
     pub origins: RefCell<OriginRegistry>,
     /// Software versions that were listed lately.
     pub software_history: RefCell<SoftwareHistory>,
     /// Notified when the origin of a stream has to be written to the table.
     pub origin_wake: WakeSignal,
-    /// Parts of prompts at crashes.
-    pub parts: PartWatch,
     /// Planner lease and, while it is held, the planner.
     pub host: PlannerHost,
     /// Version of the configuration read so far, and signals to refetch.
@@ -146,8 +138,6 @@
     /// Completes [`EXIT_REFUSAL_MS`] before the end of the drain time.
     exit_near: Shared<LocalBoxFuture<'static, ()>>,
     exit_sender: RefCell<Option<oneshot::Sender<()>>>,
-    /// Crashes seen by this process since the last demand report.
-    new_crashes: RefCell<Vec<CrashRecord>>,
     /// Upstreams that reported a missing model since the last demand report.
     missing_model: RefCell<BTreeSet<UpstreamId>>,
     /// Requests that arrived since the last demand report, by model.
@@ -196,11 +186,10 @@
             waits: WaitRegistry::open(),
             shedder: RefCell::default(),
             prompt_read: BroadcastSignal::default(),
-            crashes: RefCell::new(QuarantineTracker::open()),
+            crashes: CrashWatch::open(start_id),
             origins: RefCell::new(OriginRegistry::open()),
             software_history: RefCell::new(SoftwareHistory::open()),
             origin_wake: WakeSignal::default(),
-            parts: PartWatch::default(),
             host,
             feeds: FeedWatch::default(),
             delay: DelayWatch::open(clock.now(), FEED_CHECK_MS),
@@ -210,7 +199,6 @@
             stopped_at: Cell::new(None),
             exit_near: exit_receiver.map(|_| ()).boxed_local().shared(),
             exit_sender: RefCell::new(Some(exit_sender)),
-            new_crashes: RefCell::default(),
             missing_model: RefCell::default(),
             arrivals: RefCell::default(),
             runs: RefCell::default(),
@@ -388,60 +376,30 @@
         }
     }
 
-    /// Whether a request is quarantined because it crashed several upstreams.
-    #[must_use]
-    pub fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
-        let verdict = self
-            .crashes
-            .borrow()
-            .verdict(self.now(), fingerprint, CRASH_QUARANTINE_MS);
-        verdict == QuarantineVerdict::Quarantined
-    }
-
-    /// Records that an upstream was lost while it ran a request; a new crash goes into the next
-    /// demand report.
-    pub fn record_crash(&self, fingerprint: RequestFingerprint, key: UpstreamKey) {
+    /// Records that an upstream crashed while these suspects were in flight; the planner is told at
+    /// once.
+    pub fn record_crash(&self, request: &str, key: UpstreamKey, suspects: RequestSuspects) {
         let roster = self.roster.borrow();
-        let Some(entry) = roster.get(key) else { return };
-        let instance = InstanceName::from(entry.id.as_str());
-        let record = CrashRecord(fingerprint, crash_id(&instance, entry.started_at_ms));
-        if self
-            .crashes
-            .borrow_mut()
-            .record(self.now(), fingerprint, record.1)
-        {
-            self.new_crashes.borrow_mut().push(record);
-        }
-    }
-
-    /// Records that an upstream crashed when it had begun to answer a request and had sent no event;
-    /// the planner is told at once.
-    pub fn record_part_crash(&self, call: &BufferedCall, upstream: &UpstreamEntry) {
-        self.parts
-            .record_crash(self.now(), &call.plan, call.fingerprint, upstream);
+        let Some(upstream) = roster.get(key) else {
+            return;
+        };
+        self.crashes
+            .record_crash(self.now(), request, upstream, suspects);
         self.waits.wanted.notify();
     }
 
-    /// Records that a request has received an event; the planner is told at once if that clears a
-    /// part of its prompt.
-    pub fn record_part_answer(&self, plan: &CallPlan) {
-        if self.parts.record_answer(plan) {
+    /// Records that a request was answered; the planner is told at once if that may free a suspect.
+    pub fn record_sound(&self, suspects: RequestSuspects) {
+        if self.crashes.record_answered(suspects) {
             self.waits.wanted.notify();
         }
     }
 
-    /// Records crashes that other processes reported.
-    pub fn record_crashes(&self, records: &[CrashRecord]) {
-        let now = self.now();
-        let mut tracker = self.crashes.borrow_mut();
-        for CrashRecord(fingerprint, crash) in records {
-            tracker.record(now, *fingerprint, *crash);
+    /// Applies what the planner tells of crashes. A planner that has not answered before is told all
+    /// that is known here, at once.
+    pub fn apply_crashes(&self, update: &CrashUpdate) {
+        if self.crashes.apply_update(self.now(), update) {
+            self.waits.wanted.notify();
         }
     }
-
-    /// Removes and returns the crashes seen here that were not reported yet.
-    #[must_use]
-    pub fn drain_crashes(&self) -> Vec<CrashRecord> {
-        std::mem::take(&mut *self.new_crashes.borrow_mut())
-    }
 }
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -7,11 +7,11 @@
 use compio::runtime::JoinHandle;
 
 use super::control_server::ControlServer;
+use super::crash_store::run_crash_store;
 use super::fleet_follower::{follow_catalog, follow_upstreams, watch_feeds};
 use super::front_server::FrontServer;
 use super::gateway_context::BALANCER_REMOVAL_MS;
 use super::origin_store::{run_origin_store, run_origin_sweep};
-use super::part_store::run_part_store;
 use super::planner_lease::{release_lease, run_lease};
 use super::planner_link::{run_follow, run_report};
 use super::planner_orders::run_orders;
@@ -65,7 +65,7 @@
             compio::runtime::spawn(run_lease(Rc::clone(&context))),
             compio::runtime::spawn(run_follow(Rc::clone(&context))),
             compio::runtime::spawn(run_report(Rc::clone(&context))),
-            compio::runtime::spawn(run_part_store(Rc::clone(&context))),
+            compio::runtime::spawn(run_crash_store(Rc::clone(&context))),
             compio::runtime::spawn(run_origin_store(Rc::clone(&context))),
             compio::runtime::spawn(run_origin_sweep(Rc::clone(&context))),
             compio::runtime::spawn(run_orders(Rc::clone(&context))),
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -12,8 +12,7 @@
 use crate::lease::{LeaseHolder, LeaseIntent, LeasePredecessor, LeaseRow};
 use crate::orders::{OrderPlanner, PlacementUpdate, PlannerPolicy};
 use crate::planner_rpc::{
-    CrashRecord, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
-    PartKnowledge,
+    CrashUpdate, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
 };
 use crate::prelude::*;
 use crate::rate_limit::TokenIssuer;
@@ -23,9 +22,6 @@
 /// Milliseconds after its last report for which an entry counts as live.
 const ENTRY_TTL_MS: u64 = 3_000;
 
-/// Milliseconds for which reported crashes are sent to other entries.
-const CRASH_RELAY_MS: u64 = 2_000;
-
 /// Milliseconds added to the pause between two lease holders, for clock and network differences.
 const HANDOVER_MARGIN_MS: u64 = 250;
 
@@ -37,7 +33,6 @@
     epoch: u64,
     /// Time of the last report and address of each live entry.
     entries: HashMap<InstanceName, (MonoTime, SocketAddr)>,
-    crashes: Vec<(MonoTime, CrashRecord)>,
     /// Shares the rate limits of upstreams among the entries.
     issuer: TokenIssuer,
     /// Shares the limits of accounts among the entries.
@@ -216,7 +211,6 @@
             planner: OrderPlanner::open(self.policy, intent.row.epoch, now + pause_ms),
             epoch: intent.row.epoch,
             entries: HashMap::new(),
-            crashes: Vec::new(),
             issuer: TokenIssuer::open(),
             accounts: AccountIssuer::open(now, self.account_bounds),
             speeds: SpeedBoard::open(),
@@ -284,12 +278,6 @@
         active
             .entries
             .retain(|_, (at, _)| now.millis_since(*at) < ENTRY_TTL_MS);
-        active
-            .crashes
-            .retain(|(at, _)| now.millis_since(*at) < CRASH_RELAY_MS);
-        active
-            .crashes
-            .extend(report.crashes.iter().map(|crash| (now, *crash)));
         let tokens = active.issuer.exchange(now, &report.entry, &report.tokens);
         active.planner.set_rate_limits(active.issuer.limits());
         // Another planner may grant allowance if the lease is not held.
@@ -315,8 +303,7 @@
             entry_count: u32::try_from(active.entries.len()).unwrap_or(u32::MAX),
             feeds,
             forecasts: forecasts.collect(),
-            crashes: active.crashes.iter().map(|(_, crash)| *crash).collect(),
-            parts: PartKnowledge::default(),
+            crashes: CrashUpdate::default(),
             tokens,
             allowance: allowance.unwrap_or_default(),
         };
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -90,12 +90,12 @@
 
 /// Reports demand to the planner and applies its responses.
 pub async fn run_report(context: Rc<GatewayContext>) {
-    // Records of the planner that answered last; a new planner tells its own with its first answer.
-    let mut planner_digest = 0;
+    // A process that has just started learns at once what other processes know.
+    let mut has_answer = false;
     loop {
         let has_waiting = context.rate_limiter.borrow().has_waiting()
             || context.account_limiter.borrow().has_waiting();
-        let pause_ms = if has_waiting {
+        let pause_ms = if has_waiting || !has_answer {
             TOKEN_REPORT_MS
         } else {
             REPORT_MS
@@ -103,18 +103,21 @@
         context.waits.wanted.wait(pause_ms).await;
         compio::time::sleep(Duration::from_millis(REPORT_BATCH_MS)).await;
         let sent_at = context.now();
+        let planner = context.host.remote_address();
+        let crashes = planner.map(|_| context.crashes.take_report(sent_at));
+        let crashes = crashes.unwrap_or_default();
+        let crash_records = crashes.records.clone();
         let report = DemandReport {
             entry: context.node.instance.clone(),
             address: context.config.peers,
             demand: context.take_demand(),
             feeds: context.feeds.versions(),
-            crashes: context.drain_crashes(),
-            parts: context.parts.knowledge(context.now(), planner_digest),
+            crashes,
             tokens: context.take_token_requests(),
             allowance: context.account_limiter.borrow_mut().take_report(sent_at),
             speeds: context.speed_reports(),
         };
-        let response = match context.host.remote_address() {
+        let response = match planner {
             None => {
                 let feeds = context.feeds.versions();
                 let catalog = context.catalog.borrow();
@@ -134,6 +137,7 @@
                 }
                 Err(error) => {
                     log::debug!(planner:% = address, error:% = error; "demand report not delivered");
+                    context.crashes.restore_report(&crash_records);
                     None
                 }
             },
@@ -144,9 +148,8 @@
             context.set_resend_share(response.entry_count);
             context.apply_token_grants(response.entry_count, &response.tokens);
             context.apply_allowance(sent_at, &response);
-            context.record_crashes(&response.crashes);
-            context.parts.merge(context.now(), &response.parts.records);
-            planner_digest = response.parts.digest;
+            context.apply_crashes(&response.crashes);
+            has_answer = true;
             context.waits.set_forecasts(response.forecasts);
         }
     }
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -48,18 +48,16 @@
 impl PlannerApiServer for PlannerServer {
     fn demand(&self, report: DemandReport) -> RpcResult<DemandResponse> {
         let now = self.context.now();
-        self.context.record_crashes(&report.crashes);
         self.context.record_remote_era(report.feeds.era);
         self.context.feeds.record_remote(now, report.feeds);
-        self.context.parts.merge(now, &report.parts.records);
-        let known_digest = report.parts.digest;
+        let crashes = self.context.crashes.answer_report(now, &report.crashes);
         let feeds = self.context.feeds.versions();
         let catalog = self.context.catalog.borrow();
         let accounts = catalog.as_ref().map(|catalog| catalog.accounts());
         let host = &self.context.host;
         let response = host.record_report(now, report, feeds, accounts);
         let mut response = response.ok_or_else(not_planner)?;
-        response.parts = self.context.parts.knowledge(now, known_digest);
+        response.crashes = crashes;
         Ok(response)
     }
 
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -18,6 +18,7 @@
 use crate::fleet::UpstreamKey;
 use crate::net::EventBuffer;
 use crate::prelude::*;
+use crate::quarantine::RequestSuspects;
 
 /// Milliseconds past the deadline for which events that have already arrived are still delivered.
 const LATE_DELIVERY_MS: u64 = 300;
@@ -190,7 +191,7 @@
     fn record_events(&mut self) {
         self.guard.record_event_ids(self.event_ids());
         if !std::mem::replace(&mut self.has_events, true) {
-            self.guard.context.record_part_answer(&self.guard.plan);
+            self.guard.context.record_sound(self.guard.suspects());
         }
     }
 
@@ -209,7 +210,11 @@
         loads.record_result(now, self.guard.key, AttemptResult::Failed);
         drop(loads);
         if failure == StreamFailure::Lost {
-            context.record_crash(self.guard.fingerprint, self.guard.key);
+            let suspects = RequestSuspects {
+                request: self.guard.fingerprint,
+                parts: &[],
+            };
+            context.record_crash(&self.guard.plan.request, self.guard.key, suspects);
         }
     }
 }
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -9,15 +9,11 @@
 use crate::lease::LeaseRow;
 use crate::orders::EntryDemand;
 use crate::prelude::*;
-use crate::quarantine::{PartRecord, RequestFingerprint};
+use crate::quarantine::CrashRecord;
 use crate::rate_limit::{TokenGrant, TokenRequest};
 use crate::table::{RowRevision, TableEra};
 use crate::upstream_speed::SpeedReport;
 
-/// A request that was in flight at a crash, and the number of the crash.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct CrashRecord(pub RequestFingerprint, pub u64);
-
 /// The newest changes that a process has read from the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct FeedVersions {
@@ -32,15 +28,37 @@
     pub roster: u64,
 }
 
-/// What a process knows of parts of prompts at crashes.
+/// Up to where a process has received the records of crashes of a planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// Start ID of the planner's process; 0 if none has answered.
+    #[serde(rename = "p")]
+    pub process: u64,
+    /// Number of the newest change there that was received.
+    #[serde(rename = "c")]
+    pub change: u64,
+}
+
+/// What an entry tells the planner of crashes.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct PartKnowledge {
-    /// Digest of all records; 0 without records.
-    #[serde(rename = "d")]
-    pub digest: u64,
-    /// All records, unless the receiver is known to have them.
+pub struct CrashReport {
+    /// Up to where the entry has received the planner's records.
+    #[serde(rename = "k")]
+    pub known: CrashMark,
+    /// Records of which the planner may not know all that the entry knows.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<CrashRecord>,
+}
+
+/// What the planner tells an entry of crashes.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CrashUpdate {
+    /// Up to where the entry knows the planner's records with this update.
+    #[serde(rename = "k")]
+    pub mark: CrashMark,
+    /// Records that changed since the mark that the entry named.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub records: Vec<PartRecord>,
+    pub records: Vec<CrashRecord>,
 }
 
 /// An entry's report to the planner.
@@ -58,12 +76,9 @@
     /// Newest changes that it has read. The planner reads a feed again if its own version is lower.
     #[serde(flatten)]
     pub feeds: FeedVersions,
-    /// Crashes that the entry saw since its last report.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashRecord>,
-    /// What the entry knows of parts of prompts at crashes.
-    #[serde(rename = "q", default)]
-    pub parts: PartKnowledge,
+    /// What the entry knows of crashes.
+    #[serde(rename = "y", default)]
+    pub crashes: CrashReport,
     /// Tokens that the entry needs for limited upstreams.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<TokenRequest>,
@@ -100,12 +115,9 @@
     /// Forecasts for the models that the report requests.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub forecasts: Vec<LoadForecast>,
-    /// Crashes that other entries saw recently.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashRecord>,
-    /// What the planner knows of parts of prompts at crashes.
-    #[serde(rename = "q", default)]
-    pub parts: PartKnowledge,
+    /// What the planner knows of crashes.
+    #[serde(rename = "y", default)]
+    pub crashes: CrashUpdate,
     /// Tokens for limited upstreams, and limits that the entry may not know.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<TokenGrant>,
--- /dev/null
+++ b/src/quarantine/crash_history.rs
@@ -0,0 +1,108 @@
+//! The crashes at which one suspect was in flight.
+
+use std::collections::BTreeSet;
+
+use super::{CrashRecord, CrashSuspect, RequestFingerprint};
+use crate::prelude::*;
+use crate::routing::rendezvous_weight;
+
+/// Crashes at which a suspect must have been in flight to be held back. A part of a prompt must also
+/// have been in as many different requests.
+const HELD_BACK_AFTER: usize = 2;
+
+/// Milliseconds after which a crash is forgotten.
+pub const FORGET_MS: u64 = 600_000;
+
+/// What is known of a suspect at one crash. Every field only grows or only shrinks, so that processes
+/// that exchange records agree in whatever order they come.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashEvidence {
+    /// ID of the crash.
+    pub crash: u64,
+    /// The lowest of the requests in flight with the suspect, so that all processes keep the same.
+    pub request: RequestFingerprint,
+    /// Never unset.
+    pub is_cleared: bool,
+    /// When the crash is forgotten.
+    pub forgotten_at: MonoTime,
+    /// Number of the last change of this evidence in this process.
+    pub change: u64,
+}
+
+impl CrashEvidence {
+    /// Evidence as another process tells it; `None` if it is too old.
+    pub fn from_record(now: MonoTime, record: &CrashRecord) -> Option<Self> {
+        let left_ms = FORGET_MS.checked_sub(record.age_ms)?;
+        (left_ms > 0).then_some(Self {
+            crash: record.crash,
+            request: record.request,
+            is_cleared: record.is_cleared,
+            forgotten_at: now + left_ms,
+            change: 0,
+        })
+    }
+
+    /// The evidence for another process.
+    pub const fn to_record(self, now: MonoTime, suspect: CrashSuspect) -> CrashRecord {
+        CrashRecord {
+            suspect,
+            crash: self.crash,
+            request: self.request,
+            is_cleared: self.is_cleared,
+            age_ms: FORGET_MS.saturating_sub(self.forgotten_at.millis_since(now)),
+        }
+    }
+
+    /// Adds what other evidence of the same crash tells. Returns whether that is anything new, apart
+    /// from its time.
+    pub fn join(&mut self, other: &Self) -> bool {
+        let before = (self.request, self.is_cleared);
+        self.request = self.request.min(other.request);
+        self.is_cleared |= other.is_cleared;
+        self.forgotten_at = self.forgotten_at.min(other.forgotten_at);
+        before != (self.request, self.is_cleared)
+    }
+
+    /// Hash of what processes agree on.
+    pub fn digest(&self, suspect: CrashSuspect) -> u64 {
+        let key = format!("{suspect}/{:x}/{}", self.crash, self.request);
+        rendezvous_weight(&key, "")
+    }
+}
+
+/// All crashes at which one suspect was in flight.
+#[derive(Debug, Clone, Default)]
+pub struct CrashHistory {
+    /// One for each crash.
+    pub evidence: Vec<CrashEvidence>,
+}
+
+impl CrashHistory {
+    /// The evidence of a crash.
+    pub fn of_crash(&mut self, crash: u64) -> Option<&mut CrashEvidence> {
+        self.evidence
+            .iter_mut()
+            .find(|evidence| evidence.crash == crash)
+    }
+
+    /// Evidence that still counts.
+    pub fn counting(&self) -> impl Iterator<Item = &CrashEvidence> {
+        let evidence = self.evidence.iter();
+        evidence.filter(|evidence| !evidence.is_cleared)
+    }
+
+    /// IDs of the crashes that count.
+    pub fn crashes(&self) -> BTreeSet<u64> {
+        self.counting().map(|evidence| evidence.crash).collect()
+    }
+
+    /// Whether the suspect was in flight at enough crashes to be held back.
+    pub fn is_recurring(&self, suspect: CrashSuspect) -> bool {
+        if self.counting().count() < HELD_BACK_AFTER {
+            return false;
+        }
+        let requests: BTreeSet<RequestFingerprint> =
+            self.counting().map(|evidence| evidence.request).collect();
+        matches!(suspect, CrashSuspect::Request(_)) || requests.len() >= HELD_BACK_AFTER
+    }
+}
--- /dev/null
+++ b/src/quarantine/crash_record.rs
@@ -0,0 +1,25 @@
+//! Records of crashes, as processes exchange them.
+
+use serde::{Deserialize, Serialize};
+
+use super::{CrashSuspect, RequestFingerprint};
+
+/// A suspect that was in flight at a crash, and what is known of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The suspect.
+    #[serde(rename = "s")]
+    pub suspect: CrashSuspect,
+    /// ID of the crash; the same in every process.
+    #[serde(rename = "c")]
+    pub crash: u64,
+    /// The request that was in flight; the lowest if several with the suspect were.
+    #[serde(rename = "r")]
+    pub request: RequestFingerprint,
+    /// Whether the suspect is known to have been answered, so that it did not cause the crash.
+    #[serde(rename = "a")]
+    pub is_cleared: bool,
+    /// Milliseconds since the crash.
+    #[serde(rename = "ms")]
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/src/quarantine/crash_tracker.rs
@@ -0,0 +1,300 @@
+//! Finds the requests, and the parts of prompts, that crash upstreams.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::crash_history::{CrashEvidence, CrashHistory, FORGET_MS};
+use super::held_suspects::HeldSuspects;
+use super::recent_answers::RecentAnswers;
+use super::{
+    CrashRecord, CrashSuspect, PromptPartId, RequestFingerprint, RequestSuspects, SuspectVerdict,
+};
+use crate::prelude::*;
+
+/// Crashes at which a suspect is excused because it was answered at some time before.
+const EXCUSED_CRASHES: usize = 4;
+
+/// Records stored at most; the oldest of suspects that are not held back is dropped first.
+const MAX_RECORDS: usize = 2_048;
+
+/// Answered parts stored in one generation.
+const ANSWERED_PARTS: usize = 4_096;
+
+/// Answered requests stored in one generation.
+const ANSWERED_REQUESTS: usize = 1_024;
+
+/// Key of a record: a suspect and a crash.
+type RecordKey = (CrashSuspect, u64);
+
+/// Tracks what was in flight at crashes of upstreams. A suspect that was answered afterwards did not
+/// cause the crash. Records only grow, so that processes that exchange them agree in whatever order
+/// they come.
+#[derive(Debug)]
+pub struct CrashTracker {
+    /// Histories are never empty.
+    histories: BTreeMap<CrashSuspect, CrashHistory>,
+    /// Number of records in `histories`.
+    record_count: usize,
+    answered_parts: RecentAnswers<PromptPartId>,
+    answered_requests: RecentAnswers<RequestFingerprint>,
+    /// Derived from `histories`.
+    held: HeldSuspects,
+    /// Number of the newest change in `histories`.
+    newest_change: u64,
+    /// Records of which the planner may not know all that is known here.
+    unreported: BTreeSet<RecordKey>,
+}
+
+impl CrashTracker {
+    /// Creates a tracker without records.
+    #[must_use]
+    pub fn open() -> Self {
+        Self {
+            histories: BTreeMap::new(),
+            record_count: 0,
+            answered_parts: RecentAnswers::open(ANSWERED_PARTS),
+            answered_requests: RecentAnswers::open(ANSWERED_REQUESTS),
+            held: HeldSuspects::default(),
+            newest_change: 0,
+            unreported: BTreeSet::new(),
+        }
+    }
+
+    /// Records that a request was in flight at a crash.
+    pub fn record_crash(&mut self, now: MonoTime, crash: u64, suspects: RequestSuspects) {
+        for suspect in suspects.iter() {
+            let evidence = CrashEvidence {
+                crash,
+                request: suspects.request,
+                is_cleared: false,
+                forgotten_at: now + FORGET_MS,
+                change: 0,
+            };
+            self.join(suspect, evidence);
+            self.unreported.insert((suspect, crash));
+        }
+        self.update();
+    }
+
+    /// Records that a request was answered. Returns whether that clears a suspect that was in flight
+    /// at several crashes.
+    pub fn record_answered(&mut self, suspects: RequestSuspects) -> bool {
+        self.answered_requests.insert(suspects.request);
+        for part in suspects.parts {
+            self.answered_parts.insert(*part);
+        }
+        let mut is_recurring = false;
+        let mut is_changed = false;
+        for suspect in suspects.iter() {
+            let cleared = self.clear(suspect);
+            is_changed |= cleared > 0;
+            is_recurring |= cleared > 1;
+        }
+        if is_changed {
+            self.update();
+        }
+        is_recurring
+    }
+
+    /// Adds the records of another process.
+    pub fn merge(&mut self, now: MonoTime, records: &[CrashRecord]) {
+        for record in records {
+            let Some(evidence) = CrashEvidence::from_record(now, record) else {
+                continue;
+            };
+            let joined = self.join(record.suspect, evidence);
+            let knows_more =
+                (joined.request, joined.is_cleared) != (record.request, record.is_cleared);
+            if knows_more {
+                self.unreported.insert((record.suspect, record.crash));
+            }
+        }
+        if !records.is_empty() {
+            self.update();
+        }
+    }
+
+    /// All records, for another process.
+    #[must_use]
+    pub fn records(&self, now: MonoTime) -> Vec<CrashRecord> {
+        self.records_since(now, 0)
+    }
+
+    /// Records that changed here after the change with the given number.
+    #[must_use]
+    pub fn records_since(&self, now: MonoTime, change: u64) -> Vec<CrashRecord> {
+        if change == self.newest_change {
+            return Vec::new();
+        }
+        let evidence = self.all_evidence();
+        evidence
+            .filter(|(_, evidence)| evidence.change > change)
+            .map(|(suspect, evidence)| evidence.to_record(now, suspect))
+            .collect()
+    }
+
+    /// Number of the newest change; [`Self::records_since`] tells all later ones.
+    #[must_use]
+    pub const fn newest_change(&self) -> u64 {
+        self.newest_change
+    }
+
+    /// Removes and returns the records of which the planner may not know all.
+    #[must_use]
+    pub fn take_unreported(&mut self, now: MonoTime) -> Vec<CrashRecord> {
+        let keys = std::mem::take(&mut self.unreported);
+        let records = keys.into_iter().filter_map(|(suspect, crash)| {
+            let evidence = self.histories.get_mut(&suspect)?.of_crash(crash)?;
+            Some(evidence.to_record(now, suspect))
+        });
+        records.collect()
+    }
+
+    /// Puts records back that did not reach the planner.
+    pub fn restore_unreported(&mut self, records: &[CrashRecord]) {
+        let keys = records.iter().map(|record| (record.suspect, record.crash));
+        self.unreported.extend(keys);
+    }
+
+    /// Makes all records unreported, for a planner that may know none.
+    pub fn report_all(&mut self) {
+        let keys = self
+            .all_evidence()
+            .map(|(suspect, evidence)| (suspect, evidence.crash));
+        self.unreported = keys.collect();
+    }
+
+    /// Records for which suspects are held back, to outlive all processes.
+    #[must_use]
+    pub fn held_back_records(&self, now: MonoTime) -> Vec<CrashRecord> {
+        let held = self.held.suspects();
+        let histories = held.filter_map(|suspect| Some((suspect, self.histories.get(&suspect)?)));
+        histories
+            .flat_map(|(suspect, history)| {
+                let counting = history.counting();
+                counting.map(move |evidence| evidence.to_record(now, suspect))
+            })
+            .collect()
+    }
+
+    /// Whether a crash has been recorded.
+    #[must_use]
+    pub fn knows_crash(&self, crash: u64) -> bool {
+        self.all_evidence()
+            .any(|(_, evidence)| evidence.crash == crash)
+    }
+
+    /// Drops records of crashes that are too long ago.
+    pub fn expire(&mut self, now: MonoTime) {
+        let count = self.record_count;
+        self.histories.retain(|_, history| {
+            let evidence = &mut history.evidence;
+            let dropped = evidence.extract_if(.., |evidence| now >= evidence.forgotten_at);
+            self.record_count -= dropped.count();
+            !evidence.is_empty()
+        });
+        if self.record_count != count {
+            self.update();
+        }
+    }
+
+    /// Whether a request may reach an upstream.
+    #[must_use]
+    pub fn verdict(&self, suspects: RequestSuspects) -> SuspectVerdict {
+        self.held.verdict(suspects)
+    }
+
+    /// What must not reach an upstream.
+    #[must_use]
+    pub const fn held(&self) -> &HeldSuspects {
+        &self.held
+    }
+
+    fn all_evidence(&self) -> impl Iterator<Item = (CrashSuspect, &CrashEvidence)> {
+        self.histories.iter().flat_map(|(suspect, history)| {
+            let evidence = history.evidence.iter();
+            evidence.map(|evidence| (*suspect, evidence))
+        })
+    }
+
+    /// Adds evidence to what is known. Returns the result.
+    fn join(&mut self, suspect: CrashSuspect, evidence: CrashEvidence) -> CrashEvidence {
+        let was_answered = self.was_answered(suspect);
+        let history = self.histories.entry(suspect).or_default();
+        if let Some(known) = history.of_crash(evidence.crash) {
+            if known.join(&evidence) {
+                self.newest_change += 1;
+                known.change = self.newest_change;
+            }
+            return *known;
+        }
+        let is_excused = was_answered && history.evidence.len() < EXCUSED_CRASHES;
+        self.newest_change += 1;
+        let evidence = CrashEvidence {
+            is_cleared: evidence.is_cleared || is_excused,
+            change: self.newest_change,
+            ..evidence
+        };
+        history.evidence.push(evidence);
+        self.record_count += 1;
+        if self.record_count > MAX_RECORDS {
+            self.drop_oldest();
+        }
+        evidence
+    }
+
+    /// Clears a suspect of all its crashes. Returns how many of them counted.
+    fn clear(&mut self, suspect: CrashSuspect) -> usize {
+        let Some(history) = self.histories.get_mut(&suspect) else {
+            return 0;
+        };
+        let counting = history
+            .evidence
+            .iter_mut()
+            .filter(|evidence| !evidence.is_cleared);
+        let mut count = 0;
+        for evidence in counting {
+            count += 1;
+            self.newest_change += 1;
+            evidence.is_cleared = true;
+            evidence.change = self.newest_change;
+            self.unreported.insert((suspect, evidence.crash));
+        }
+        count
+    }
+
+    fn was_answered(&self, suspect: CrashSuspect) -> bool {
+        match suspect {
+            CrashSuspect::Request(request) => self.answered_requests.contains(request),
+            CrashSuspect::Part(part) => self.answered_parts.contains(part),
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self
+            .all_evidence()
+            .filter(|(suspect, _)| !self.held.contains(*suspect))
+            .min_by_key(|(_, evidence)| evidence.forgotten_at);
+        let Some((suspect, crash)) = oldest.map(|(suspect, evidence)| (suspect, evidence.crash))
+        else {
+            return;
+        };
+        if let Some(history) = self.histories.get_mut(&suspect) {
+            history.evidence.retain(|evidence| evidence.crash != crash);
+            self.record_count -= 1;
+            if history.evidence.is_empty() {
+                self.histories.remove(&suspect);
+            }
+        }
+    }
+
+    /// Derives what depends on `histories`.
+    fn update(&mut self) {
+        self.held = HeldSuspects::of(&self.histories);
+    }
+}
+
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self::open()
+    }
+}
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,18 +1,23 @@
 //! Quarantine of requests, and of parts of prompts, that crash upstreams.
 
-mod answered_parts;
+mod crash_history;
+mod crash_record;
+mod crash_suspect;
+mod crash_tracker;
+mod held_suspects;
 mod loss_tracker;
-mod part_record;
-mod part_tracker;
 mod prompt_part_id;
 mod quarantine_row;
 mod quarantine_tracker;
+mod recent_answers;
 mod request_fingerprint;
 mod trial_permit;
 
+pub use crash_record::CrashRecord;
+pub use crash_suspect::{CrashSuspect, RequestSuspects};
+pub use crash_tracker::CrashTracker;
+pub use held_suspects::{HeldSuspects, SuspectVerdict};
 pub use loss_tracker::{LossTracker, UnexplainedLoss, crash_id};
-pub use part_record::{CrashWitness, PartRecord};
-pub use part_tracker::{PartTracker, PartVerdict};
 pub use prompt_part_id::PromptPartId;
 pub use quarantine_row::{QUARANTINE_PREFIX, QuarantineRow};
 pub use quarantine_tracker::{QuarantineTracker, QuarantineVerdict};
