Record each crash for what was in flight, however much of the answer had arrived

Cause: a crash counted for parts only where a stream failed before its first event, and the first event of any answer, the deadly one's included, cleared its parts for good.

Ruled out: parts that cannot be told apart (two crashes are enough with the change).

Change: one method records each attempt that ends with its upstream, for the whole request and each shared part, with how much of the answer had arrived. An answer clears only crashes at which the answer had not come as far. A lost connection counts as a crash only if the upstream refuses a connection 20 ms later, also before the head.

--- a/daemon/tests/crash_suspects.rs
+++ b/daemon/tests/crash_suspects.rs
@@ -37,6 +37,8 @@
 enum Deadly {
     /// A part of a prompt, in requests that differ; the engine ends after the head of its answer.
     Part,
+    /// The same, but the engine ends after an event.
+    PartInAnswer,
     /// Copies of one request; the engine ends before the head of its answer.
     Request,
 }
@@ -46,7 +48,9 @@
     fn call(self, gateway: usize, model: &str) -> SoakCall {
         let own_part = fastrand::u32(..);
         match self {
-            Self::Part => stream(gateway, model, &format!("aa:80,dead:30,{own_part:x}:20")),
+            Self::Part | Self::PartInAnswer => {
+                stream(gateway, model, &format!("aa:80,dead:30,{own_part:x}:20"))
+            }
             Self::Request => SoakCall {
                 id: "deadly".to_owned(),
                 ..stream(gateway, model, "aa:80,bb:30,cc:20")
@@ -54,10 +58,19 @@
         }
     }
 
+    /// What the caller gets.
+    const fn outcome(self) -> CallOutcome {
+        match self {
+            Self::Part | Self::Request => CallOutcome::Status(502),
+            Self::PartInAnswer => CallOutcome::Cut,
+        }
+    }
+
     /// How an engine answers such a request.
     const fn answer(self) -> RawAnswer {
         match self {
             Self::Part => RawAnswer::CrashAtHead,
+            Self::PartInAnswer => RawAnswer::CrashAfterEvent,
             Self::Request => RawAnswer::CrashBeforeHead,
         }
     }
@@ -116,6 +129,7 @@
 /// other parts that are refused beside them (LOST).
 #[rstest]
 #[case::part(Deadly::Part)]
+#[case::part_in_answer(Deadly::PartInAnswer)]
 #[case::request(Deadly::Request)]
 fn what_crashed_engines_of_two_gateways_is_held_back_at_all(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -137,6 +151,7 @@
 /// restarted one after the other, or all at once, and the one that plans next knows nothing.
 #[rstest]
 #[case::part(Deadly::Part)]
+#[case::part_in_answer(Deadly::PartInAnswer)]
 #[case::request(Deadly::Request)]
 fn a_suspect_stays_held_back_after_all_gateways_were_ended(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -188,7 +203,7 @@
     }
     for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
         let call = deadly.call(gateway, model);
-        assert_eq!(send(&fleet, &call).await, CallOutcome::Status(502));
+        assert_eq!(send(&fleet, &call).await, deadly.outcome());
         assert_eq!(engines[gateway].requests(), 1);
     }
     for gateway in 0..SIZE.gateways {
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -11,7 +11,6 @@
 use super::answer_framing::unsent_length;
 use super::buffered_call::BufferedCall;
 use super::call_guard::CallGuard;
-use super::crash_probe::has_crashed;
 use super::stream_relay::StartedStream;
 use super::upstream_call::{CallFailure, UpstreamConnection, call_upstream};
 use super::upstream_stream::{StreamFailure, UpstreamStream};
@@ -20,7 +19,7 @@
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::net::{HttpBody, full_body};
 use crate::prelude::*;
-use crate::quarantine::{PromptPartId, RequestSuspects};
+use crate::quarantine::AnswerProgress;
 use crate::rate_limit::RequestRate;
 use crate::upstream_speed::BeginForecast;
 
@@ -120,7 +119,7 @@
         let exchange = async {
             match call_upstream(entry.address, request, connect_ms, left_ms).await {
                 Ok((response, connection)) => self.judge(&entry, response, connection, guard).await,
-                Err(failure) => self.fail(&failure, &mut guard),
+                Err(failure) => self.fail(&failure, &mut guard).await,
             }
         };
         pin_mut!(exchange);
@@ -197,7 +196,7 @@
     }
 
     /// Ends an attempt without a response.
-    fn fail(&self, failure: &CallFailure, guard: &mut CallGuard) -> AttemptOutcome {
+    async fn fail(&self, failure: &CallFailure, guard: &mut CallGuard) -> AttemptOutcome {
         let request = &self.call.plan.request;
         match failure {
             CallFailure::Unsent(error) => {
@@ -209,8 +208,8 @@
             CallFailure::Lost(error) => {
                 guard.set_outcome("lost");
                 self.record(AttemptResult::Failed);
-                self.record_crash(&[]);
                 log::warn!(request:% = request, error:% = error; "upstream lost");
+                guard.record_loss(AnswerProgress::Nothing).await;
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
                 AttemptOutcome::sent(end, true)
             }
@@ -265,7 +264,10 @@
             let stream = UpstreamStream::open(incoming, guard, connection);
             return match StartedStream::open(parts, stream, self.last_received()).await {
                 Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
-                Err(StreamFailure::Lost) => self.judge_loss().await,
+                // Without parts that others share, only the whole request is at fault.
+                Err(StreamFailure::Crashed) if !self.call.plan.parts.is_empty() => {
+                    AttemptOutcome::sent(AttemptEnd::Crashed, true)
+                }
                 Err(failure) => AttemptOutcome::sent(AttemptEnd::Unknown(failure.reason()), true),
             };
         }
@@ -273,7 +275,7 @@
         match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
             Ok(answer) => {
                 if parts.status.is_success() {
-                    context.record_sound(self.call.suspects());
+                    guard.record_progress(AnswerProgress::Whole);
                 }
                 let length = answer.stated_length().map(HeaderValue::from);
                 if let Some(length) = unsent_length.or(length) {
@@ -287,35 +289,15 @@
                 guard.set_outcome("cut_by_upstream");
                 self.record(AttemptResult::Failed);
                 log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
-                drop(guard);
-                self.judge_loss().await
+                if !self.call.plan.parts.is_empty() {
+                    guard.record_loss(AnswerProgress::Partial).await;
+                }
+                let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
+                AttemptOutcome::sent(end, true)
             }
         }
     }
 
-    /// Decides what an answer that broke off before its first event says about the request.
-    async fn judge_loss(&self) -> AttemptOutcome {
-        let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
-        let upstream = self.context.roster.borrow().get(self.key).cloned();
-        let Some(upstream) = upstream.filter(|_| !self.call.plan.parts.is_empty()) else {
-            return AttemptOutcome::sent(end, true);
-        };
-        if !has_crashed(upstream.address).await {
-            return AttemptOutcome::sent(end, true);
-        }
-        self.record_crash(&self.call.plan.parts);
-        AttemptOutcome::sent(AttemptEnd::Crashed, true)
-    }
-
-    fn record_crash(&self, parts: &[PromptPartId]) {
-        let suspects = RequestSuspects {
-            request: self.call.fingerprint,
-            parts,
-        };
-        let request = &self.call.plan.request;
-        self.context.record_crash(request, self.key, suspects);
-    }
-
     /// Whether the response cannot be the upstream's answer to this request.
     fn is_wrong_answer(&self, head: &AnswerHead, status: StatusCode) -> bool {
         // These statuses promise that the request did not run, which the upstream did not say.
--- a/src/gateway/call_guard.rs
+++ b/src/gateway/call_guard.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::buffered_call::BufferedCall;
+use super::upstream_loss::UpstreamStart;
 use super::{CallPlan, GatewayContext};
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
@@ -15,7 +16,7 @@
     pub(super) plan: Rc<CallPlan>,
     pub(super) fingerprint: RequestFingerprint,
     pub(super) key: UpstreamKey,
-    pub(super) upstream: UpstreamId,
+    pub(super) upstream: UpstreamStart,
     /// Software version of the upstream when the request was sent; `None` if it names none.
     pub(super) software: Option<SoftwareVersion>,
     outcome: &'static str,
@@ -52,7 +53,7 @@
             plan: Rc::clone(plan),
             fingerprint: call.fingerprint,
             key,
-            upstream: upstream.id.clone(),
+            upstream: UpstreamStart::of(upstream),
             software: upstream.software.clone(),
             outcome: "caller_left",
             body_bytes: 0,
@@ -136,7 +137,7 @@
         let took_ms = now.millis_since(self.plan.arrived_at);
         log::info!(
             request:% = self.plan.request,
-            upstream:% = self.upstream,
+            upstream:% = self.upstream.id,
             outcome = self.outcome,
             bytes = self.body_bytes,
             first_ms = self.first_ms,
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -3,11 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use crate::fleet::UpstreamEntry;
 use crate::planner_rpc::{CrashMark, CrashReport, CrashUpdate};
 use crate::prelude::*;
 use crate::quarantine::{
-    CrashRecord, CrashTracker, RequestSuspects, SuspectVerdict, TrialPermit, crash_id,
+    AnswerProgress, CrashRecord, CrashTracker, RequestSuspects, SuspectVerdict, TrialPermit,
 };
 
 /// Records of crashes, how far they were exchanged with the planner, and the permit to try an
@@ -34,31 +33,27 @@
         }
     }
 
-    /// Records that an upstream crashed while a request was in flight there.
+    /// Records that an upstream crashed while a request was in flight there, and how far the answer had
+    /// come.
     pub fn record_crash(
         &self,
         now: MonoTime,
-        request: &str,
-        upstream: &UpstreamEntry,
+        crash: u64,
         suspects: RequestSuspects,
+        lost_at: AnswerProgress,
     ) {
-        let instance = InstanceName::from(upstream.id.as_str());
-        let crash = crash_id(&instance, upstream.started_at_ms);
-        let parts: Vec<String> = suspects.parts.iter().map(ToString::to_string).collect();
-        log::warn!(
-            request,
-            upstream:% = upstream.id,
-            crash,
-            fingerprint:% = suspects.request,
-            parts:? = parts;
-            "request in flight at a crash"
-        );
-        self.change(|tracker| tracker.record_crash(now, crash, suspects));
+        self.change(|tracker| tracker.record_crash(now, crash, suspects, lost_at));
     }
 
-    /// Records that a request was answered. Returns whether the planner should know at once.
-    pub fn record_answered(&self, suspects: RequestSuspects) -> bool {
-        self.change(|tracker| tracker.record_answered(suspects))
+    /// Whether a crash is known, so that its upstream need not be tried.
+    #[must_use]
+    pub fn knows_crash(&self, crash: u64) -> bool {
+        self.tracker.borrow().knows_crash(crash)
+    }
+
+    /// Records how far the answer to a request came. Returns whether the planner should know at once.
+    pub fn record_answered(&self, suspects: RequestSuspects, progress: AnswerProgress) -> bool {
+        self.change(|tracker| tracker.record_answered(suspects, progress))
     }
 
     /// Adds records that this process has read from the table.
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -26,7 +26,7 @@
 use crate::orders::{ArrivedRequests, EngineControl, EntryDemand, RunningRequests};
 use crate::planner_rpc::CrashUpdate;
 use crate::prelude::*;
-use crate::quarantine::RequestSuspects;
+use crate::quarantine::{AnswerProgress, RequestSuspects};
 use crate::rate_limit::RateLimiter;
 use crate::retry::ResendWindow;
 use crate::rpc::PeerRpc;
@@ -376,21 +376,10 @@
         }
     }
 
-    /// Records that an upstream crashed while these suspects were in flight; the planner is told at
-    /// once.
-    pub fn record_crash(&self, request: &str, key: UpstreamKey, suspects: RequestSuspects) {
-        let roster = self.roster.borrow();
-        let Some(upstream) = roster.get(key) else {
-            return;
-        };
-        self.crashes
-            .record_crash(self.now(), request, upstream, suspects);
-        self.waits.wanted.notify();
-    }
-
-    /// Records that a request was answered; the planner is told at once if that may free a suspect.
-    pub fn record_sound(&self, suspects: RequestSuspects) {
-        if self.crashes.record_answered(suspects) {
+    /// Records how far the answer to a request came; the planner is told at once if that may free a
+    /// suspect of crashes.
+    pub fn record_progress(&self, suspects: RequestSuspects, progress: AnswerProgress) {
+        if self.crashes.record_answered(suspects, progress) {
             self.waits.wanted.notify();
         }
     }
--- /dev/null
+++ b/src/gateway/upstream_loss.rs
@@ -0,0 +1,84 @@
+//! What is recorded of an attempt whose upstream was lost, however much of the answer had arrived.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::call_guard::CallGuard;
+use crate::fleet::UpstreamEntry;
+use crate::net::{NetError, dial};
+use crate::prelude::*;
+use crate::quarantine::{AnswerProgress, crash_id};
+
+/// Milliseconds after the end of a connection within which a process that ends also closes its listener.
+const PROCESS_END_MS: u64 = 20;
+
+/// The start of an upstream that an attempt was sent to. The list may name a later one by the time
+/// that the attempt ends.
+#[derive(Debug, Clone)]
+pub struct UpstreamStart {
+    /// Identity of the upstream.
+    pub id: UpstreamId,
+    started_at_ms: u64,
+    address: SocketAddr,
+}
+
+impl UpstreamStart {
+    /// The start that an entry of the list names.
+    pub fn of(entry: &UpstreamEntry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            started_at_ms: entry.started_at_ms,
+            address: entry.address,
+        }
+    }
+
+    /// ID of the crash that ends this start.
+    fn crash_id(&self) -> u64 {
+        let instance = InstanceName::from(self.id.as_str());
+        crash_id(&instance, self.started_at_ms)
+    }
+
+    /// Whether nothing listens at the address any more. A crashed upstream refuses connections until it
+    /// has started again; one that only broke off an answer accepts them.
+    async fn refuses_connections(&self) -> bool {
+        compio::time::sleep(Duration::from_millis(PROCESS_END_MS)).await;
+        match dial(self.address).await {
+            Err(NetError::Socket(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+}
+
+impl CallGuard {
+    /// Records that the connection to the upstream ended before the answer did. Returns whether the
+    /// upstream has crashed; the planner is told at once then.
+    pub async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
+        let context = &self.context;
+        let crash = self.upstream.crash_id();
+        let is_known = context.crashes.knows_crash(crash);
+        let has_crashed = is_known || self.upstream.refuses_connections().await;
+        let suspects = self.suspects();
+        let parts: Vec<String> = suspects.parts.iter().map(ToString::to_string).collect();
+        log::warn!(
+            request:% = self.plan.request,
+            upstream:% = self.upstream.id,
+            crash,
+            has_crashed,
+            lost_at:? = lost_at,
+            fingerprint:% = suspects.request,
+            parts:? = parts;
+            "upstream lost before the end of an answer"
+        );
+        if has_crashed {
+            let now = context.now();
+            context.crashes.record_crash(now, crash, suspects, lost_at);
+            context.waits.wanted.notify();
+        }
+        has_crashed
+    }
+
+    /// Records how much of the answer has arrived.
+    pub fn record_progress(&self, progress: AnswerProgress) {
+        self.context.record_progress(self.suspects(), progress);
+    }
+}
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -18,7 +18,7 @@
 use crate::fleet::UpstreamKey;
 use crate::net::EventBuffer;
 use crate::prelude::*;
-use crate::quarantine::RequestSuspects;
+use crate::quarantine::AnswerProgress;
 
 /// Milliseconds past the deadline for which events that have already arrived are still delivered.
 const LATE_DELIVERY_MS: u64 = 300;
@@ -28,6 +28,8 @@
 pub enum StreamFailure {
     /// the upstream broke the stream off
     Lost,
+    /// the upstream crashed
+    Crashed,
     /// the upstream sends bytes that are no events, or not the events that were asked for
     NoEvents,
     /// the deadline passed
@@ -39,7 +41,7 @@
     #[must_use]
     pub const fn reason(self) -> RefusalReason {
         match self {
-            Self::Lost => RefusalReason::UpstreamLost,
+            Self::Lost | Self::Crashed => RefusalReason::UpstreamLost,
             Self::NoEvents => RefusalReason::UpstreamFailed,
             Self::TimedOut => RefusalReason::DeadlinePassed,
         }
@@ -47,7 +49,7 @@
 
     const fn outcome(self) -> &'static str {
         match self {
-            Self::Lost => "cut_by_upstream",
+            Self::Lost | Self::Crashed => "cut_by_upstream",
             Self::NoEvents => "wrong_answer",
             Self::TimedOut => "time_over",
         }
@@ -110,11 +112,13 @@
     /// # Errors
     /// [`StreamFailure`]; the events before it have been returned.
     pub async fn next(&mut self) -> Result<Option<Bytes>, StreamFailure> {
-        let next = self.next_events().await;
-        if let Err(failure) = next {
-            self.record_failure(failure);
+        match self.next_events().await {
+            Ok(events) => Ok(events),
+            Err(failure) => {
+                self.record_failure(failure);
+                Err(self.explain_failure(failure).await)
+            }
         }
-        next
     }
 
     /// Records that the upstream sent other events than those that were asked for.
@@ -162,7 +166,7 @@
             Poll::Ready(Some(Err(error))) => {
                 log::warn!(
                     request:% = self.guard.plan.request,
-                    upstream:% = self.guard.upstream,
+                    upstream:% = self.guard.upstream.id,
                     error:% = error;
                     "upstream response cut off"
                 );
@@ -184,14 +188,15 @@
             return Err(StreamFailure::Lost);
         }
         self.guard.set_outcome("complete");
+        self.guard.record_progress(AnswerProgress::Whole);
         Ok(())
     }
 
-    /// Records the ids of events that arrived, and clears the parts of the prompt with the first ones.
+    /// Records the ids of events that arrived, and that the answer has begun.
     fn record_events(&mut self) {
         self.guard.record_event_ids(self.event_ids());
         if !std::mem::replace(&mut self.has_events, true) {
-            self.guard.context.record_sound(self.guard.suspects());
+            self.guard.record_progress(AnswerProgress::Partial);
         }
     }
 
@@ -208,13 +213,22 @@
         let now = context.now();
         let mut loads = context.loads.borrow_mut();
         loads.record_result(now, self.guard.key, AttemptResult::Failed);
-        drop(loads);
-        if failure == StreamFailure::Lost {
-            let suspects = RequestSuspects {
-                request: self.guard.fingerprint,
-                parts: &[],
-            };
-            context.record_crash(&self.guard.plan.request, self.guard.key, suspects);
+    }
+
+    /// Finds out whether the upstream of a stream that broke off has crashed.
+    async fn explain_failure(&self, failure: StreamFailure) -> StreamFailure {
+        if failure != StreamFailure::Lost {
+            return failure;
+        }
+        let lost_at = if self.has_events {
+            AnswerProgress::Partial
+        } else {
+            AnswerProgress::Nothing
+        };
+        if self.guard.record_loss(lost_at).await {
+            StreamFailure::Crashed
+        } else {
+            StreamFailure::Lost
         }
     }
 }
--- a/src/quarantine/crash_history.rs
+++ b/src/quarantine/crash_history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{CrashRecord, CrashSuspect, RequestFingerprint};
+use super::{AnswerProgress, CrashRecord, CrashSuspect, RequestFingerprint};
 use crate::prelude::*;
 use crate::routing::rendezvous_weight;
 
@@ -21,8 +21,10 @@
     pub crash: u64,
     /// The lowest of the requests in flight with the suspect, so that all processes keep the same.
     pub request: RequestFingerprint,
-    /// Never unset.
-    pub is_cleared: bool,
+    /// How far the answers in flight had come at most.
+    pub lost_at: AnswerProgress,
+    /// How far another answer of the suspect came.
+    pub answered: AnswerProgress,
     /// When the crash is forgotten.
     pub forgotten_at: MonoTime,
     /// Number of the last change of this evidence in this process.
@@ -36,7 +38,8 @@
         (left_ms > 0).then_some(Self {
             crash: record.crash,
             request: record.request,
-            is_cleared: record.is_cleared,
+            lost_at: record.lost_at,
+            answered: record.answered,
             forgotten_at: now + left_ms,
             change: 0,
         })
@@ -48,7 +51,8 @@
             suspect,
             crash: self.crash,
             request: self.request,
-            is_cleared: self.is_cleared,
+            lost_at: self.lost_at,
+            answered: self.answered,
             age_ms: FORGET_MS.saturating_sub(self.forgotten_at.millis_since(now)),
         }
     }
@@ -56,11 +60,23 @@
     /// Adds what other evidence of the same crash tells. Returns whether that is anything new, apart
     /// from its time.
     pub fn join(&mut self, other: &Self) -> bool {
-        let before = (self.request, self.is_cleared);
+        let before = *self;
         self.request = self.request.min(other.request);
-        self.is_cleared |= other.is_cleared;
+        self.lost_at = self.lost_at.max(other.lost_at);
+        self.answered = self.answered.max(other.answered);
         self.forgotten_at = self.forgotten_at.min(other.forgotten_at);
-        before != (self.request, self.is_cleared)
+        !self.says_the_same(&before)
+    }
+
+    /// Whether other evidence of the same crash tells the same, apart from its time.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let facts = |evidence: &Self| (evidence.request, evidence.lost_at, evidence.answered);
+        facts(self) == facts(other)
+    }
+
+    /// Whether the suspect did not cause the crash, since another answer came further.
+    pub fn is_cleared(&self) -> bool {
+        self.answered > self.lost_at
     }
 
     /// Hash of what processes agree on.
@@ -88,7 +104,7 @@
     /// Evidence that still counts.
     pub fn counting(&self) -> impl Iterator<Item = &CrashEvidence> {
         let evidence = self.evidence.iter();
-        evidence.filter(|evidence| !evidence.is_cleared)
+        evidence.filter(|evidence| !evidence.is_cleared())
     }
 
     /// IDs of the crashes that count.
--- a/src/quarantine/crash_record.rs
+++ b/src/quarantine/crash_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashSuspect, RequestFingerprint};
+use super::{AnswerProgress, CrashSuspect, RequestFingerprint};
 
 /// A suspect that was in flight at a crash, and what is known of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -16,9 +16,12 @@
     /// The request that was in flight; the lowest if several with the suspect were.
     #[serde(rename = "r")]
     pub request: RequestFingerprint,
-    /// Whether the suspect is known to have been answered, so that it did not cause the crash.
+    /// How far the answer had come; the furthest if several requests with the suspect were in flight.
+    #[serde(rename = "l")]
+    pub lost_at: AnswerProgress,
+    /// How far another answer came. The suspect did not cause the crash if that is further.
     #[serde(rename = "a")]
-    pub is_cleared: bool,
+    pub answered: AnswerProgress,
     /// Milliseconds since the crash.
     #[serde(rename = "ms")]
     pub age_ms: u64,
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -6,7 +6,8 @@
 use super::held_suspects::HeldSuspects;
 use super::recent_answers::RecentAnswers;
 use super::{
-    CrashRecord, CrashSuspect, PromptPartId, RequestFingerprint, RequestSuspects, SuspectVerdict,
+    AnswerProgress, CrashRecord, CrashSuspect, PromptPartId, RequestFingerprint, RequestSuspects,
+    SuspectVerdict,
 };
 use crate::prelude::*;
 
@@ -25,8 +26,8 @@
 /// Key of a record: a suspect and a crash.
 type RecordKey = (CrashSuspect, u64);
 
-/// Tracks what was in flight at crashes of upstreams. A suspect that was answered afterwards did not
-/// cause the crash. Records only grow, so that processes that exchange them agree in whatever order
+/// Tracks what was in flight at crashes of upstreams. A suspect whose answer came further at another
+/// time did not cause the crash. Records only grow, so that processes that exchange them agree in whatever order
 /// they come.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -59,13 +60,20 @@
         }
     }
 
-    /// Records that a request was in flight at a crash.
-    pub fn record_crash(&mut self, now: MonoTime, crash: u64, suspects: RequestSuspects) {
+    /// Records that a request was in flight at a crash, and how far its answer had come.
+    pub fn record_crash(
+        &mut self,
+        now: MonoTime,
+        crash: u64,
+        suspects: RequestSuspects,
+        lost_at: AnswerProgress,
+    ) {
         for suspect in suspects.iter() {
             let evidence = CrashEvidence {
                 crash,
                 request: suspects.request,
-                is_cleared: false,
+                lost_at,
+                answered: AnswerProgress::Nothing,
                 forgotten_at: now + FORGET_MS,
                 change: 0,
             };
@@ -75,17 +83,17 @@
         self.update();
     }
 
-    /// Records that a request was answered. Returns whether that clears a suspect that was in flight
-    /// at several crashes.
-    pub fn record_answered(&mut self, suspects: RequestSuspects) -> bool {
-        self.answered_requests.insert(suspects.request);
+    /// Records how far the answer to a request came. Returns whether that clears a suspect of several
+    /// crashes.
+    pub fn record_answered(&mut self, suspects: RequestSuspects, progress: AnswerProgress) -> bool {
+        self.answered_requests.record(suspects.request, progress);
         for part in suspects.parts {
-            self.answered_parts.insert(*part);
+            self.answered_parts.record(*part, progress);
         }
         let mut is_recurring = false;
         let mut is_changed = false;
         for suspect in suspects.iter() {
-            let cleared = self.clear(suspect);
+            let cleared = self.clear(suspect, progress);
             is_changed |= cleared > 0;
             is_recurring |= cleared > 1;
         }
@@ -102,9 +110,7 @@
                 continue;
             };
             let joined = self.join(record.suspect, evidence);
-            let knows_more =
-                (joined.request, joined.is_cleared) != (record.request, record.is_cleared);
-            if knows_more {
+            if !joined.says_the_same(&evidence) {
                 self.unreported.insert((record.suspect, record.crash));
             }
         }
@@ -218,7 +224,7 @@
 
     /// Adds evidence to what is known. Returns the result.
     fn join(&mut self, suspect: CrashSuspect, evidence: CrashEvidence) -> CrashEvidence {
-        let was_answered = self.was_answered(suspect);
+        let recent = self.recent_progress(suspect);
         let history = self.histories.entry(suspect).or_default();
         if let Some(known) = history.of_crash(evidence.crash) {
             if known.join(&evidence) {
@@ -227,10 +233,15 @@
             }
             return *known;
         }
-        let is_excused = was_answered && history.evidence.len() < EXCUSED_CRASHES;
+        let is_excused = history.evidence.len() < EXCUSED_CRASHES;
+        let excuse = if is_excused {
+            recent
+        } else {
+            AnswerProgress::Nothing
+        };
         self.newest_change += 1;
         let evidence = CrashEvidence {
-            is_cleared: evidence.is_cleared || is_excused,
+            answered: evidence.answered.max(excuse),
             change: self.newest_change,
             ..evidence
         };
@@ -242,30 +253,31 @@
         evidence
     }
 
-    /// Clears a suspect of all its crashes. Returns how many of them counted.
-    fn clear(&mut self, suspect: CrashSuspect) -> usize {
+    /// Clears a suspect of the crashes at which its answers had not come as far. Returns how many of
+    /// them counted.
+    fn clear(&mut self, suspect: CrashSuspect, progress: AnswerProgress) -> usize {
         let Some(history) = self.histories.get_mut(&suspect) else {
             return 0;
         };
         let counting = history
             .evidence
             .iter_mut()
-            .filter(|evidence| !evidence.is_cleared);
+            .filter(|evidence| !evidence.is_cleared() && progress > evidence.lost_at);
         let mut count = 0;
         for evidence in counting {
             count += 1;
             self.newest_change += 1;
-            evidence.is_cleared = true;
+            evidence.answered = progress;
             evidence.change = self.newest_change;
             self.unreported.insert((suspect, evidence.crash));
         }
         count
     }
 
-    fn was_answered(&self, suspect: CrashSuspect) -> bool {
+    fn recent_progress(&self, suspect: CrashSuspect) -> AnswerProgress {
         match suspect {
-            CrashSuspect::Request(request) => self.answered_requests.contains(request),
-            CrashSuspect::Part(part) => self.answered_parts.contains(part),
+            CrashSuspect::Request(request) => self.answered_requests.progress(request),
+            CrashSuspect::Part(part) => self.answered_parts.progress(part),
         }
     }
 
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,5 +1,6 @@
 //! Quarantine of requests, and of parts of prompts, that crash upstreams.
 
+mod answer_progress;
 mod crash_history;
 mod crash_record;
 mod crash_suspect;
@@ -13,6 +14,7 @@
 mod request_fingerprint;
 mod trial_permit;
 
+pub use answer_progress::AnswerProgress;
 pub use crash_record::CrashRecord;
 pub use crash_suspect::{CrashSuspect, RequestSuspects};
 pub use crash_tracker::CrashTracker;
--- a/tests/crash_exchange.rs
+++ b/tests/crash_exchange.rs
@@ -1,14 +1,11 @@
 //! Records of crashes on their way between the planner and the other processes.
 
-use std::net::SocketAddr;
-
 use proptest::prelude::*;
-use quetzalpin::fleet::{UpstreamEntry, UpstreamPhase};
 use quetzalpin::gateway::CrashWatch;
 use quetzalpin::planner_rpc::{CrashReport, CrashUpdate};
 use quetzalpin::prelude::*;
 use quetzalpin::quarantine::{
-    CrashRecord, PromptPartId, RequestFingerprint, RequestSuspects, SuspectVerdict,
+    AnswerProgress, CrashRecord, PromptPartId, RequestFingerprint, RequestSuspects, SuspectVerdict,
 };
 
 const PROCESSES: usize = 4;
@@ -18,21 +15,6 @@
 
 const NOW: MonoTime = MonoTime::from_millis(10);
 
-fn upstream(crash: u64) -> UpstreamEntry {
-    UpstreamEntry {
-        id: UpstreamId::from(format!("i-{crash}").as_str()),
-        started_at_ms: crash,
-        service: ServiceName::from("levain"),
-        software: None,
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: ZoneName::from("a"),
-        slots: 1,
-        phase: UpstreamPhase::Ready,
-        models: Vec::new(),
-        local_copies: Vec::new(),
-    }
-}
-
 fn suspects(request: u64) -> RequestSuspects<'static> {
     RequestSuspects {
         request: RequestFingerprint(request),
@@ -41,7 +23,7 @@
 }
 
 fn record_crash(watch: &CrashWatch, crash: u64, request: u64) {
-    watch.record_crash(NOW, "case", &upstream(crash), suspects(request));
+    watch.record_crash(NOW, crash, suspects(request), AnswerProgress::Nothing);
 }
 
 /// All records of a process.
@@ -170,7 +152,8 @@
                     record_crash(&processes[at_process], crash, request);
                 }
                 Step::Answer { at_process, request } => {
-                    processes[at_process].record_answered(suspects(request));
+                    let progress = AnswerProgress::Partial;
+                    processes[at_process].record_answered(suspects(request), progress);
                 }
                 Step::Report { from, .. } if from == planner => {}
                 Step::Report { from, fate } => send_report(&processes[from], &processes[planner], fate),
--- a/tests/crash_tracker.rs
+++ b/tests/crash_tracker.rs
@@ -3,8 +3,8 @@
 use proptest::prelude::*;
 use quetzalpin::prelude::*;
 use quetzalpin::quarantine::{
-    CrashRecord, CrashSuspect, CrashTracker, PromptPartId, RequestFingerprint, RequestSuspects,
-    SuspectVerdict,
+    AnswerProgress, CrashRecord, CrashSuspect, CrashTracker, PromptPartId, RequestFingerprint,
+    RequestSuspects, SuspectVerdict,
 };
 use rstest::rstest;
 
@@ -26,14 +26,30 @@
     }
 }
 
-/// A request that was in flight at a crash.
+/// A request whose answer had not begun at a crash.
 fn crash(tracker: &mut CrashTracker, crash: u64, request: u64, parts: &[PromptPartId]) {
-    tracker.record_crash(at(crash), crash, suspects(request, parts));
+    crash_at(tracker, AnswerProgress::Nothing, crash, request, parts);
 }
 
-/// A request that was answered and in flight at no crash.
+/// A request whose answer had come so far at a crash.
+fn crash_at(
+    tracker: &mut CrashTracker,
+    lost_at: AnswerProgress,
+    crash: u64,
+    request: u64,
+    parts: &[PromptPartId],
+) {
+    tracker.record_crash(at(crash), crash, suspects(request, parts), lost_at);
+}
+
+/// A request whose answer has begun, and that was in flight at no crash.
 fn answer(tracker: &mut CrashTracker, parts: &[PromptPartId]) {
-    tracker.record_answered(suspects(0, parts));
+    answer_to(tracker, AnswerProgress::Partial, parts);
+}
+
+/// A request whose answer has come so far, and that was in flight at no crash.
+fn answer_to(tracker: &mut CrashTracker, progress: AnswerProgress, parts: &[PromptPartId]) {
+    tracker.record_answered(suspects(0, parts), progress);
 }
 
 /// The first of these parts that must not reach an upstream.
@@ -91,6 +107,88 @@
     assert_eq!(held_back(&tracker, &[SYSTEM]), None);
 }
 
+/// Guards against a part that crashes engine after engine once an event is out (BUDGET): the events of
+/// deadly answers are no sign that the part is harmless; sound answers with the other parts are.
+#[test]
+fn a_part_of_answers_that_had_begun_at_two_crashes_is_held_back() {
+    let mut tracker = CrashTracker::open();
+    for number in 1..=2 {
+        answer(&mut tracker, &[SYSTEM, DEADLY]);
+        let parts = [SYSTEM, DEADLY];
+        crash_at(
+            &mut tracker,
+            AnswerProgress::Partial,
+            number,
+            number,
+            &parts,
+        );
+    }
+    answer_to(&mut tracker, AnswerProgress::Whole, &[SYSTEM]);
+    assert_eq!(verdict(&tracker, &[SYSTEM]), SuspectVerdict::Clear);
+    let deadly = verdict(&tracker, &[SYSTEM, DEADLY]);
+    assert_eq!(deadly, SuspectVerdict::HeldBack(DEADLY.into()));
+}
+
+/// Guards against sound requests that are refused because engines were killed while they ran (LOST).
+#[test]
+fn a_part_of_answers_that_had_begun_is_free_once_one_is_whole() {
+    let mut tracker = CrashTracker::open();
+    for number in 1..=2 {
+        crash_at(
+            &mut tracker,
+            AnswerProgress::Partial,
+            number,
+            number,
+            &[OTHER],
+        );
+    }
+    answer(&mut tracker, &[OTHER]);
+    assert_eq!(held_back(&tracker, &[OTHER]), Some(OTHER));
+    answer_to(&mut tracker, AnswerProgress::Whole, &[OTHER]);
+    assert_eq!(held_back(&tracker, &[OTHER]), None);
+}
+
+/// Guards against a part that is freed by a process which saw less of the answer at the crash.
+#[test]
+fn the_furthest_answer_at_a_crash_counts() {
+    let mut tracker = CrashTracker::open();
+    for number in 1..=2 {
+        crash(&mut tracker, number, number, &[DEADLY]);
+        crash_at(
+            &mut tracker,
+            AnswerProgress::Partial,
+            number,
+            number,
+            &[DEADLY],
+        );
+    }
+    answer(&mut tracker, &[DEADLY]);
+    assert_eq!(held_back(&tracker, &[DEADLY]), Some(DEADLY));
+}
+
+/// Guards against a sound request that is refused because it was at two crashes of a deadly part by
+/// chance.
+#[test]
+fn a_request_at_some_crashes_of_a_deadly_part_is_not_held_back() {
+    let mut tracker = CrashTracker::open();
+    for number in 1..=3 {
+        crash(&mut tracker, number, number, &[DEADLY]);
+    }
+    for number in 1..=2 {
+        crash_at(&mut tracker, AnswerProgress::Partial, number, 77, &[SYSTEM]);
+    }
+    assert_eq!(
+        tracker.verdict(suspects(77, &[SYSTEM])),
+        SuspectVerdict::Clear
+    );
+    crash(&mut tracker, 9, 77, &[SYSTEM]);
+    let verdict = tracker.verdict(suspects(77, &[SYSTEM]));
+    assert_eq!(
+        verdict,
+        SuspectVerdict::HeldBack(RequestFingerprint(77).into())
+    );
+}
+
 /// Guards against a part that was harmless until the engines' software or weights changed.
 #[test]
 fn a_part_that_turns_deadly_is_held_back_in_the_end() {
@@ -152,7 +250,8 @@
         suspect: DEADLY.into(),
         crash: 3,
         request: RequestFingerprint(3),
-        is_cleared: false,
+        lost_at: AnswerProgress::Nothing,
+        answered: AnswerProgress::Nothing,
         age_ms: HOLD_MS,
     };
     tracker.merge(at(HOLD_MS + 10), &[late]);
@@ -166,10 +265,12 @@
         crash: u64,
         request: u64,
         part: u64,
+        lost_at: AnswerProgress,
     },
     Answer {
         at_process: usize,
         part: u64,
+        progress: AnswerProgress,
     },
     Tell {
         from: usize,
@@ -180,15 +281,30 @@
 fn step() -> impl Strategy<Value = Step> {
     const PROCESSES: usize = 3;
     prop_oneof![
-        (0..PROCESSES, 0..6_u64, 0..4_u64, 0..3_u64).prop_map(
-            |(at_process, crash, request, part)| Step::Crash {
+        (0..PROCESSES, 0..6_u64, 0..4_u64, 0..3_u64, any::<bool>()).prop_map(
+            |(at_process, crash, request, part, has_begun)| Step::Crash {
                 at_process,
                 crash,
                 request,
-                part
+                part,
+                lost_at: if has_begun {
+                    AnswerProgress::Partial
+                } else {
+                    AnswerProgress::Nothing
+                },
             }
         ),
-        (0..PROCESSES, 0..3_u64).prop_map(|(at_process, part)| Step::Answer { at_process, part }),
+        (0..PROCESSES, 0..3_u64, any::<bool>()).prop_map(|(at_process, part, is_whole)| {
+            Step::Answer {
+                at_process,
+                part,
+                progress: if is_whole {
+                    AnswerProgress::Whole
+                } else {
+                    AnswerProgress::Partial
+                },
+            }
+        }),
         (0..PROCESSES, 0..PROCESSES).prop_map(|(from, to)| Step::Tell { from, to }),
     ]
 }
@@ -206,13 +322,13 @@
         let mut processes: Vec<CrashTracker> = (0..3).map(|_| CrashTracker::open()).collect();
         for step in steps {
             match step {
-                Step::Crash { at_process, crash, request, part } => {
+                Step::Crash { at_process, crash, request, part, lost_at } => {
                     let parts = [PromptPartId(part)];
                     let suspects = suspects(request, &parts);
-                    processes[at_process].record_crash(at(10), crash, suspects);
+                    processes[at_process].record_crash(at(10), crash, suspects, lost_at);
                 }
-                Step::Answer { at_process, part } => {
-                    answer(&mut processes[at_process], &[PromptPartId(part)]);
+                Step::Answer { at_process, part, progress } => {
+                    answer_to(&mut processes[at_process], progress, &[PromptPartId(part)]);
                 }
                 Step::Tell { from, to } => tell(&mut processes, from, to),
             }
