Record a crash in the middle of a whole answer

Cause: the loss of such an answer was recorded only for requests with parts of a prompt, and the loss of the rest of an answer that memory does not hold was not recorded at all.

Ruled out: a crash that is not noticed (the log has a line for each).

Change: both places record the loss as all others do. An answer clears its request when all of it has arrived.

Test: a_request_that_crashes_workers_in_a_whole_answer_is_held_back_at_all.

--- a/daemon/tests/crash_suspects.rs
+++ b/daemon/tests/crash_suspects.rs
@@ -180,6 +180,32 @@
     });
 }
 
+/// Adds a worker in trouble.
+async fn spawn_raw(
+    fleet: &SoakFleet,
+    number: usize,
+    kind: WorkerKind,
+    answer: RawAnswer,
+    models: &[&str],
+) -> RawWorker {
+    let id = format!("i-raw-{number}");
+    let spawning = RawWorker::spawn(&id, kind, answer);
+    let worker = spawning.await.expect("a worker");
+    let entry = encoded(&worker.entry(models));
+    fleet.store.state.put("servers", &id, entry);
+    worker
+}
+
+/// Waits until all gateways know the workers in trouble.
+async fn wait_for_raw(fleet: &SoakFleet) {
+    for gateway in 0..SIZE.gateways {
+        for number in 0..TROUBLED_MODELS.len() {
+            let joined = format!("\"upstream joined\",\"upstream\":\"i-raw-{number}\"");
+            wait_for_lines(fleet, gateway, &joined, 1).await;
+        }
+    }
+}
+
 /// A fleet at whose gateways deadly requests have crashed one engine each.
 async fn fleet_with_a_held_suspect(deadly: Deadly) -> SoakFleet {
     let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
@@ -187,18 +213,12 @@
     let fleet = spawning.await.expect("a ready fleet");
     let mut engines = Vec::new();
     for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
-        let id = format!("i-raw-{number}");
-        let spawning = RawWorker::spawn(&id, WorkerKind::Engine, deadly.answer());
-        let engine = spawning.await.expect("an engine");
-        let entry = encoded(&engine.entry(&[model]));
-        fleet.store.state.put("servers", &id, entry);
-        engines.push(engine);
+        let (answer, models) = (deadly.answer(), [model]);
+        let engine = spawn_raw(&fleet, number, WorkerKind::Engine, answer, &models);
+        engines.push(engine.await);
     }
+    wait_for_raw(&fleet).await;
     for gateway in 0..SIZE.gateways {
-        for number in 0..TROUBLED_MODELS.len() {
-            let joined = format!("\"upstream joined\",\"upstream\":\"i-raw-{number}\"");
-            wait_for_lines(&fleet, gateway, &joined, 1).await;
-        }
         wait_until_answered(&fleet, gateway).await;
     }
     for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
@@ -212,6 +232,52 @@
     fleet
 }
 
+/// Guards against a request that crashes worker after worker (BUDGET) once a part of its answer is out,
+/// where the answer is no stream.
+#[test]
+fn a_request_that_crashes_workers_in_a_whole_answer_is_held_back_at_all() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
+        let sound = fleet
+            .workers
+            .iter()
+            .find(|it| it.worker.state.kind == WorkerKind::Plain);
+        let sound_id = sound.expect("a plain worker").worker.state.id.clone();
+        fleet.store.state.remove("servers", &sound_id);
+        let answer = RawAnswer::CrashInAnswer;
+        let _first = spawn_raw(&fleet, 0, WorkerKind::Plain, answer, &[]).await;
+        let _second = spawn_raw(&fleet, 1, WorkerKind::Plain, answer, &[]).await;
+        wait_for_raw(&fleet).await;
+        for gateway in 0..SIZE.gateways {
+            wait_for_lines(&fleet, gateway, "\"upstream gone\"", 1).await;
+        }
+        let deadly = |gateway| SoakCall {
+            id: "deadly".to_owned(),
+            kind: CallKind::Lookup,
+            ..stream(gateway, SOUND_MODEL, USUAL_PROMPT)
+        };
+        assert_eq!(send(&fleet, &deadly(0)).await, CallOutcome::Status(502));
+        fleet.send_heartbeats();
+        let joined = format!("\"upstream joined\",\"upstream\":\"{sound_id}\"");
+        for gateway in 0..SIZE.gateways {
+            wait_for_lines(&fleet, gateway, &joined, 2).await;
+            let lookup = SoakCall {
+                kind: CallKind::Lookup,
+                ..stream(gateway, SOUND_MODEL, USUAL_PROMPT)
+            };
+            let outcome = send(&fleet, &lookup).await;
+            assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+            assert_eq!(
+                send(&fleet, &deadly(gateway)).await,
+                CallOutcome::Status(503)
+            );
+        }
+    });
+}
+
 /// Guards against sound requests that are refused because an engine broke off two answers without
 /// having crashed.
 #[test]
@@ -221,16 +287,16 @@
         let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
         let spawning = SoakFleet::spawn_ready(daemon, SIZE);
         let fleet = spawning.await.expect("a ready fleet");
+        let mut engines = Vec::new();
+        for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
+            let (kind, answer) = (WorkerKind::Engine, RawAnswer::HeadOnly);
+            engines.push(spawn_raw(&fleet, number, kind, answer, &[model]).await);
+        }
+        wait_for_raw(&fleet).await;
         for (number, model) in TROUBLED_MODELS.into_iter().enumerate() {
-            let id = format!("i-raw-{number}");
-            let spawning = RawWorker::spawn(&id, WorkerKind::Engine, RawAnswer::HeadOnly);
-            let engine = spawning.await.expect("an engine");
-            let entry = encoded(&engine.entry(&[model]));
-            fleet.store.state.put("servers", &id, entry);
-            let joined = format!("\"upstream joined\",\"upstream\":\"{id}\"");
-            wait_for_lines(&fleet, 0, &joined, 1).await;
             let broken = stream(0, model, &format!("aa:80,dd:30,c{number}:20"));
             assert_eq!(send(&fleet, &broken).await, CallOutcome::Status(502));
+            assert_eq!(engines[number].requests(), 1);
         }
         let sound = stream(0, SOUND_MODEL, "aa:80,dd:30,c3:20");
         let outcome = send(&fleet, &sound).await;
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -17,7 +17,7 @@
 use super::whole_answer::WholeAnswer;
 use super::{AnswerHead, AttemptHead, AttemptResult, GatewayContext};
 use crate::fleet::{UpstreamEntry, UpstreamKey};
-use crate::net::{HttpBody, full_body};
+use crate::net::{BodyError, HttpBody, full_body};
 use crate::prelude::*;
 use crate::quarantine::AnswerProgress;
 use crate::rate_limit::RequestRate;
@@ -274,7 +274,7 @@
         let left_ms = self.call.plan.ends_at.millis_since(now);
         match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
             Ok(answer) => {
-                if parts.status.is_success() {
+                if parts.status.is_success() && answer.is_whole() {
                     guard.record_progress(AnswerProgress::Whole);
                 }
                 let length = answer.stated_length().map(HeaderValue::from);
@@ -289,7 +289,7 @@
                 guard.set_outcome("cut_by_upstream");
                 self.record(AttemptResult::Failed);
                 log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
-                if !self.call.plan.parts.is_empty() {
+                if matches!(error, BodyError::Truncated) {
                     guard.record_loss(AnswerProgress::Partial).await;
                 }
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -16,6 +16,7 @@
     BodyError, BufferBudget, BufferLease, BufferPurpose, HttpBody, SMALL_MESSAGE_BYTES, full_body,
     stream_body,
 };
+use crate::quarantine::AnswerProgress;
 
 /// Part of the budget for messages that one answer may take, as a divisor.
 const ANSWER_DIVISOR: usize = 4;
@@ -63,9 +64,14 @@
         self.length.filter(|_| !self.is_plain())
     }
 
+    /// Whether all of the answer has arrived.
+    pub const fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
     /// The body for the caller. What has not arrived is read as fast as the caller reads.
     pub fn into_body(self, mut guard: CallGuard, connection: UpstreamConnection) -> HttpBody {
-        if self.rest.is_none() {
+        if self.is_whole() {
             guard.set_outcome("complete");
         }
         if self.is_plain() {
@@ -93,7 +99,7 @@
 
     /// Whether the answer is whole and has taken nothing of the budget.
     fn is_plain(&self) -> bool {
-        self.rest.is_none() && self.lease.held_bytes() == 0
+        self.is_whole() && self.lease.held_bytes() == 0
     }
 }
 
@@ -114,12 +120,18 @@
         let read = read.unwrap_or(Err(BodyError::TooSlow(left_ms)));
         match &read {
             Ok(Some(_)) => {}
-            Ok(None) => self.guard.set_outcome("complete"),
-            Err(_) => {
+            Ok(None) => {
+                self.guard.set_outcome("complete");
+                self.guard.record_progress(AnswerProgress::Whole);
+            }
+            Err(error) => {
                 let mut loads = context.loads.borrow_mut();
                 loads.record_result(context.now(), self.guard.key, AttemptResult::Failed);
                 drop(loads);
                 self.guard.set_outcome("cut_by_upstream");
+                if matches!(error, BodyError::Truncated) {
+                    self.guard.record_loss(AnswerProgress::Partial).await;
+                }
             }
         }
         read
