Try a suspect of crashes at one process when its hold is over

Cause: the end of a hold was a timer that all processes share, followed by normal service. Parts of prompts had the same end after 10 minutes.

Ruled out: renewing the hold with each refused arrival, which would never free a sound request that is asked for all the time.

Change: after a minute (10 for a part, as before) the suspect is uncertain, and the process that holds the planner lease tries one request at a time. A whole answer frees it, a crash doubles the time. Records are forgotten after an hour.

Tests: a_request_that_keeps_coming_is_tried_ever_less_often and crashes_at_one_moment_hold_a_request_back_once; both fail without the trial. a_part_is_tried_again_when_its_time_is_over was wrong to ask that the part be free for all at once: that is the fault. It asks for the trial at the same moment now, with the same check of the millisecond before, and for the end of all records an hour later.

--- a/src/gateway/call_flow/mod.rs
+++ b/src/gateway/call_flow/mod.rs
@@ -234,7 +234,7 @@
 
     /// Refuses a request that cannot be served whatever the upstreams do.
     fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
-        if !self.may_run_suspects() {
+        if !self.may_run_suspects(now) {
             return Some(self.refuse(RefusalReason::CrashSuspect, None));
         }
         if now >= self.call.plan.ends_at {
@@ -250,14 +250,16 @@
     }
 
     /// Whether the request and the parts of its prompt may reach an upstream. An uncertain suspect is
-    /// tried by one request at a time, in the process that plans.
-    fn may_run_suspects(&mut self) -> bool {
-        let (suspect, is_uncertain) = match self.context.crashes.verdict(self.call.suspects()) {
+    /// tried by one request at a time, in the process that holds the planner lease.
+    fn may_run_suspects(&mut self, now: MonoTime) -> bool {
+        let (suspect, is_uncertain) = match self.context.crashes.verdict(now, self.call.suspects())
+        {
             SuspectVerdict::Clear => return true,
             SuspectVerdict::Uncertain(suspect) => (suspect, true),
             SuspectVerdict::HeldBack(suspect) => (suspect, false),
         };
-        if is_uncertain && self.trial.is_none() && self.context.host.is_active() {
+        let is_planner = self.context.host.held_epoch(now).is_some();
+        if is_uncertain && is_planner && self.trial.is_none() {
             self.trial = TrialPermit::take(&self.context.crashes.trial);
         }
         let is_trial = is_uncertain && self.trial.is_some();
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -132,8 +132,8 @@
 
     /// Whether a request may reach an upstream.
     #[must_use]
-    pub fn verdict(&self, suspects: RequestSuspects) -> SuspectVerdict {
-        self.tracker.borrow().verdict(suspects)
+    pub fn verdict(&self, now: MonoTime, suspects: RequestSuspects) -> SuspectVerdict {
+        self.tracker.borrow().verdict(now, suspects)
     }
 
     /// Changes the records, and logs each suspect that is held back or free again.
--- a/src/quarantine/crash_history.rs
+++ b/src/quarantine/crash_history.rs
@@ -10,8 +10,18 @@
 /// have been in as many different requests.
 const HELD_BACK_AFTER: usize = 2;
 
+/// Milliseconds after its last crash before a request may be tried again.
+const REQUEST_HOLD_MS: u64 = 60_000;
+
+/// Milliseconds after its last crash before a part of a prompt may be tried again; more requests wait
+/// for it, and more of them crash upstreams if it is at fault.
+const PART_HOLD_MS: u64 = 600_000;
+
+/// Failed trials after which the time that a suspect is held back no longer doubles.
+const MAX_DOUBLINGS: usize = 8;
+
 /// Milliseconds after which a crash is forgotten.
-pub const FORGET_MS: u64 = 600_000;
+pub const FORGET_MS: u64 = 3_600_000;
 
 /// What is known of a suspect at one crash. Every field only grows or only shrinks, so that processes
 /// that exchange records agree in whatever order they come.
@@ -107,6 +117,21 @@
         evidence.filter(|evidence| !evidence.is_cleared())
     }
 
+    /// When the suspect may be tried again. Each failed trial doubles the time, so that a request that
+    /// keeps coming crashes ever fewer upstreams.
+    pub fn held_until(&self, suspect: CrashSuspect) -> MonoTime {
+        let hold_ms = match suspect {
+            CrashSuspect::Request(_) => REQUEST_HOLD_MS,
+            CrashSuspect::Part(_) => PART_HOLD_MS,
+        };
+        let mut times: Vec<MonoTime> = self.counting().map(|it| it.forgotten_at).collect();
+        times.sort_unstable();
+        let is_trial = |pair: &&[MonoTime]| pair[1].millis_since(pair[0]) >= hold_ms;
+        let failed_trials = times.windows(2).filter(is_trial).count();
+        let last = times.last().copied().unwrap_or_default();
+        last + (hold_ms << failed_trials.min(MAX_DOUBLINGS)) - FORGET_MS
+    }
+
     /// IDs of the crashes that count.
     pub fn crashes(&self) -> BTreeSet<u64> {
         self.counting().map(|evidence| evidence.crash).collect()
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -205,8 +205,8 @@
 
     /// Whether a request may reach an upstream.
     #[must_use]
-    pub fn verdict(&self, suspects: RequestSuspects) -> SuspectVerdict {
-        self.held.verdict(suspects)
+    pub fn verdict(&self, now: MonoTime, suspects: RequestSuspects) -> SuspectVerdict {
+        self.held.verdict(now, suspects)
     }
 
     /// What must not reach an upstream.
--- a/src/quarantine/held_suspects.rs
+++ b/src/quarantine/held_suspects.rs
@@ -4,6 +4,7 @@
 
 use super::crash_history::CrashHistory;
 use super::{CrashSuspect, RequestSuspects};
+use crate::prelude::*;
 
 /// Whether a request may reach an upstream, as far as the crashes of upstreams tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,17 +12,31 @@
     /// It may.
     Clear,
     /// It may as a trial: this suspect or another one, which the request does not contain, crashes
-    /// upstreams.
+    /// upstreams; or it has been held back for long enough.
     Uncertain(CrashSuspect),
     /// It must not: this suspect crashes upstreams.
     HeldBack(CrashSuspect),
 }
 
+/// How a suspect is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SuspectHold {
+    /// Whether another one was at the same crashes.
+    is_ambiguous: bool,
+    /// When it may be tried although it is not ambiguous.
+    until: MonoTime,
+}
+
+impl SuspectHold {
+    fn allows_trial(self, now: MonoTime) -> bool {
+        self.is_ambiguous || now >= self.until
+    }
+}
+
 /// The suspects that are at fault for crashes, as far as is known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeldSuspects {
-    /// Whether each one was at the same crashes as another one.
-    suspects: BTreeMap<CrashSuspect, bool>,
+    suspects: BTreeMap<CrashSuspect, SuspectHold>,
     /// Digest of the evidence against them; 0 without suspects.
     digest: u64,
 }
@@ -42,11 +57,15 @@
             .filter(|(suspect, crashes)| is_guilty(suspect, crashes))
             .map(|(suspect, crashes)| (*suspect, crashes))
             .collect();
-        let is_uncertain = |suspect: &CrashSuspect| {
+        let is_ambiguous = |suspect: &CrashSuspect| {
             guilty
                 .iter()
                 .any(|(other, crashes)| other != suspect && *crashes == guilty[suspect])
         };
+        let hold = |suspect: &CrashSuspect| SuspectHold {
+            is_ambiguous: is_ambiguous(suspect),
+            until: histories[suspect].held_until(*suspect),
+        };
         let evidence = guilty.keys().flat_map(|suspect| {
             let counting = histories[suspect].counting();
             counting.map(|evidence| evidence.digest(*suspect))
@@ -55,7 +74,7 @@
             digest: evidence.fold(0, |digest, evidence| digest ^ evidence),
             suspects: guilty
                 .keys()
-                .map(|suspect| (*suspect, is_uncertain(suspect)))
+                .map(|suspect| (*suspect, hold(suspect)))
                 .collect(),
         }
     }
@@ -80,14 +99,16 @@
 
     /// Whether a request may reach an upstream.
     #[must_use]
-    pub fn verdict(&self, suspects: RequestSuspects) -> SuspectVerdict {
+    pub fn verdict(&self, now: MonoTime, suspects: RequestSuspects) -> SuspectVerdict {
         if self.suspects.is_empty() {
             return SuspectVerdict::Clear;
         }
         let mut blamed = suspects.iter().filter(|suspect| self.contains(*suspect));
         match (blamed.next(), blamed.next()) {
             (None, _) => SuspectVerdict::Clear,
-            (Some(suspect), None) if self.suspects[&suspect] => SuspectVerdict::Uncertain(suspect),
+            (Some(suspect), None) if self.suspects[&suspect].allows_trial(now) => {
+                SuspectVerdict::Uncertain(suspect)
+            }
             (Some(suspect), _) => SuspectVerdict::HeldBack(suspect),
         }
     }
--- a/tests/crash_exchange.rs
+++ b/tests/crash_exchange.rs
@@ -49,7 +49,7 @@
     record_crash(&planner, 2, 7);
     let restarted = CrashWatch::open(2);
     report(&restarted, &planner);
-    let verdict = restarted.verdict(suspects(7));
+    let verdict = restarted.verdict(NOW, suspects(7));
     assert!(
         matches!(verdict, SuspectVerdict::HeldBack(_)),
         "{verdict:?}"
--- a/tests/crash_tracker.rs
+++ b/tests/crash_tracker.rs
@@ -15,6 +15,12 @@
 /// Milliseconds for which a part is held back after its latest crash.
 const HOLD_MS: u64 = 600_000;
 
+/// Milliseconds for which a request is held back after its latest crash.
+const REQUEST_HOLD_MS: u64 = 60_000;
+
+/// Milliseconds after which a crash is forgotten.
+const FORGET_MS: u64 = 3_600_000;
+
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
@@ -58,9 +64,18 @@
     parts.iter().find(is_held).copied()
 }
 
-/// Verdict on a request that was in flight at no crash.
+/// Verdict on a request that was in flight at no crash, while suspects are held back.
 fn verdict(tracker: &CrashTracker, parts: &[PromptPartId]) -> SuspectVerdict {
-    tracker.verdict(suspects(0, parts))
+    verdict_at(tracker, 100, 0, parts)
+}
+
+fn verdict_at(
+    tracker: &CrashTracker,
+    millis: u64,
+    request: u64,
+    parts: &[PromptPartId],
+) -> SuspectVerdict {
+    tracker.verdict(at(millis), suspects(request, parts))
 }
 
 /// All records, in one order.
@@ -178,11 +193,11 @@
         crash_at(&mut tracker, AnswerProgress::Partial, number, 77, &[SYSTEM]);
     }
     assert_eq!(
-        tracker.verdict(suspects(77, &[SYSTEM])),
+        verdict_at(&tracker, 10, 77, &[SYSTEM]),
         SuspectVerdict::Clear
     );
     crash(&mut tracker, 9, 77, &[SYSTEM]);
-    let verdict = tracker.verdict(suspects(77, &[SYSTEM]));
+    let verdict = verdict_at(&tracker, 10, 77, &[SYSTEM]);
     assert_eq!(
         verdict,
         SuspectVerdict::HeldBack(RequestFingerprint(77).into())
@@ -244,7 +259,17 @@
     crash(&mut tracker, 2, 2, &[DEADLY]);
     tracker.expire(at(HOLD_MS));
     assert_eq!(held_back(&tracker, &[DEADLY]), Some(DEADLY));
-    tracker.expire(at(HOLD_MS + 10));
+    assert_eq!(
+        verdict_at(&tracker, HOLD_MS, 0, &[DEADLY]),
+        SuspectVerdict::HeldBack(DEADLY.into())
+    );
+    assert_eq!(
+        verdict_at(&tracker, HOLD_MS + 10, 0, &[DEADLY]),
+        SuspectVerdict::Uncertain(DEADLY.into())
+    );
+    tracker.expire(at(FORGET_MS));
+    assert_eq!(held_back(&tracker, &[DEADLY]), Some(DEADLY));
+    tracker.expire(at(FORGET_MS + 10));
     assert_eq!(held_back(&tracker, &[DEADLY]), None);
     let late = CrashRecord {
         suspect: DEADLY.into(),
@@ -252,10 +277,48 @@
         request: RequestFingerprint(3),
         lost_at: AnswerProgress::Nothing,
         answered: AnswerProgress::Nothing,
-        age_ms: HOLD_MS,
+        age_ms: FORGET_MS,
     };
-    tracker.merge(at(HOLD_MS + 10), &[late]);
-    assert!(tracker.records(at(HOLD_MS + 10)).is_empty());
+    tracker.merge(at(FORGET_MS + 10), &[late]);
+    assert!(tracker.records(at(FORGET_MS + 10)).is_empty());
+}
+
+/// Guards against a request that keeps coming and is let through by all gateways at one moment
+/// (BUDGET): when its time is over, it is uncertain, so that one process tries it; each failed trial
+/// doubles the time.
+#[test]
+fn a_request_that_keeps_coming_is_tried_ever_less_often() {
+    let mut tracker = CrashTracker::open();
+    let deadly = RequestFingerprint(7);
+    let held_back = SuspectVerdict::HeldBack(deadly.into());
+    let uncertain = SuspectVerdict::Uncertain(deadly.into());
+    crash(&mut tracker, 1, 7, &[]);
+    crash(&mut tracker, 2, 7, &[]);
+    let mut last = 2;
+    for trial in 0..4 {
+        let hold_ms = REQUEST_HOLD_MS << trial;
+        assert_eq!(verdict_at(&tracker, last + hold_ms - 1, 7, &[]), held_back);
+        assert_eq!(verdict_at(&tracker, last + hold_ms, 7, &[]), uncertain);
+        last += hold_ms;
+        crash(&mut tracker, last, 7, &[]);
+    }
+    tracker.record_answered(suspects(7, &[]), AnswerProgress::Whole);
+    assert_eq!(verdict_at(&tracker, last, 7, &[]), SuspectVerdict::Clear);
+}
+
+/// Guards against a request that was in flight when many upstreams were killed at once, and is then
+/// held back as long as one that failed as many trials.
+#[test]
+fn crashes_at_one_moment_hold_a_request_back_once() {
+    let mut tracker = CrashTracker::open();
+    for number in 1..=9 {
+        crash(&mut tracker, number, 7, &[]);
+    }
+    let later = verdict_at(&tracker, 9 + REQUEST_HOLD_MS, 7, &[]);
+    assert_eq!(
+        later,
+        SuspectVerdict::Uncertain(RequestFingerprint(7).into())
+    );
 }
 
 #[derive(Debug, Clone)]
