Record a crash that ends an answer without a length or chunks

Cause: the end of the body counted as a whole answer, whatever the framing.

Ruled out: an end inside an event, which was taken for a loss before.

Change: such an answer counts as whole once its upstream takes another connection, 20 ms later and beside the delivery; else its loss is recorded.

Test: crash_suspects, two cases of an unframed answer; with the code before no gateway held the part back within 30 s, and both failed.

--- a/daemon/tests/crash_suspects.rs
+++ b/daemon/tests/crash_suspects.rs
@@ -39,6 +39,8 @@
     Part,
     /// The same, but the engine ends after an event.
     PartInAnswer,
+    /// The same, in an answer that ends with its connection.
+    PartInUnframedAnswer,
     /// Copies of one request; the engine ends before the head of its answer.
     Request,
 }
@@ -48,7 +50,7 @@
     fn call(self, gateway: usize, model: &str) -> SoakCall {
         let own_part = fastrand::u32(..);
         match self {
-            Self::Part | Self::PartInAnswer => {
+            Self::Part | Self::PartInAnswer | Self::PartInUnframedAnswer => {
                 stream(gateway, model, &format!("aa:80,dead:30,{own_part:x}:20"))
             }
             Self::Request => SoakCall {
@@ -58,11 +60,13 @@
         }
     }
 
-    /// What the caller gets.
-    const fn outcome(self) -> CallOutcome {
+    /// Whether the caller gets what it must get.
+    const fn is_outcome(self, outcome: &CallOutcome) -> bool {
         match self {
-            Self::Part | Self::Request => CallOutcome::Status(502),
-            Self::PartInAnswer => CallOutcome::Cut,
+            Self::Part | Self::Request => matches!(outcome, CallOutcome::Status(502)),
+            Self::PartInAnswer => matches!(outcome, CallOutcome::Cut),
+            // Nothing tells the end of such a stream from the end of its engine.
+            Self::PartInUnframedAnswer => matches!(outcome, CallOutcome::Answer(_)),
         }
     }
 
@@ -71,6 +75,7 @@
         match self {
             Self::Part => RawAnswer::CrashAtHead,
             Self::PartInAnswer => RawAnswer::CrashAfterEvent,
+            Self::PartInUnframedAnswer => RawAnswer::CrashUnframed,
             Self::Request => RawAnswer::CrashBeforeHead,
         }
     }
@@ -130,6 +135,7 @@
 #[rstest]
 #[case::part(Deadly::Part)]
 #[case::part_in_answer(Deadly::PartInAnswer)]
+#[case::part_in_unframed_answer(Deadly::PartInUnframedAnswer)]
 #[case::request(Deadly::Request)]
 fn what_crashed_engines_of_two_gateways_is_held_back_at_all(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -152,6 +158,7 @@
 #[rstest]
 #[case::part(Deadly::Part)]
 #[case::part_in_answer(Deadly::PartInAnswer)]
+#[case::part_in_unframed_answer(Deadly::PartInUnframedAnswer)]
 #[case::request(Deadly::Request)]
 fn a_suspect_stays_held_back_after_all_gateways_were_ended(#[case] deadly: Deadly) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -223,7 +230,8 @@
     }
     for (gateway, model) in TROUBLED_MODELS.into_iter().enumerate() {
         let call = deadly.call(gateway, model);
-        assert_eq!(send(&fleet, &call).await, deadly.outcome());
+        let outcome = send(&fleet, &call).await;
+        assert!(deadly.is_outcome(&outcome), "{outcome:?}");
         assert_eq!(engines[gateway].requests(), 1);
     }
     for gateway in 0..SIZE.gateways {
--- a/src/gateway/answer_framing.rs
+++ b/src/gateway/answer_framing.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::{
     CONTENT_LENGTH, CONTENT_RANGE, ETAG, HeaderMap, HeaderName, HeaderValue, LAST_MODIFIED,
+    TRANSFER_ENCODING,
 };
 use hyper::http::response::Parts;
 use hyper::{Method, StatusCode};
@@ -17,6 +18,28 @@
     HeaderName::from_static("content-md5"),
 ];
 
+/// How the end of an answer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its length, or by its last chunk.
+    Explicit,
+    /// By the end of the connection, which also ends when the upstream crashes.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// The framing that the head of an answer states.
+    #[must_use]
+    pub fn of(parts: &Parts) -> Self {
+        let headers = &parts.headers;
+        if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+            Self::Explicit
+        } else {
+            Self::UntilClose
+        }
+    }
+}
+
 /// Removes the headers that are no longer true once another run goes on with the answer.
 pub fn remove_run_headers(headers: &mut HeaderMap) {
     for name in &RUN_HEADERS {
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
-use super::answer_framing::unsent_length;
+use super::answer_framing::{BodyFraming, unsent_length};
 use super::buffered_call::BufferedCall;
 use super::call_guard::CallGuard;
 use super::stream_relay::StartedStream;
@@ -252,6 +252,7 @@
             return AttemptOutcome::sent(end, true);
         }
         let unsent_length = unsent_length(&self.call.parts.method, &parts);
+        let framing = BodyFraming::of(&parts);
         codec.strip_answer(&mut parts.headers);
         self.record(if parts.status.is_server_error() {
             AttemptResult::Failed
@@ -261,7 +262,7 @@
         context.record_answered(&self.call.plan, now);
         // A failure has a text instead of events.
         if self.call.plan.is_stream() && parts.status.is_success() {
-            let stream = UpstreamStream::open(incoming, guard, connection);
+            let stream = UpstreamStream::open(incoming, framing, guard, connection);
             return match StartedStream::open(parts, stream, self.last_received()).await {
                 Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
                 // Without parts that others share, only the whole request is at fault.
@@ -275,13 +276,13 @@
         match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
             Ok(answer) => {
                 if parts.status.is_success() && answer.is_whole() {
-                    guard.record_progress(AnswerProgress::Whole);
+                    guard.record_end(framing);
                 }
                 let length = answer.stated_length().map(HeaderValue::from);
                 if let Some(length) = unsent_length.or(length) {
                     parts.headers.insert(CONTENT_LENGTH, length);
                 }
-                let body = answer.into_body(guard, connection);
+                let body = answer.into_body(framing, guard, connection);
                 let end = AttemptEnd::Answer(Response::from_parts(parts, body));
                 AttemptOutcome::sent(end, false)
             }
--- a/src/gateway/upstream_loss.rs
+++ b/src/gateway/upstream_loss.rs
@@ -1,13 +1,16 @@
 //! What is recorded of an attempt whose upstream was lost, however much of the answer had arrived.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use super::answer_framing::BodyFraming;
 use super::call_guard::CallGuard;
+use super::{CallPlan, GatewayContext};
 use crate::fleet::UpstreamEntry;
 use crate::net::{NetError, dial};
 use crate::prelude::*;
-use crate::quarantine::{AnswerProgress, crash_id};
+use crate::quarantine::{AnswerProgress, RequestFingerprint, RequestSuspects, crash_id};
 
 /// Milliseconds after the end of a connection within which a process that ends also closes its listener.
 const PROCESS_END_MS: u64 = 20;
@@ -49,10 +52,26 @@
     }
 }
 
-impl CallGuard {
-    /// Records that the connection to the upstream ended before the answer did. Returns whether the
-    /// upstream has crashed; the planner is told at once then.
-    pub async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
+/// An attempt that has ended, and what it was sent to.
+#[derive(Clone)]
+struct EndedAttempt {
+    context: Rc<GatewayContext>,
+    plan: Rc<CallPlan>,
+    fingerprint: RequestFingerprint,
+    upstream: UpstreamStart,
+}
+
+impl EndedAttempt {
+    fn suspects(&self) -> RequestSuspects<'_> {
+        RequestSuspects {
+            request: self.fingerprint,
+            parts: &self.plan.parts,
+        }
+    }
+
+    /// Records that the connection ended before the answer did, if the upstream has crashed. Returns
+    /// whether it has; the planner is told at once then.
+    async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
         let context = &self.context;
         let crash = self.upstream.crash_id();
         let is_known = context.crashes.knows_crash(crash);
@@ -77,8 +96,59 @@
         has_crashed
     }
 
-    /// Records how much of the answer has arrived.
-    pub fn record_progress(&self, progress: AnswerProgress) {
-        self.context.record_progress(self.suspects(), progress);
+    /// Records an answer that ended with its connection, as it also does when its upstream crashes.
+    async fn record_close(self) {
+        let has_crashed = self.upstream.refuses_connections().await;
+        log::info!(
+            request:% = self.plan.request,
+            upstream:% = self.upstream.id,
+            has_crashed;
+            "answer ended with its connection"
+        );
+        if has_crashed {
+            self.record_loss(AnswerProgress::Partial).await;
+        } else {
+            let whole = AnswerProgress::Whole;
+            self.context.record_progress(self.suspects(), whole);
+        }
+    }
+}
+
+impl CallGuard {
+    /// Records that the connection to the upstream ended before the answer did. Returns whether the
+    /// upstream has crashed.
+    pub async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
+        self.ended_attempt().record_loss(lost_at).await
+    }
+
+    /// Records that an event, or a part of the answer, has arrived.
+    pub fn record_begin(&self) {
+        let suspects = self.suspects();
+        self.context
+            .record_progress(suspects, AnswerProgress::Partial);
+    }
+
+    /// Records that all of the answer has arrived, as far as its framing tells.
+    pub fn record_end(&self, framing: BodyFraming) {
+        match framing {
+            BodyFraming::Explicit => {
+                let suspects = self.suspects();
+                self.context
+                    .record_progress(suspects, AnswerProgress::Whole);
+            }
+            BodyFraming::UntilClose => {
+                let attempt = self.ended_attempt();
+                compio::runtime::spawn(attempt.record_close()).detach();
+            }
+        }
+    }
+
+    fn ended_attempt(&self) -> EndedAttempt {
+        EndedAttempt {
+            context: Rc::clone(&self.context),
+            plan: Rc::clone(&self.plan),
+            fingerprint: self.fingerprint,
+            upstream: self.upstream.clone(),
+        }
     }
 }
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::AttemptResult;
+use super::answer_framing::BodyFraming;
 use super::call_guard::CallGuard;
 use super::upstream_call::UpstreamConnection;
 use crate::fleet::UpstreamKey;
@@ -61,6 +62,7 @@
     incoming: Incoming,
     /// Length in bytes of the whole body; `None` if the upstream does not state it.
     length: Option<u64>,
+    framing: BodyFraming,
     events: EventBuffer,
     deadline: LocalBoxFuture<'static, ()>,
     guard: CallGuard,
@@ -73,10 +75,16 @@
 
 impl UpstreamStream {
     /// Reads a response body until its end or the request's deadline.
-    pub fn open(incoming: Incoming, guard: CallGuard, connection: UpstreamConnection) -> Self {
+    pub fn open(
+        incoming: Incoming,
+        framing: BodyFraming,
+        guard: CallGuard,
+        connection: UpstreamConnection,
+    ) -> Self {
         let left_ms = guard.plan.ends_at.millis_since(guard.context.now());
         Self {
             length: incoming.size_hint().exact(),
+            framing,
             incoming,
             events: EventBuffer::open(),
             deadline: compio::time::sleep(Duration::from_millis(left_ms)).boxed_local(),
@@ -188,7 +196,7 @@
             return Err(StreamFailure::Lost);
         }
         self.guard.set_outcome("complete");
-        self.guard.record_progress(AnswerProgress::Whole);
+        self.guard.record_end(self.framing);
         Ok(())
     }
 
@@ -196,7 +204,7 @@
     fn record_events(&mut self) {
         self.guard.record_event_ids(self.event_ids());
         if !std::mem::replace(&mut self.has_events, true) {
-            self.guard.record_progress(AnswerProgress::Partial);
+            self.guard.record_begin();
         }
     }
 
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::AttemptResult;
+use super::answer_framing::BodyFraming;
 use super::call_guard::CallGuard;
 use super::upstream_call::UpstreamConnection;
 use crate::net::{
@@ -70,7 +71,12 @@
     }
 
     /// The body for the caller. What has not arrived is read as fast as the caller reads.
-    pub fn into_body(self, mut guard: CallGuard, connection: UpstreamConnection) -> HttpBody {
+    pub fn into_body(
+        self,
+        framing: BodyFraming,
+        mut guard: CallGuard,
+        connection: UpstreamConnection,
+    ) -> HttpBody {
         if self.is_whole() {
             guard.set_outcome("complete");
         }
@@ -79,6 +85,7 @@
         }
         let upstream = self.rest.map(|rest| AnswerRest {
             incoming: rest,
+            framing,
             guard,
             _connection: connection,
         });
@@ -106,6 +113,7 @@
 /// The part of an answer that has not arrived.
 struct AnswerRest {
     incoming: Incoming,
+    framing: BodyFraming,
     guard: CallGuard,
     /// Dropped with the rest, so that the upstream notices that nobody reads on.
     _connection: UpstreamConnection,
@@ -122,12 +130,15 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 self.guard.set_outcome("complete");
-                self.guard.record_progress(AnswerProgress::Whole);
+                self.guard.record_end(self.framing);
             }
             Err(error) => {
-                let mut loads = context.loads.borrow_mut();
-                loads.record_result(context.now(), self.guard.key, AttemptResult::Failed);
-                drop(loads);
+                let now = context.now();
+                let result = AttemptResult::Failed;
+                context
+                    .loads
+                    .borrow_mut()
+                    .record_result(now, self.guard.key, result);
                 self.guard.set_outcome("cut_by_upstream");
                 if matches!(error, BodyError::Truncated) {
                     self.guard.record_loss(AnswerProgress::Partial).await;
