Tell kills of upstreams from parts that crash them by how far answers had come

Cause: at a kill, running answers with the same parts are in flight everywhere, and only the end of another one cleared them.

Ruled out: too few excuses (four for each part were used up by the first kill); late news from the planner (the refusals began within 100 ms at all gateways).

Change: progress counts events. An answer clears crashes at which others had come less than about half as far, also while it runs, and also at the crash itself. Where four or more upstreams crash within a second, only answers that had just begun count against a part. Excuses count crashes of ten minutes.

--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -209,7 +209,7 @@
                 guard.set_outcome("lost");
                 self.record(AttemptResult::Failed);
                 log::warn!(request:% = request, error:% = error; "upstream lost");
-                guard.record_loss(AnswerProgress::Nothing).await;
+                guard.record_loss(AnswerProgress::NOTHING).await;
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
                 AttemptOutcome::sent(end, true)
             }
@@ -291,7 +291,7 @@
                 self.record(AttemptResult::Failed);
                 log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
                 if matches!(error, BodyError::Truncated) {
-                    guard.record_loss(AnswerProgress::Partial).await;
+                    guard.record_loss(AnswerProgress::BEGUN).await;
                 }
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
                 AttemptOutcome::sent(end, true)
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -118,6 +118,12 @@
         is_new_planner
     }
 
+    /// Whether answers in flight may clear a suspect of several crashes.
+    #[must_use]
+    pub fn has_recurring(&self) -> bool {
+        self.tracker.borrow().has_recurring()
+    }
+
     /// Records for which suspects are held back, to be kept in the table.
     #[must_use]
     pub fn held_back_records(&self, now: MonoTime) -> Vec<CrashRecord> {
--- a/src/gateway/upstream_loss.rs
+++ b/src/gateway/upstream_loss.rs
@@ -106,9 +106,9 @@
             "answer ended with its connection"
         );
         if has_crashed {
-            self.record_loss(AnswerProgress::Partial).await;
+            self.record_loss(AnswerProgress::BEGUN).await;
         } else {
-            let whole = AnswerProgress::Whole;
+            let whole = AnswerProgress::WHOLE;
             self.context.record_progress(self.suspects(), whole);
         }
     }
@@ -121,21 +121,15 @@
         self.ended_attempt().record_loss(lost_at).await
     }
 
-    /// Records that an event, or a part of the answer, has arrived.
-    pub fn record_begin(&self) {
-        let suspects = self.suspects();
-        self.context
-            .record_progress(suspects, AnswerProgress::Partial);
+    /// Records how far the answer has come.
+    pub fn record_progress(&self, progress: AnswerProgress) {
+        self.context.record_progress(self.suspects(), progress);
     }
 
     /// Records that all of the answer has arrived, as far as its framing tells.
     pub fn record_end(&self, framing: BodyFraming) {
         match framing {
-            BodyFraming::Explicit => {
-                let suspects = self.suspects();
-                self.context
-                    .record_progress(suspects, AnswerProgress::Whole);
-            }
+            BodyFraming::Explicit => self.record_progress(AnswerProgress::WHOLE),
             BodyFraming::UntilClose => {
                 let attempt = self.ended_attempt();
                 compio::runtime::spawn(attempt.record_close()).detach();
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -67,8 +67,8 @@
     deadline: LocalBoxFuture<'static, ()>,
     guard: CallGuard,
     is_ended: bool,
-    /// Whether a whole event has arrived.
-    has_events: bool,
+    /// Number of times that whole events arrived.
+    batch_count: u64,
     /// Dropped with the stream, so that the upstream notices that nobody reads on.
     _connection: UpstreamConnection,
 }
@@ -90,7 +90,7 @@
             deadline: compio::time::sleep(Duration::from_millis(left_ms)).boxed_local(),
             guard,
             is_ended: false,
-            has_events: false,
+            batch_count: 0,
             _connection: connection,
         }
     }
@@ -192,7 +192,7 @@
     /// stream that ends after an event is complete.
     fn end(&mut self) -> Result<(), StreamFailure> {
         self.is_ended = true;
-        if !self.has_events || self.events.is_inside_event() {
+        if self.batch_count == 0 || self.events.is_inside_event() {
             return Err(StreamFailure::Lost);
         }
         self.guard.set_outcome("complete");
@@ -200,14 +200,25 @@
         Ok(())
     }
 
-    /// Records the ids of events that arrived, and that the answer has begun.
+    /// Records the ids of events that arrived, and how far the answer has come. That matters at its
+    /// begin, and while the cause of several crashes is not known.
     fn record_events(&mut self) {
         self.guard.record_event_ids(self.event_ids());
-        if !std::mem::replace(&mut self.has_events, true) {
-            self.guard.record_begin();
+        self.batch_count += 1;
+        if self.batch_count == 1 || self.guard.context.crashes.has_recurring() {
+            self.guard.record_progress(self.progress());
         }
     }
 
+    /// How far the answer has come. Events without ids that arrive together count as one.
+    fn progress(&self) -> AnswerProgress {
+        let ids = self.event_ids();
+        let count = ids.map_or(0, |(first, last)| {
+            last.saturating_sub(first).saturating_add(1)
+        });
+        AnswerProgress::events(count.max(self.batch_count))
+    }
+
     /// Whether the deadline passed so long ago that an upstream that sends without a pause is no
     /// longer read.
     fn is_overdue(&self) -> bool {
@@ -228,12 +239,7 @@
         if failure != StreamFailure::Lost {
             return failure;
         }
-        let lost_at = if self.has_events {
-            AnswerProgress::Partial
-        } else {
-            AnswerProgress::Nothing
-        };
-        if self.guard.record_loss(lost_at).await {
+        if self.guard.record_loss(self.progress()).await {
             StreamFailure::Crashed
         } else {
             StreamFailure::Lost
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -141,7 +141,7 @@
                     .record_result(now, self.guard.key, result);
                 self.guard.set_outcome("cut_by_upstream");
                 if matches!(error, BodyError::Truncated) {
-                    self.guard.record_loss(AnswerProgress::Partial).await;
+                    self.guard.record_loss(AnswerProgress::BEGUN).await;
                 }
             }
         }
--- a/src/quarantine/crash_record.rs
+++ b/src/quarantine/crash_record.rs
@@ -16,10 +16,13 @@
     /// The request that was in flight; the lowest if several with the suspect were.
     #[serde(rename = "r")]
     pub request: RequestFingerprint,
-    /// How far the answer had come; the furthest if several requests with the suspect were in flight.
+    /// How far the answer had come; the least if several requests with the suspect were in flight.
     #[serde(rename = "l")]
-    pub lost_at: AnswerProgress,
-    /// How far another answer came. The suspect did not cause the crash if that is further.
+    pub least_lost: AnswerProgress,
+    /// The same, the furthest.
+    #[serde(rename = "m")]
+    pub most_lost: AnswerProgress,
+    /// How far another answer came that shows that the suspect did not cause the crash.
     #[serde(rename = "a")]
     pub answered: AnswerProgress,
     /// Milliseconds since the crash.
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -11,7 +11,7 @@
 };
 use crate::prelude::*;
 
-/// Crashes at which a suspect is excused because it was answered at some time before.
+/// Crashes in a short time at which a suspect is excused because it was answered at some time before.
 const EXCUSED_CRASHES: usize = 4;
 
 /// Records stored at most; the oldest of suspects that are not held back is dropped first.
@@ -72,8 +72,9 @@
             let evidence = CrashEvidence {
                 crash,
                 request: suspects.request,
-                lost_at,
-                answered: AnswerProgress::Nothing,
+                least_lost: lost_at,
+                most_lost: lost_at,
+                answered: AnswerProgress::NOTHING,
                 forgotten_at: now + FORGET_MS,
                 change: 0,
             };
@@ -172,16 +173,18 @@
     /// Records for which suspects are held back, to outlive all processes.
     #[must_use]
     pub fn held_back_records(&self, now: MonoTime) -> Vec<CrashRecord> {
-        let held = self.held.suspects();
-        let histories = held.filter_map(|suspect| Some((suspect, self.histories.get(&suspect)?)));
-        histories
-            .flat_map(|(suspect, history)| {
-                let counting = history.counting();
-                counting.map(move |evidence| evidence.to_record(now, suspect))
-            })
+        let evidence = self.held.evidence();
+        evidence
+            .map(|(suspect, evidence)| evidence.to_record(now, suspect))
             .collect()
     }
 
+    /// Whether a suspect was in flight at several crashes and has not been cleared of them.
+    #[must_use]
+    pub fn has_recurring(&self) -> bool {
+        self.held.has_recurring()
+    }
+
     /// Whether a crash has been recorded.
     #[must_use]
     pub fn knows_crash(&self, crash: u64) -> bool {
@@ -233,11 +236,11 @@
             }
             return *known;
         }
-        let is_excused = history.evidence.len() < EXCUSED_CRASHES;
+        let is_excused = history.crashes_before(&evidence) < EXCUSED_CRASHES;
         let excuse = if is_excused {
             recent
         } else {
-            AnswerProgress::Nothing
+            AnswerProgress::NOTHING
         };
         self.newest_change += 1;
         let evidence = CrashEvidence {
@@ -262,7 +265,7 @@
         let counting = history
             .evidence
             .iter_mut()
-            .filter(|evidence| !evidence.is_cleared() && progress > evidence.lost_at);
+            .filter(|evidence| evidence.is_cleared_by(progress));
         let mut count = 0;
         for evidence in counting {
             count += 1;
--- a/src/quarantine/held_suspects.rs
+++ b/src/quarantine/held_suspects.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::crash_history::CrashHistory;
+use super::crash_history::{CrashEvidence, CrashHistory};
+use super::mass_crashes::MassCrashes;
 use super::{CrashSuspect, RequestSuspects};
 use crate::prelude::*;
 
@@ -18,9 +19,11 @@
     HeldBack(CrashSuspect),
 }
 
-/// How a suspect is held back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Why and how a suspect is held back.
+#[derive(Debug, Clone)]
 struct SuspectHold {
+    /// The evidence against it.
+    history: CrashHistory,
     /// Whether another one was at the same crashes.
     is_ambiguous: bool,
     /// When it may be tried although it is not ambiguous.
@@ -28,15 +31,17 @@
 }
 
 impl SuspectHold {
-    fn allows_trial(self, now: MonoTime) -> bool {
+    fn allows_trial(&self, now: MonoTime) -> bool {
         self.is_ambiguous || now >= self.until
     }
 }
 
 /// The suspects that are at fault for crashes, as far as is known.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default)]
 pub struct HeldSuspects {
     suspects: BTreeMap<CrashSuspect, SuspectHold>,
+    /// Whether any suspect was at several crashes that count, held back or not.
+    has_recurring: bool,
     /// Digest of the evidence against them; 0 without suspects.
     digest: u64,
 }
@@ -44,39 +49,52 @@
 impl HeldSuspects {
     /// Finds the suspects that are at fault.
     pub(super) fn of(histories: &BTreeMap<CrashSuspect, CrashHistory>) -> Self {
-        let recurring: BTreeMap<CrashSuspect, BTreeSet<u64>> = histories
+        let recurring = recurring_histories(histories);
+        let crashes: BTreeMap<CrashSuspect, BTreeSet<u64>> = recurring
             .iter()
-            .filter(|(_, history)| history.counting().nth(1).is_some())
             .map(|(suspect, history)| (*suspect, history.crashes()))
             .collect();
-        let is_guilty = |suspect: &CrashSuspect, crashes: &BTreeSet<u64>| {
-            histories[suspect].is_recurring(*suspect) && !is_explained(crashes, &recurring)
+        let is_guilty = |suspect: &CrashSuspect| {
+            recurring[suspect].is_recurring(*suspect) && !is_explained(&crashes[suspect], &crashes)
         };
-        let guilty: BTreeMap<CrashSuspect, &BTreeSet<u64>> = recurring
-            .iter()
-            .filter(|(suspect, crashes)| is_guilty(suspect, crashes))
-            .map(|(suspect, crashes)| (*suspect, crashes))
-            .collect();
+        let guilty: Vec<CrashSuspect> = recurring.keys().copied().filter(is_guilty).collect();
         let is_ambiguous = |suspect: &CrashSuspect| {
             guilty
                 .iter()
-                .any(|(other, crashes)| other != suspect && *crashes == guilty[suspect])
-        };
-        let hold = |suspect: &CrashSuspect| SuspectHold {
-            is_ambiguous: is_ambiguous(suspect),
-            until: histories[suspect].held_until(*suspect),
+                .any(|other| other != suspect && crashes[other] == crashes[suspect])
         };
-        let evidence = guilty.keys().flat_map(|suspect| {
-            let counting = histories[suspect].counting();
-            counting.map(|evidence| evidence.digest(*suspect))
+        let suspects = guilty.iter().map(|suspect| {
+            let history = recurring[suspect].clone();
+            let reason = SuspectHold {
+                until: history.held_until(*suspect),
+                history,
+                is_ambiguous: is_ambiguous(suspect),
+            };
+            (*suspect, reason)
         });
-        Self {
-            digest: evidence.fold(0, |digest, evidence| digest ^ evidence),
-            suspects: guilty
-                .keys()
-                .map(|suspect| (*suspect, hold(suspect)))
-                .collect(),
-        }
+        let mut result = Self {
+            suspects: suspects.collect(),
+            has_recurring: !recurring.is_empty(),
+            digest: 0,
+        };
+        let digests = result
+            .evidence()
+            .map(|(suspect, evidence)| evidence.digest(suspect));
+        result.digest = digests.fold(0, |digest, other| digest ^ other);
+        result
+    }
+
+    /// The evidence against all of them.
+    pub(super) fn evidence(&self) -> impl Iterator<Item = (CrashSuspect, &CrashEvidence)> {
+        self.suspects.iter().flat_map(|(suspect, hold)| {
+            let evidence = hold.history.evidence.iter();
+            evidence.map(|evidence| (*suspect, evidence))
+        })
+    }
+
+    /// Whether any suspect was at several crashes that count, held back or not.
+    pub(super) const fn has_recurring(&self) -> bool {
+        self.has_recurring
     }
 
     /// All of them.
@@ -114,6 +132,23 @@
     }
 }
 
+/// The suspects that were at several crashes that count, with these crashes.
+fn recurring_histories(
+    histories: &BTreeMap<CrashSuspect, CrashHistory>,
+) -> BTreeMap<CrashSuspect, CrashHistory> {
+    let is_single = |history: &CrashHistory| history.evidence.len() < 2;
+    if histories.values().all(is_single) {
+        return BTreeMap::new();
+    }
+    let masses = MassCrashes::of(histories);
+    let counting = histories
+        .iter()
+        .map(|(suspect, history)| (*suspect, history.counting(*suspect, &masses)));
+    counting
+        .filter(|(_, history)| !is_single(history))
+        .collect()
+}
+
 /// Whether another suspect was at all of these crashes and at more.
 fn is_explained(
     crashes: &BTreeSet<u64>,
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 mod crash_tracker;
 mod held_suspects;
 mod loss_tracker;
+mod mass_crashes;
 mod prompt_part_id;
 mod quarantine_row;
 mod quarantine_tracker;
