Repeat no request with shared parts whose upstream crashed in a whole answer

Both ends of an attempt come from one place now. An answer that has no body by its status or method is framed, so that its end needs no connection to the upstream. At most 1,024 records are kept (a planner that takes over is told all of them by each gateway), and a key that is known rotates no generation of recent answers.

--- a/src/gateway/answer_framing.rs
+++ b/src/gateway/answer_framing.rs
@@ -21,7 +21,7 @@
 /// How the end of an answer shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
-    /// By its length, or by its last chunk.
+    /// By its length or its last chunk, or since it has no body.
     Explicit,
     /// By the end of the connection, which also ends when the upstream crashes.
     UntilClose,
@@ -30,9 +30,11 @@
 impl BodyFraming {
     /// The framing that the head of an answer states.
     #[must_use]
-    pub fn of(parts: &Parts) -> Self {
+    pub fn of(method: &Method, parts: &Parts) -> Self {
         let headers = &parts.headers;
-        if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        if is_framed || has_no_body(method, parts.status) {
             Self::Explicit
         } else {
             Self::UntilClose
@@ -50,7 +52,13 @@
 /// The length that the head of an answer without a body states of the body that it leaves out.
 #[must_use]
 pub fn unsent_length(method: &Method, parts: &Parts) -> Option<HeaderValue> {
-    let has_no_body = method == Method::HEAD || parts.status == StatusCode::NOT_MODIFIED;
     let length = parts.headers.get(CONTENT_LENGTH);
-    length.filter(|_| has_no_body).cloned()
+    length
+        .filter(|_| has_no_body(method, parts.status))
+        .cloned()
+}
+
+fn has_no_body(method: &Method, status: StatusCode) -> bool {
+    let is_bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    is_bodiless || method == Method::HEAD
 }
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -252,7 +252,7 @@
             return AttemptOutcome::sent(end, true);
         }
         let unsent_length = unsent_length(&self.call.parts.method, &parts);
-        let framing = BodyFraming::of(&parts);
+        let framing = BodyFraming::of(&self.call.parts.method, &parts);
         codec.strip_answer(&mut parts.headers);
         self.record(if parts.status.is_server_error() {
             AttemptResult::Failed
@@ -265,10 +265,7 @@
             let stream = UpstreamStream::open(incoming, framing, guard, connection);
             return match StartedStream::open(parts, stream, self.last_received()).await {
                 Ok(stream) => AttemptOutcome::sent(AttemptEnd::Stream(Box::new(stream)), false),
-                // Without parts that others share, only the whole request is at fault.
-                Err(StreamFailure::Crashed) if !self.call.plan.parts.is_empty() => {
-                    AttemptOutcome::sent(AttemptEnd::Crashed, true)
-                }
+                Err(StreamFailure::Crashed) => AttemptOutcome::sent(self.crash_end(), true),
                 Err(failure) => AttemptOutcome::sent(AttemptEnd::Unknown(failure.reason()), true),
             };
         }
@@ -290,8 +287,9 @@
                 guard.set_outcome("cut_by_upstream");
                 self.record(AttemptResult::Failed);
                 log::warn!(request:% = self.call.plan.request, error:% = error; "upstream response body incomplete");
-                if matches!(error, BodyError::Truncated) {
-                    guard.record_loss(AnswerProgress::BEGUN).await;
+                let is_lost = matches!(error, BodyError::Truncated);
+                if is_lost && guard.record_loss(AnswerProgress::BEGUN).await {
+                    return AttemptOutcome::sent(self.crash_end(), true);
                 }
                 let end = AttemptEnd::Unknown(RefusalReason::UpstreamLost);
                 AttemptOutcome::sent(end, true)
@@ -299,6 +297,16 @@
         }
     }
 
+    /// The end of an attempt whose upstream crashed once the answer had begun. A request with parts that
+    /// others share is not repeated, since one of them may be at fault.
+    fn crash_end(&self) -> AttemptEnd {
+        if self.call.plan.parts.is_empty() {
+            AttemptEnd::Unknown(RefusalReason::UpstreamLost)
+        } else {
+            AttemptEnd::Crashed
+        }
+    }
+
     /// Whether the response cannot be the upstream's answer to this request.
     fn is_wrong_answer(&self, head: &AnswerHead, status: StatusCode) -> bool {
         // These statuses promise that the request did not run, which the upstream did not say.
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -15,7 +15,7 @@
 const EXCUSED_CRASHES: usize = 4;
 
 /// Records stored at most; the oldest of suspects that are not held back is dropped first.
-const MAX_RECORDS: usize = 2_048;
+const MAX_RECORDS: usize = 1_024;
 
 /// Answered parts stored in one generation.
 const ANSWERED_PARTS: usize = 4_096;
--- a/src/quarantine/recent_answers.rs
+++ b/src/quarantine/recent_answers.rs
@@ -28,7 +28,7 @@
     /// Records an answer; drops the oldest half when the map is full.
     pub fn record(&mut self, key: K, progress: AnswerProgress) {
         let progress = progress.max(self.progress(key));
-        if self.newer.len() >= self.generation_size {
+        if self.newer.len() >= self.generation_size && !self.newer.contains_key(&key) {
             self.older = std::mem::take(&mut self.newer);
         }
         self.newer.insert(key, progress);
