Upstream losses: one probe for an answer that ends with its connection, one place for suspects

From reading the diff: the end of an answer without a length probed its upstream twice where that had crashed, and lost how far the answer had come. What of a request may be at fault stood in three places. Names that needed explaining are gone.

--- a/src/gateway/buffered_call.rs
+++ b/src/gateway/buffered_call.rs
@@ -26,10 +26,7 @@
 impl BufferedCall {
     /// What of the request may be at fault if an upstream crashes.
     pub fn suspects(&self) -> RequestSuspects<'_> {
-        RequestSuspects {
-            request: self.fingerprint,
-            parts: &self.plan.parts,
-        }
+        self.plan.suspects(self.fingerprint)
     }
 }
 
--- a/src/gateway/call_attempt.rs
+++ b/src/gateway/call_attempt.rs
@@ -273,7 +273,7 @@
         match WholeAnswer::read(incoming, &context.buffers, left_ms).await {
             Ok(answer) => {
                 if parts.status.is_success() && answer.is_whole() {
-                    guard.record_end(framing);
+                    guard.record_end(framing, AnswerProgress::BEGUN);
                 }
                 let length = answer.stated_length().map(HeaderValue::from);
                 if let Some(length) = unsent_length.or(length) {
--- a/src/gateway/call_guard.rs
+++ b/src/gateway/call_guard.rs
@@ -7,7 +7,7 @@
 use super::{CallPlan, GatewayContext};
 use crate::fleet::{UpstreamEntry, UpstreamKey};
 use crate::prelude::*;
-use crate::quarantine::{RequestFingerprint, RequestSuspects};
+use crate::quarantine::RequestFingerprint;
 use crate::upstream_speed::PaceMeter;
 
 /// Tracks a request in flight at an upstream; dropping it ends the tracking and logs the attempt.
@@ -102,14 +102,6 @@
         self.context.prompt_read.notify();
     }
 
-    /// What of the request may be at fault if the upstream crashes.
-    pub fn suspects(&self) -> RequestSuspects<'_> {
-        RequestSuspects {
-            request: self.fingerprint,
-            parts: &self.plan.parts,
-        }
-    }
-
     /// Sets the outcome that is logged.
     pub const fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = outcome;
--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -6,7 +6,7 @@
 use crate::account::{CallerCredential, ClientAccount, KeyDigest};
 use crate::fleet::{ModelNeed, RouteKind, RouteRule};
 use crate::prelude::*;
-use crate::quarantine::PromptPartId;
+use crate::quarantine::{PromptPartId, RequestFingerprint, RequestSuspects};
 use crate::rate_limit::WaitTurn;
 use crate::routing::rendezvous_weight;
 
@@ -140,6 +140,15 @@
     pub const fn is_stream(&self) -> bool {
         matches!(self.kind, RouteKind::Stream { .. })
     }
+
+    /// What of the request with this fingerprint may be at fault if an upstream crashes.
+    #[must_use]
+    pub fn suspects(&self, request: RequestFingerprint) -> RequestSuspects<'_> {
+        RequestSuspects {
+            request,
+            parts: &self.parts,
+        }
+    }
 }
 
 /// Length of a prompt in tokens; callers may name any numbers.
--- a/src/gateway/upstream_loss.rs
+++ b/src/gateway/upstream_loss.rs
@@ -53,7 +53,6 @@
 }
 
 /// An attempt that has ended, and what it was sent to.
-#[derive(Clone)]
 struct EndedAttempt {
     context: Rc<GatewayContext>,
     plan: Rc<CallPlan>,
@@ -63,19 +62,18 @@
 
 impl EndedAttempt {
     fn suspects(&self) -> RequestSuspects<'_> {
-        RequestSuspects {
-            request: self.fingerprint,
-            parts: &self.plan.parts,
-        }
+        self.plan.suspects(self.fingerprint)
+    }
+
+    async fn has_crashed(&self) -> bool {
+        let is_known = self.context.crashes.knows_crash(self.upstream.crash_id());
+        is_known || self.upstream.refuses_connections().await
     }
 
-    /// Records that the connection ended before the answer did, if the upstream has crashed. Returns
-    /// whether it has; the planner is told at once then.
-    async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
-        let context = &self.context;
+    /// Records that the connection ended before the answer did. The planner is told at once if the
+    /// upstream has crashed.
+    fn record_loss(&self, lost_at: AnswerProgress, has_crashed: bool) {
         let crash = self.upstream.crash_id();
-        let is_known = context.crashes.knows_crash(crash);
-        let has_crashed = is_known || self.upstream.refuses_connections().await;
         let suspects = self.suspects();
         let parts: Vec<String> = suspects.parts.iter().map(ToString::to_string).collect();
         log::warn!(
@@ -89,16 +87,16 @@
             "upstream lost before the end of an answer"
         );
         if has_crashed {
+            let context = &self.context;
             let now = context.now();
             context.crashes.record_crash(now, crash, suspects, lost_at);
             context.waits.wanted.notify();
         }
-        has_crashed
     }
 
     /// Records an answer that ended with its connection, as it also does when its upstream crashes.
-    async fn record_close(self) {
-        let has_crashed = self.upstream.refuses_connections().await;
+    async fn record_close(self, progress: AnswerProgress) {
+        let has_crashed = self.has_crashed().await;
         log::info!(
             request:% = self.plan.request,
             upstream:% = self.upstream.id,
@@ -106,7 +104,7 @@
             "answer ended with its connection"
         );
         if has_crashed {
-            self.record_loss(AnswerProgress::BEGUN).await;
+            self.record_loss(progress, has_crashed);
         } else {
             let whole = AnswerProgress::WHOLE;
             self.context.record_progress(self.suspects(), whole);
@@ -118,21 +116,26 @@
     /// Records that the connection to the upstream ended before the answer did. Returns whether the
     /// upstream has crashed.
     pub async fn record_loss(&self, lost_at: AnswerProgress) -> bool {
-        self.ended_attempt().record_loss(lost_at).await
+        let attempt = self.ended_attempt();
+        let has_crashed = attempt.has_crashed().await;
+        attempt.record_loss(lost_at, has_crashed);
+        has_crashed
     }
 
     /// Records how far the answer has come.
     pub fn record_progress(&self, progress: AnswerProgress) {
-        self.context.record_progress(self.suspects(), progress);
+        let suspects = self.plan.suspects(self.fingerprint);
+        self.context.record_progress(suspects, progress);
     }
 
-    /// Records that all of the answer has arrived, as far as its framing tells.
-    pub fn record_end(&self, framing: BodyFraming) {
+    /// Records that all of the answer has arrived, as far as its framing tells. `progress` is how far it
+    /// has come if its upstream has crashed.
+    pub fn record_end(&self, framing: BodyFraming, progress: AnswerProgress) {
         match framing {
             BodyFraming::Explicit => self.record_progress(AnswerProgress::WHOLE),
             BodyFraming::UntilClose => {
                 let attempt = self.ended_attempt();
-                compio::runtime::spawn(attempt.record_close()).detach();
+                compio::runtime::spawn(attempt.record_close(progress)).detach();
             }
         }
     }
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -196,7 +196,7 @@
             return Err(StreamFailure::Lost);
         }
         self.guard.set_outcome("complete");
-        self.guard.record_end(self.framing);
+        self.guard.record_end(self.framing, self.progress());
         Ok(())
     }
 
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -130,7 +130,7 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 self.guard.set_outcome("complete");
-                self.guard.record_end(self.framing);
+                self.guard.record_end(self.framing, AnswerProgress::BEGUN);
             }
             Err(error) => {
                 let now = context.now();
--- a/src/quarantine/crash_history.rs
+++ b/src/quarantine/crash_history.rs
@@ -108,10 +108,11 @@
 
     /// Whether the crash counts against the suspect. Running answers with the same parts are in flight
     /// wherever upstreams are killed, so where many are, only those count that had just begun.
-    fn counts(&self, suspect: CrashSuspect, masses: &MassCrashes) -> bool {
+    fn counts(&self, suspect: CrashSuspect, mass_crashes: &MassCrashes) -> bool {
         let is_part = matches!(suspect, CrashSuspect::Part(_));
-        let is_chance = is_part && !self.most_lost.is_early() && masses.contains(self.crash);
-        !self.is_cleared() && !is_chance
+        let is_bystander =
+            is_part && !self.most_lost.is_early() && mass_crashes.contains(self.crash);
+        !self.is_cleared() && !is_bystander
     }
 
     /// Hash of what processes agree on.
@@ -137,11 +138,11 @@
     }
 
     /// Evidence that counts against the suspect.
-    pub fn counting(&self, suspect: CrashSuspect, masses: &MassCrashes) -> Self {
+    pub fn counting(&self, suspect: CrashSuspect, mass_crashes: &MassCrashes) -> Self {
         let evidence = self.evidence.iter().copied();
         Self {
             evidence: evidence
-                .filter(|evidence| evidence.counts(suspect, masses))
+                .filter(|evidence| evidence.counts(suspect, mass_crashes))
                 .collect(),
         }
     }
--- a/src/quarantine/held_suspects.rs
+++ b/src/quarantine/held_suspects.rs
@@ -140,10 +140,10 @@
     if histories.values().all(is_single) {
         return BTreeMap::new();
     }
-    let masses = MassCrashes::of(histories);
+    let mass_crashes = MassCrashes::of(histories);
     let counting = histories
         .iter()
-        .map(|(suspect, history)| (*suspect, history.counting(*suspect, &masses)));
+        .map(|(suspect, history)| (*suspect, history.counting(*suspect, &mass_crashes)));
     counting
         .filter(|(_, history)| !is_single(history))
         .collect()
