Crash tracker: copy no evidence for each answer, and say once what recurs

From reading the whole change; behaviour is the same.

- While something is held back, each event of each stream copied all evidence against it, to log what the event changed.
What is held back is shared now and replaced when it changes.
- How many crashes make a suspect stood in two places, as a constant and as a number.
- `CrashTracker::records` was called by tests alone.
- Three constants say what they stand for.

--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -145,9 +145,12 @@
     /// Changes the records, and logs each suspect that is held back or free again.
     fn change<R>(&self, change: impl FnOnce(&mut CrashTracker) -> R) -> R {
         let mut tracker = self.tracker.borrow_mut();
-        let before = tracker.held().clone();
+        let before = Rc::clone(tracker.held());
         let result = change(&mut tracker);
         let after = tracker.held();
+        if Rc::ptr_eq(&before, after) {
+            return result;
+        }
         for suspect in after.suspects().filter(|it| !before.contains(*it)) {
             log::warn!(suspect:% = suspect, digest = after.digest(); "suspect of crashes held back");
         }
--- a/src/quarantine/answer_progress.rs
+++ b/src/quarantine/answer_progress.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Events by which answers with the same fault may differ, besides a factor of two.
+/// Events by which answers that end by the same fault may differ, besides a factor of two: the fault need
+/// not strike at the same event each time, and some events are lost with the connection.
 const FAULT_SPREAD_EVENTS: u32 = 8;
 
 /// Events up to which an answer has only just begun.
--- a/src/quarantine/crash_history.rs
+++ b/src/quarantine/crash_history.rs
@@ -21,7 +21,7 @@
 /// Failed trials after which the time that a suspect is held back no longer doubles.
 const MAX_DOUBLINGS: usize = 8;
 
-/// Milliseconds for which a crash counts when a suspect is excused.
+/// Milliseconds for which an excused crash uses up one of a suspect's excuses.
 const EXCUSE_WINDOW_MS: u64 = 600_000;
 
 /// Milliseconds after which a crash is forgotten.
@@ -178,12 +178,15 @@
     }
 
     /// Whether the suspect was in flight at enough crashes to be held back.
-    pub fn is_recurring(&self, suspect: CrashSuspect) -> bool {
-        let requests = || {
-            let requests = self.evidence.iter().map(|evidence| evidence.request);
-            requests.collect::<BTreeSet<RequestFingerprint>>().len()
-        };
+    pub const fn is_recurring(&self) -> bool {
         self.evidence.len() >= HELD_BACK_AFTER
-            && (matches!(suspect, CrashSuspect::Request(_)) || requests() >= HELD_BACK_AFTER)
+    }
+
+    /// Whether enough different requests with the suspect were in flight to hold it back. Copies of one
+    /// request tell nothing of its parts.
+    pub fn has_enough_requests(&self, suspect: CrashSuspect) -> bool {
+        let requests = self.evidence.iter().map(|evidence| evidence.request);
+        let requests: BTreeSet<RequestFingerprint> = requests.collect();
+        matches!(suspect, CrashSuspect::Request(_)) || requests.len() >= HELD_BACK_AFTER
     }
 }
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -1,6 +1,7 @@
 //! Finds the requests, and the parts of prompts, that crash upstreams.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use super::crash_history::{CrashEvidence, CrashHistory, FORGET_MS};
 use super::held_suspects::HeldSuspects;
@@ -37,8 +38,8 @@
     record_count: usize,
     answered_parts: RecentAnswers<PromptPartId>,
     answered_requests: RecentAnswers<RequestFingerprint>,
-    /// Derived from `histories`.
-    held: HeldSuspects,
+    /// Derived from `histories`; replaced when they change.
+    held: Rc<HeldSuspects>,
     /// Number of the newest change in `histories`.
     newest_change: u64,
     /// Records of which the planner may not know all that is known here.
@@ -54,7 +55,7 @@
             record_count: 0,
             answered_parts: RecentAnswers::open(ANSWERED_PARTS),
             answered_requests: RecentAnswers::open(ANSWERED_REQUESTS),
-            held: HeldSuspects::default(),
+            held: Rc::default(),
             newest_change: 0,
             unreported: BTreeSet::new(),
         }
@@ -120,13 +121,7 @@
         }
     }
 
-    /// All records, for another process.
-    #[must_use]
-    pub fn records(&self, now: MonoTime) -> Vec<CrashRecord> {
-        self.records_since(now, 0)
-    }
-
-    /// Records that changed here after the change with the given number.
+    /// Records that changed here after the change with the given number; all of them after 0.
     #[must_use]
     pub fn records_since(&self, now: MonoTime, change: u64) -> Vec<CrashRecord> {
         if change == self.newest_change {
@@ -214,7 +209,7 @@
 
     /// What must not reach an upstream.
     #[must_use]
-    pub const fn held(&self) -> &HeldSuspects {
+    pub const fn held(&self) -> &Rc<HeldSuspects> {
         &self.held
     }
 
@@ -304,7 +299,7 @@
 
     /// Derives what depends on `histories`.
     fn update(&mut self) {
-        self.held = HeldSuspects::of(&self.histories);
+        self.held = Rc::new(HeldSuspects::of(&self.histories));
     }
 }
 
--- a/src/quarantine/held_suspects.rs
+++ b/src/quarantine/held_suspects.rs
@@ -55,7 +55,8 @@
             .map(|(suspect, history)| (*suspect, history.crashes()))
             .collect();
         let is_guilty = |suspect: &CrashSuspect| {
-            recurring[suspect].is_recurring(*suspect) && !is_explained(&crashes[suspect], &crashes)
+            recurring[suspect].has_enough_requests(*suspect)
+                && !is_explained(&crashes[suspect], &crashes)
         };
         let guilty: Vec<CrashSuspect> = recurring.keys().copied().filter(is_guilty).collect();
         let is_ambiguous = |suspect: &CrashSuspect| {
@@ -65,12 +66,12 @@
         };
         let suspects = guilty.iter().map(|suspect| {
             let history = recurring[suspect].clone();
-            let reason = SuspectHold {
+            let hold = SuspectHold {
                 until: history.held_until(*suspect),
                 history,
                 is_ambiguous: is_ambiguous(suspect),
             };
-            (*suspect, reason)
+            (*suspect, hold)
         });
         let mut result = Self {
             suspects: suspects.collect(),
@@ -136,8 +137,7 @@
 fn recurring_histories(
     histories: &BTreeMap<CrashSuspect, CrashHistory>,
 ) -> BTreeMap<CrashSuspect, CrashHistory> {
-    let is_single = |history: &CrashHistory| history.evidence.len() < 2;
-    if histories.values().all(is_single) {
+    if !histories.values().any(CrashHistory::is_recurring) {
         return BTreeMap::new();
     }
     let mass_crashes = MassCrashes::of(histories);
@@ -145,7 +145,7 @@
         .iter()
         .map(|(suspect, history)| (*suspect, history.counting(*suspect, &mass_crashes)));
     counting
-        .filter(|(_, history)| !is_single(history))
+        .filter(|(_, history)| history.is_recurring())
         .collect()
 }
 
--- a/src/quarantine/mass_crashes.rs
+++ b/src/quarantine/mass_crashes.rs
@@ -6,7 +6,7 @@
 use super::crash_history::CrashHistory;
 use crate::prelude::*;
 
-/// Crashes within [`MASS_WINDOW_MS`] that have a common cause outside the requests.
+/// Crashes within [`MASS_WINDOW_MS`] from which on a cause outside the requests is assumed.
 const MASS_SIZE: usize = 4;
 
 /// Milliseconds within which crashes belong together.
