Log how long reads of the configuration and the list of upstreams take, and how late this process is

Of several failed reads in a row only the first had a log line, and nothing told a slow platform from a long answer or a late process.

--- a/src/fleet/fleet_source.rs
+++ b/src/fleet/fleet_source.rs
@@ -70,9 +70,20 @@
     }
 }
 
+/// Size of an answer of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AnswerSize {
+    /// Number of changes, or of entries in an answer with the whole state.
+    pub changes: usize,
+    /// Bytes of their values as the platform encodes them.
+    pub bytes: usize,
+}
+
 /// Result of reading or watching the configuration.
 #[derive(Debug)]
 pub struct CatalogUpdate {
+    /// Size of the answer that brought it.
+    pub size: AnswerSize,
     /// Position from which to continue.
     pub version: FeedVersion,
     /// The newest configuration if it changed, or the reason why it cannot be decoded.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,7 +10,8 @@
 
 pub use fleet_catalog::{CallerLimits, FleetCatalog};
 pub use fleet_source::{
-    CatalogUpdate, FeedVersion, FleetSource, SourceError, UpstreamChange, UpstreamUpdate,
+    AnswerSize, CatalogUpdate, FeedVersion, FleetSource, SourceError, UpstreamChange,
+    UpstreamUpdate,
 };
 pub use model_need::ModelNeed;
 pub use route_rule::{RouteKind, RouteRule, WeightedService};
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -5,17 +5,11 @@
 
 use super::GatewayContext;
 use super::feed_calls::first_answer;
+use super::feed_read::PendingRead;
+use super::retry_backoff::{OutageKind, RetryBackoff};
 use crate::fleet::{FeedVersion, SourceError};
 use crate::prelude::*;
 
-/// Long-poll timeout in milliseconds of a call for changes while a planner tells of changes that
-/// this process misses.
-const FEED_WAIT_MS: u64 = 10_000;
-
-/// Long-poll timeout in milliseconds of a call for changes while nobody else would tell of one: a
-/// call whose answer is lost looks like a call without changes.
-const NO_PLANNER_WAIT_MS: u64 = 1_000;
-
 /// Milliseconds between two reads of the upstream list, so that one answer batches many changes. A
 /// leaving upstream must be known within 3 s.
 const ROSTER_PAUSE_MS: u64 = 1_500;
@@ -23,16 +17,6 @@
 /// Milliseconds between two reads of the configuration.
 const CATALOG_PAUSE_MS: u64 = 300;
 
-/// First retry delay after a failure in milliseconds; doubles up to the maximum.
-const FIRST_RETRY_MS: u64 = 150;
-
-/// Longest retry delay in milliseconds while the platform answers.
-const MAX_RETRY_MS: u64 = 800;
-
-/// Longest retry delay in milliseconds while the platform is unreachable; these retries put no load
-/// on it.
-const MAX_UNREACHABLE_RETRY_MS: u64 = 250;
-
 /// Milliseconds between checks for calls that hang and upstreams that stayed missing.
 pub const FEED_CHECK_MS: u64 = 100;
 
@@ -47,8 +31,10 @@
             context.ports.fleet.catalog(after, wait_ms)
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
-        let (began_at, read) = first_answer(feed, || context.now(), call, is_delay).await;
-        match read {
+        let pending = PendingRead::begin(&context);
+        let (began_at, answer) = first_answer(feed, || context.now(), call, is_delay).await;
+        let read = pending.end(&context, feed, began_at, answer.is_ok());
+        match answer {
             Ok(update) => {
                 retry.succeeded();
                 after = Some(update.version);
@@ -56,7 +42,7 @@
                     Some(Ok(catalog)) => {
                         let known = context.catalog.borrow().as_ref().map(|known| known.version);
                         if known.is_none_or(|known| catalog.version > known) {
-                            context.apply_catalog(catalog);
+                            context.apply_catalog(catalog, read, update.size);
                         }
                     }
                     Some(Err(reason)) => log::error!(reason:% = reason; "configuration rejected"),
@@ -69,7 +55,7 @@
                 if error.is_position_lost() {
                     after = None;
                 }
-                retry.failed(&error, true).await;
+                retry.failed(&error, true, read).await;
             }
         }
     }
@@ -86,8 +72,10 @@
             context.ports.fleet.upstreams(after, wait_ms)
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
-        let (began_at, read) = first_answer(feed, || context.now(), call, is_delay).await;
-        match read {
+        let pending = PendingRead::begin(&context);
+        let (began_at, answer) = first_answer(feed, || context.now(), call, is_delay).await;
+        let read = pending.end(&context, feed, began_at, answer.is_ok());
+        match answer {
             Ok(update) => {
                 if retry.succeeded() == Some(OutageKind::Refusing) {
                     // Entries that expired meanwhile are listed again soon. If the platform was
@@ -110,7 +98,7 @@
                 // A restored list lacks what was written since its copy, like one after an outage.
                 let is_outage = !matches!(error, SourceError::HistoryLost)
                     && context.record_failed_list_read(began_at, &error);
-                retry.failed(&error, is_outage).await;
+                retry.failed(&error, is_outage, read).await;
             }
         }
     }
@@ -123,6 +111,7 @@
         sleep_ms(FEED_CHECK_MS).await;
         let now = context.now();
         context.refetch_list_after_delay();
+        context.record_lateness(now);
         context.delay.tick(now);
         context.check_era();
         context
@@ -162,75 +151,3 @@
 async fn sleep_ms(millis: u64) {
     compio::time::sleep(Duration::from_millis(millis)).await;
 }
-
-/// Kind of a platform outage.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum OutageKind {
-    /// The platform could not be reached.
-    Unreachable,
-    /// The platform refused calls or did not answer them.
-    Refusing,
-}
-
-/// Retry backoff; logs the first failure and the end of an outage.
-struct RetryBackoff {
-    dependency: &'static str,
-    pause_ms: u64,
-    failures: u32,
-    /// Kind of the latest failure that shows an outage; `None` if there was none since the latest
-    /// success.
-    outage: Option<OutageKind>,
-}
-
-impl RetryBackoff {
-    const fn open(dependency: &'static str) -> Self {
-        Self {
-            dependency,
-            pause_ms: FIRST_RETRY_MS,
-            failures: 0,
-            outage: None,
-        }
-    }
-
-    /// Long-poll timeout of the next call in milliseconds. It is 0 after a failure, so that a platform
-    /// that stops answering again is noticed early.
-    const fn wait_ms(&self, has_planner: bool) -> u64 {
-        match (self.failures, has_planner) {
-            (0, true) => FEED_WAIT_MS,
-            (0, false) => NO_PLANNER_WAIT_MS,
-            _ => 0,
-        }
-    }
-
-    /// Resets the backoff. Returns the outage that has ended, if there was one.
-    fn succeeded(&mut self) -> Option<OutageKind> {
-        if self.failures > 0 {
-            log::info!(dependency = self.dependency, failures = self.failures; "dependency regained");
-        }
-        self.failures = 0;
-        self.pause_ms = FIRST_RETRY_MS;
-        self.outage.take()
-    }
-
-    /// Waits before the next call. `is_outage` says whether the failure shows an outage of the
-    /// platform.
-    async fn failed(&mut self, error: &SourceError, is_outage: bool) {
-        if self.failures == 0 {
-            log::warn!(dependency = self.dependency, error:% = error; "dependency lost");
-        }
-        self.failures += 1;
-        let (outage, longest_ms) = match error {
-            SourceError::Unreachable(_) => {
-                (Some(OutageKind::Unreachable), MAX_UNREACHABLE_RETRY_MS)
-            }
-            _ => (Some(OutageKind::Refusing), MAX_RETRY_MS),
-        };
-        if is_outage {
-            self.outage = outage;
-        }
-        self.pause_ms = self.pause_ms.min(longest_ms);
-        let pause_ms = self.pause_ms * 3 / 4 + fastrand::u64(..=self.pause_ms / 4);
-        self.pause_ms = (self.pause_ms * 2).min(longest_ms);
-        sleep_ms(pause_ms).await;
-    }
-}
--- a/src/gateway/fleet_updates.rs
+++ b/src/gateway/fleet_updates.rs
@@ -3,17 +3,24 @@
 use std::rc::Rc;
 
 use super::GatewayContext;
-use crate::fleet::{FleetCatalog, RosterChange, SourceError, UpstreamKey, UpstreamUpdate};
+use super::feed_read::FeedRead;
+use crate::fleet::{
+    AnswerSize, FleetCatalog, RosterChange, SourceError, UpstreamKey, UpstreamUpdate,
+};
 use crate::prelude::*;
 use crate::table::TableEra;
 
 impl GatewayContext {
-    /// Applies a new configuration.
-    pub fn apply_catalog(&self, catalog: FleetCatalog) {
+    /// Applies a new configuration that was brought by `read`.
+    pub fn apply_catalog(&self, catalog: FleetCatalog, read: FeedRead, size: AnswerSize) {
         let (now, version) = (self.now(), catalog.version);
         log::info!(
             version,
             age_ms = self.feeds.catalog.age_ms(now),
+            call_ms = read.call_ms,
+            late_ms = read.late_ms,
+            versions = size.changes,
+            bytes = size.bytes,
             accounts = catalog.accounts().len(),
             keys = catalog.accounts().key_count();
             "configuration in force"
@@ -29,6 +36,13 @@
         self.propagate_roster();
     }
 
+    /// Records by how much the timer of the feeds is late.
+    pub fn record_lateness(&self, now: MonoTime) {
+        #[allow(clippy::cast_precision_loss)]
+        let seconds = self.delay.lateness_ms(now) as f64 / 1_000.0;
+        self.metrics.timer_lateness_s.observe(seconds);
+    }
+
     /// Applies changes of the upstream list.
     pub fn apply_upstreams(&self, update: UpstreamUpdate) {
         let now = self.now();
--- a/src/metrics/metric_labels.rs
+++ b/src/metrics/metric_labels.rs
@@ -53,6 +53,15 @@
     pub outcome: String,
 }
 
+/// Labels of reads of feeds.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FeedLabels {
+    /// Name of the feed.
+    pub feed: &'static str,
+    /// `ok` or `failed`.
+    pub result: &'static str,
+}
+
 /// Labels of table calls.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TableLabels {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,7 +6,7 @@
 
 pub use account_metrics::{AccountMetrics, AccountOutcome};
 pub use metric_labels::{
-    ClosureCounter, ClosureLabels, OrderLabels, RankLabels, RefusalLabels, RequestLabels,
-    TableLabels,
+    ClosureCounter, ClosureLabels, FeedLabels, OrderLabels, RankLabels, RefusalLabels,
+    RequestLabels, TableLabels,
 };
 pub use node_metrics::NodeMetrics;
--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -10,8 +10,8 @@
 use prometheus_client::registry::Registry;
 
 use super::{
-    AccountMetrics, ClosureCounter, OrderLabels, RankLabels, RefusalLabels, RequestLabels,
-    TableLabels,
+    AccountMetrics, ClosureCounter, FeedLabels, OrderLabels, RankLabels, RefusalLabels,
+    RequestLabels, TableLabels,
 };
 
 type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
@@ -51,6 +51,10 @@
     pub orders: Family<OrderLabels, Counter>,
     /// Table calls by result.
     pub table_calls: Family<TableLabels, Counter>,
+    /// Seconds that reads of feeds took, waits for changes included.
+    pub feed_reads: Family<FeedLabels, Histogram, fn() -> Histogram>,
+    /// Seconds by which this process's own timers are late.
+    pub timer_lateness_s: Histogram,
     /// Crashes of the upstream.
     pub crashes: Counter,
     /// Waiting requests.
@@ -103,6 +107,8 @@
             remote_bytes: Counter::default(),
             orders: Family::default(),
             table_calls: Family::default(),
+            feed_reads: Family::new_with_constructor(latency_histogram),
+            timer_lateness_s: latency_histogram(),
             crashes: Counter::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
@@ -209,6 +215,16 @@
         let registry = &mut self.registry;
         registry.register("orders", "Engine orders", self.orders.clone());
         registry.register("table_calls", "Table calls", self.table_calls.clone());
+        registry.register(
+            "feed_read_seconds",
+            "Duration of reads of feeds",
+            self.feed_reads.clone(),
+        );
+        registry.register(
+            "timer_lateness_seconds",
+            "Lateness of the process's own timers",
+            self.timer_lateness_s.clone(),
+        );
         registry.register("crashes", "Upstream crashes", self.crashes.clone());
         registry.register("waiting", "Waiting requests", self.waiting.clone());
         registry.register("running", "Running requests", self.running.clone());
--- a/src/time/delay_watch.rs
+++ b/src/time/delay_watch.rs
@@ -15,6 +15,8 @@
     last_tick: Cell<MonoTime>,
     /// End of the latest delay; `None` if there was none.
     delayed_until: Cell<Option<MonoTime>>,
+    /// Milliseconds by which all ticks so far were late, together.
+    total_ms: Cell<u64>,
 }
 
 impl DelayWatch {
@@ -25,6 +27,7 @@
             interval_ms,
             last_tick: Cell::new(now),
             delayed_until: Cell::new(None),
+            total_ms: Cell::new(0),
         }
     }
 
@@ -33,9 +36,17 @@
         if self.is_late(now) {
             self.delayed_until.set(Some(now));
         }
+        self.total_ms.set(self.total_ms(now));
         self.last_tick.set(now);
     }
 
+    /// Milliseconds by which all ticks until `now` were late, together. The difference between two
+    /// times tells how long the process got no processor time in between.
+    #[must_use]
+    pub const fn total_ms(&self, now: MonoTime) -> u64 {
+        self.total_ms.get() + self.lateness_ms(now)
+    }
+
     /// Whether the process was delayed at some time from `since` until `now`.
     #[must_use]
     pub fn was_delayed(&self, since: MonoTime, now: MonoTime) -> bool {
