Read the newest state of a feed, not every change since, while this process may be behind

Cause: the platform answers a call for changes with every version since the position, so that the answer of a gateway that has missed versions is as many times as long. Four versions of a configuration with 1,400 routes are 1.67 MB, which a link of 10 Mbit/s does not carry within the 1 s that a call has after a failure. Each read failed, with timers on time (late_ms 3 to 11, call_ms 1,001), and the gateway fell further behind with each version, until the platform's history ended after 20 s. Several such calls beside each other filled the link until connects failed as well.

A feed that is doubted (a read failed, a call is overdue, or an answer held more changes than usual) is read as a whole now, which costs the same however much was missed.

--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -203,6 +203,18 @@
         self.by_id.get(id).copied()
     }
 
+    /// Number of upstreams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there are no upstreams.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &UpstreamEntry)> {
         self.rows.iter().map(|(key, row)| (key, &row.entry))
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -14,6 +14,13 @@
 /// leaving upstream must be known within 3 s.
 const ROSTER_PAUSE_MS: u64 = 1_500;
 
+/// Number of versions in an answer while the configuration changes slower than it is read.
+const USUAL_VERSIONS: usize = 1;
+
+/// Number of changes of each entry of the list in an answer, heartbeats included, of a process that
+/// reads without delay.
+const USUAL_CHANGES_PER_ENTRY: usize = 2;
+
 /// Milliseconds between two reads of the configuration.
 const CATALOG_PAUSE_MS: u64 = 300;
 
@@ -28,7 +35,8 @@
     loop {
         let call = || {
             let wait_ms = retry.wait_ms(has_planner(&context));
-            context.ports.fleet.catalog(after, wait_ms)
+            let start = feed.read_after(context.now(), after);
+            context.ports.fleet.catalog(start, wait_ms)
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
         let pending = PendingRead::begin(&context);
@@ -49,12 +57,14 @@
                     None => {}
                 }
                 feed.record_read(began_at, context.now());
+                feed.record_backlog(context.now(), update.size.changes, USUAL_VERSIONS);
                 sleep_ms(CATALOG_PAUSE_MS).await;
             }
             Err(error) => {
                 if error.is_position_lost() {
                     after = None;
                 }
+                feed.doubt(context.now());
                 retry.failed(&error, true, read).await;
             }
         }
@@ -69,7 +79,8 @@
     loop {
         let call = || {
             let wait_ms = list_wait_ms(&context, &retry);
-            context.ports.fleet.upstreams(after, wait_ms)
+            let start = feed.read_after(context.now(), after);
+            context.ports.fleet.upstreams(start, wait_ms)
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
         let pending = PendingRead::begin(&context);
@@ -83,8 +94,15 @@
                     context.roster.borrow_mut().note_outage(context.now());
                 }
                 after = Some(update.version);
+                let changes = if update.is_snapshot {
+                    0
+                } else {
+                    update.changes.len()
+                };
                 context.apply_upstreams(update);
                 feed.record_read(began_at, context.now());
+                let usual_changes = context.roster.borrow().len() * USUAL_CHANGES_PER_ENTRY;
+                feed.record_backlog(context.now(), changes, usual_changes);
                 // A doubt ends the pause, also one that arose after this call began.
                 if !feed.is_doubted() {
                     feed.repeat.wait(ROSTER_PAUSE_MS).await;
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use crate::daemon::WakeSignal;
+use crate::fleet::FeedVersion;
 use crate::prelude::*;
 
 /// Milliseconds after which a call is overdue that has not brought a change which another process has
@@ -141,6 +142,23 @@
         self.doubted_at.get().is_none() && !is_behind
     }
 
+    /// Position after which the next call asks for changes, if the feed was read up to `position`; `None`
+    /// to ask for the whole state. An answer with changes holds each one, also those that later ones
+    /// replace, so that it grows with the time since `position`. A process that may be behind asks for
+    /// the state, whose size does not depend on that.
+    #[must_use]
+    pub fn read_after(&self, now: MonoTime, position: Option<FeedVersion>) -> Option<FeedVersion> {
+        position.filter(|_| self.is_trusted(now))
+    }
+
+    /// Records the number of changes in an answer, and the most of a process that is not behind. The
+    /// state is the shorter answer for one that is.
+    pub fn record_backlog(&self, now: MonoTime, changes: usize, usual_changes: usize) {
+        if changes > usual_changes {
+            self.doubt(now);
+        }
+    }
+
     /// Records a change that was read, and the position up to which the feed has been read.
     pub fn record_change(&self, now: MonoTime, change: u64, position: u64) {
         self.newest_change.set(self.newest_change.get().max(change));
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -1,7 +1,7 @@
 //! Refetch of the configuration when other processes report a newer version than the own watch.
 
 use quetzalpin::fleet::FeedVersion;
-use quetzalpin::gateway::FeedWatch;
+use quetzalpin::gateway::{FeedWatch, WatchedFeed};
 use quetzalpin::planner_rpc::FeedVersions;
 use quetzalpin::prelude::*;
 use quetzalpin::table::TableEra;
@@ -132,3 +132,40 @@
     watch.record_remote(at(5_000), remote(2, 20));
     assert!(watch.roster.is_overdue(at(6_000), true));
 }
+
+/// Guards against CONFIG and DRAIN: a process that is behind asks for every change since its position,
+/// and the answer grows until it takes longer than a call may.
+#[test]
+fn a_process_that_may_be_behind_asks_for_the_state() {
+    let position = Some(FeedVersion::in_first_era(41));
+    let open_feed = || {
+        let feed = WatchedFeed::open("scripted");
+        feed.record_change(at(0), 40, 41);
+        assert_eq!(feed.read_after(at(100), position), position);
+        feed
+    };
+    let failed = open_feed();
+    failed.doubt(at(100));
+    assert_eq!(failed.read_after(at(200), position), None);
+    let overdue = open_feed();
+    overdue.begin_call(at(100));
+    overdue.record_remote_change(at(100), 44);
+    overdue.repeat_overdue_call(at(1_200), true);
+    assert_eq!(overdue.read_after(at(1_200), position), None);
+    let overtaken = open_feed();
+    overtaken.record_read(at(100), at(2_000));
+    overtaken.record_backlog(at(2_000), 3, 1);
+    assert_eq!(overtaken.read_after(at(2_300), position), None);
+}
+
+/// The whole state costs more than a change: a process that is up to date does not ask for it.
+#[test]
+fn a_process_that_has_read_the_state_waits_for_changes_again() {
+    let feed = WatchedFeed::open("scripted");
+    let position = Some(FeedVersion::in_first_era(50));
+    feed.doubt(at(100));
+    feed.record_change(at(900), 50, 50);
+    feed.record_read(at(200), at(900));
+    feed.record_backlog(at(900), 1, 1);
+    assert_eq!(feed.read_after(at(1_200), position), position);
+}
