Wait for an answer of the platform as long as it keeps arriving

A configuration that takes longer to arrive than the 1 s of a call was given up and begun again for ever; the same holds for a process that reads slowly because it is busy. And a call that is overdue by its age alone got a second and a third one beside it, which share its link.

--- a/src/fleet/fleet_source.rs
+++ b/src/fleet/fleet_source.rs
@@ -1,10 +1,13 @@
 //! Where the fleet's configuration and list of upstreams come from.
 
+use std::rc::Rc;
+
 use derive_more::Error;
 use displaydoc::Display;
 use futures_util::future::LocalBoxFuture;
 
 use super::{FleetCatalog, UpstreamEntry};
+use crate::net::ReadProgress;
 use crate::prelude::*;
 use crate::table::TableEra;
 
@@ -121,17 +124,21 @@
 
 /// Source of the configuration and the list of upstreams; implemented by a platform's adapter.
 pub trait FleetSource {
-    /// Reads the configuration, or waits up to `wait_ms` for one newer than `after`.
+    /// Reads the newest configuration, or waits up to `wait_ms` for versions after `after`. `progress`
+    /// counts the bytes that arrive.
     fn catalog(
         &self,
         after: Option<FeedVersion>,
         wait_ms: u64,
+        progress: Rc<ReadProgress>,
     ) -> LocalBoxFuture<'_, Result<CatalogUpdate, SourceError>>;
 
-    /// Reads the whole list, or waits up to `wait_ms` for changes after `after`.
+    /// Reads the whole list, or waits up to `wait_ms` for changes after `after`. `progress` counts the
+    /// bytes that arrive.
     fn upstreams(
         &self,
         after: Option<FeedVersion>,
         wait_ms: u64,
+        progress: Rc<ReadProgress>,
     ) -> LocalBoxFuture<'_, Result<UpstreamUpdate, SourceError>>;
 }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -36,7 +36,10 @@
         let call = || {
             let wait_ms = retry.wait_ms(has_planner(&context));
             let start = feed.read_after(context.now(), after);
-            context.ports.fleet.catalog(start, wait_ms)
+            context
+                .ports
+                .fleet
+                .catalog(start, wait_ms, Rc::clone(&feed.progress))
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
         let pending = PendingRead::begin(&context);
@@ -80,7 +83,10 @@
         let call = || {
             let wait_ms = list_wait_ms(&context, &retry);
             let start = feed.read_after(context.now(), after);
-            context.ports.fleet.upstreams(start, wait_ms)
+            context
+                .ports
+                .fleet
+                .upstreams(start, wait_ms, Rc::clone(&feed.progress))
         };
         let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
         let pending = PendingRead::begin(&context);
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -129,7 +129,11 @@
         let Some(position) = self.feeds.roster_position() else {
             return Ok(None);
         };
-        let update = self.ports.fleet.upstreams(Some(position), 0).await?;
+        let update = self
+            .ports
+            .fleet
+            .upstreams(Some(position), 0, Rc::default())
+            .await?;
         self.observe_software();
         let mut history = self.software_history.borrow_mut();
         for change in &update.changes {
--- a/src/gateway/start_check.rs
+++ b/src/gateway/start_check.rs
@@ -1,6 +1,7 @@
 //! Whether an upstream still runs the start that the list of upstreams names, and with it the software
 //! version. A list that lags behind names an earlier one.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::GatewayContext;
@@ -58,7 +59,12 @@
         let Some(position) = self.feeds.roster_position() else {
             return false;
         };
-        let update = match self.ports.fleet.upstreams(Some(position), 0).await {
+        let update = match self
+            .ports
+            .fleet
+            .upstreams(Some(position), 0, Rc::default())
+            .await
+        {
             Ok(update) => update,
             Err(error) => {
                 log::warn!(dependency = "list of upstreams", error:% = error; "start of an upstream not confirmed");
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -1,9 +1,11 @@
 //! One feed of the platform as this process and others have read it.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
 use crate::daemon::WakeSignal;
 use crate::fleet::FeedVersion;
+use crate::net::ReadProgress;
 use crate::prelude::*;
 
 /// Milliseconds after which a call is overdue that has not brought a change which another process has
@@ -26,6 +28,14 @@
     heard_at: MonoTime,
 }
 
+/// Progress of the calls of a feed at a look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct SeenProgress {
+    bytes: usize,
+    /// When bytes were last found to have arrived.
+    at: MonoTime,
+}
+
 /// A feed that is read by calls that wait for changes.
 #[derive(Debug)]
 pub struct WatchedFeed {
@@ -36,6 +46,10 @@
     newest_change: Cell<u64>,
     /// When the newest call in progress began; `None` between calls.
     call_started_at: Cell<Option<MonoTime>>,
+    /// Counts the bytes that calls in progress bring.
+    pub progress: Rc<ReadProgress>,
+    /// Bytes that had arrived at the latest look, and when the latest ones were seen.
+    seen_progress: Cell<SeenProgress>,
     /// Number of calls that were begun since the last answer beside one that was overdue.
     further_calls: Cell<u32>,
     /// When the latest call completed.
@@ -58,6 +72,8 @@
             position: Cell::new(0),
             newest_change: Cell::new(0),
             call_started_at: Cell::default(),
+            progress: Rc::default(),
+            seen_progress: Cell::default(),
             further_calls: Cell::new(0),
             read_at: Cell::default(),
             doubted_at: Cell::default(),
@@ -98,6 +114,20 @@
             .map_or(0, |started_at| now.millis_since(started_at))
     }
 
+    /// Milliseconds for which the calls in progress have brought nothing; 0 between calls.
+    fn silent_ms(&self, now: MonoTime) -> u64 {
+        let progress_ms = now.millis_since(self.seen_progress.get().at);
+        self.call_ms(now).min(progress_ms)
+    }
+
+    /// Notes whether calls in progress have brought anything.
+    fn look_at_progress(&self, now: MonoTime) {
+        let bytes = self.progress.bytes();
+        if bytes != self.seen_progress.get().bytes {
+            self.seen_progress.set(SeenProgress { bytes, at: now });
+        }
+    }
+
     /// Records the start of a call.
     pub fn begin_call(&self, now: MonoTime) {
         self.call_started_at.set(Some(now));
@@ -202,7 +232,7 @@
     /// planner answers that would tell of changes that this process misses.
     #[must_use]
     pub fn is_overdue(&self, now: MonoTime, has_planner: bool) -> bool {
-        let call_ms = self.call_ms(now) >> self.further_calls.get().min(u64::BITS - 1);
+        let call_ms = self.silent_ms(now) >> self.further_calls.get().min(u64::BITS - 1);
         let has_missed = self
             .missed
             .get()
@@ -212,6 +242,7 @@
 
     /// Asks for another call if the one in progress is overdue.
     pub fn repeat_overdue_call(&self, now: MonoTime, has_planner: bool) {
+        self.look_at_progress(now);
         if !self.is_overdue(now, has_planner) {
             return;
         }
--- a/src/net/body_reader.rs
+++ b/src/net/body_reader.rs
@@ -1,6 +1,5 @@
 //! Reads bodies within limits of size, time, pace and memory.
 
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,7 +12,10 @@
 use hyper::body::{Body, Frame};
 
 use super::body_pace::BodyProgress;
-use super::{BodyError, BodyPace, BufferLease, BufferPurpose, ClosureReason, SMALL_MESSAGE_BYTES};
+use super::{
+    BodyError, BodyPace, BufferLease, BufferPurpose, ClosureReason, ReadProgress,
+    SMALL_MESSAGE_BYTES,
+};
 
 /// Time that a body which is behind its pace has left. After this process was suspended, the timer ends
 /// before the connection has read what arrived in the meantime.
@@ -27,7 +29,8 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let reading = read_limited(body, limit, None, Rc::default());
+    let received = ReadProgress::default();
+    let reading = read_limited(body, limit, None, &received, None);
     compio::time::timeout(Duration::from_millis(limit_ms), reading)
         .await
         .map_err(|_| BodyError::TooSlow(limit_ms))?
@@ -50,15 +53,35 @@
 {
     let budget = Rc::clone(lease.budget());
     let pace = (lease.purpose() == BufferPurpose::Call).then(|| budget.pace());
-    let received = Rc::default();
-    let reading = read_limited(body, limit, Some(&mut *lease), Rc::clone(&received));
+    let read = read_at_pace(body, limit, limit_ms, pace, lease, None).await;
+    if matches!(read, Err(BodyError::TooSlow(_))) {
+        budget.record_closure(ClosureReason::SlowBody);
+    }
+    read
+}
+
+/// Reads a whole body like [`read_leased`], at the given pace; `None` for any pace. `observed` counts the
+/// bytes that arrive, too.
+///
+/// # Errors
+/// As [`read_leased`].
+pub async fn read_at_pace<B>(
+    body: B,
+    limit: usize,
+    limit_ms: u64,
+    pace: Option<BodyPace>,
+    lease: &mut BufferLease,
+    observed: Option<&ReadProgress>,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let received = ReadProgress::default();
+    let reading = read_limited(body, limit, Some(&mut *lease), &received, observed);
     let read = keep_pace(reading, &received, pace, limit_ms).await;
     if read.is_ok() {
         lease.end_reading();
     }
-    if matches!(read, Err(BodyError::TooSlow(_))) {
-        budget.record_closure(ClosureReason::SlowBody);
-    }
     read
 }
 
@@ -69,12 +92,12 @@
     B: Body<Data = Bytes> + Unpin + 'static,
 {
     compio::runtime::spawn(async move {
-        let received = Rc::new(Cell::new(0));
+        let received = ReadProgress::default();
         let discarding = async {
             while let Some(Ok(frame)) = poll_fn(|context| poll_frame(&mut body, context)).await {
                 let length = frame.data_ref().map_or(0, Bytes::len);
-                received.set(received.get() + length);
-                if received.get() > limit {
+                received.record(length);
+                if received.bytes() > limit {
                     break;
                 }
             }
@@ -90,7 +113,7 @@
 /// each window that the body takes.
 async fn keep_pace(
     reading: impl Future<Output = Result<Bytes, BodyError>>,
-    received: &Cell<usize>,
+    received: &ReadProgress,
     pace: Option<BodyPace>,
     limit_ms: u64,
 ) -> Result<Bytes, BodyError> {
@@ -98,7 +121,7 @@
     let began_at = Instant::now();
     let limit = Duration::from_millis(limit_ms);
     let mut window = pace.map_or(limit, |pace| Duration::from_millis(pace.grace_ms));
-    let mut received_before = 0;
+    let mut received_before = received.bytes();
     let mut is_last_chance = false;
     loop {
         let left = limit.saturating_sub(began_at.elapsed());
@@ -108,7 +131,7 @@
             Either::Left((read, _)) => return read,
             Either::Right(((), _)) => {}
         }
-        let brought = received.get() - received_before;
+        let brought = received.bytes() - received_before;
         let is_behind = pace.is_some_and(|pace| brought < pace.window_bytes());
         if began_at.elapsed() >= limit || (is_behind && is_last_chance) {
             return Err(BodyError::TooSlow(limit_ms));
@@ -118,7 +141,7 @@
             window = LAST_CHANCE;
             continue;
         }
-        received_before = received.get();
+        received_before = received.bytes();
         window = pace.map_or(limit, |pace| Duration::from_millis(pace.window_ms));
     }
 }
@@ -127,7 +150,8 @@
     mut body: B,
     limit: usize,
     mut lease: Option<&mut BufferLease>,
-    received: Rc<Cell<usize>>,
+    received: &ReadProgress,
+    observed: Option<&ReadProgress>,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -155,8 +179,11 @@
             grow(&mut lease, &mut progress, capacity)?;
             content.reserve(capacity - content.len());
         }
+        received.record(data.len());
+        if let Some(observed) = observed {
+            observed.record(data.len());
+        }
         content.extend_from_slice(&data);
-        received.set(content.len());
         if let Some(lease) = &lease {
             lease.record_progress(content.len());
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 mod http_body;
 mod http_server;
 mod peer_client;
+mod read_progress;
 mod scheduled_timeout;
 mod socket_options;
 mod sweep_signal;
@@ -21,7 +22,7 @@
 mod unpooled_call;
 
 pub use body_pace::BodyPace;
-pub use body_reader::{discard_body, read_body, read_leased};
+pub use body_reader::{discard_body, read_at_pace, read_body, read_leased};
 pub use buffer_budget::{
     BufferBudget, BufferLease, BufferPurpose, BufferShortage, SMALL_MESSAGE_BYTES,
 };
@@ -32,6 +33,7 @@
 pub use http_body::{BodyError, HttpBody, empty_body, full_body, json_response, stream_body};
 pub use http_server::{AbortConnection, HttpHandler, HttpServer, ServerHandle, ServerLimits};
 pub use peer_client::PeerClient;
+pub use read_progress::ReadProgress;
 pub use scheduled_timeout::scheduled_timeout;
 pub use tcp_dial::dial;
 pub use unpooled_call::{ExchangeGuard, OpenExchange, send_guarded, send_unpooled};
--- a/tests/feed_calls.rs
+++ b/tests/feed_calls.rs
@@ -142,3 +142,23 @@
     let (_, answer) = following.await.expect("the follower ends");
     assert_eq!(answer, Answer::Changes(7));
 }
+
+/// Guards against CONFIG: calls beside an answer that is long share its link, so that none of them
+/// arrives in time.
+#[compio::test]
+async fn no_call_is_begun_beside_one_that_goes_on() {
+    let (calls, feed) = scripted();
+    let following = follow(&calls, &feed);
+    step().await;
+    for _ in 0..50 {
+        feed.progress.record(16 * 1_024);
+        advance(&calls, &feed, 100).await;
+    }
+    assert_eq!(calls.count(), 1);
+    for _ in 0..10 {
+        advance(&calls, &feed, 100).await;
+    }
+    assert_eq!(calls.count(), 2, "an answer that stops is not waited for");
+    assert!(calls.answer(0, Answer::Changes(7)));
+    following.await.expect("the follower ends");
+}
