Count the planner's word of the configuration only while the planner reads it itself

A gateway waits up to 10 s for a change, since the planner's answers tell it of versions that it misses.

The planner's answers carry the ages of its own reads now. What a read shows of the past is kept as the time until which nothing had changed, so that age_ms in the log is the age of the knowledge, not of the last call. the_word_of_a_planner_that_is_behind_itself_does_not_count fails without the rule (by reading found, reproduced by this test alone).

--- a/src/gateway/feed_read.rs
+++ b/src/gateway/feed_read.rs
@@ -1,9 +1,43 @@
 //! How long the reads of a feed take.
 
+use futures_util::future::LocalBoxFuture;
+
 use super::{GatewayContext, WatchedFeed};
+use crate::fleet::SourceError;
 use crate::metrics::FeedLabels;
 use crate::prelude::*;
 
+/// How one call ended.
+#[derive(Debug)]
+pub struct FeedAnswer<U> {
+    /// Milliseconds for which the platform waits for a change.
+    pub wait_ms: u64,
+    /// What the platform answered.
+    pub result: Result<U, SourceError>,
+}
+
+impl<'a, U: 'a> FeedAnswer<U> {
+    /// Waits for the answer to a call.
+    #[must_use]
+    pub fn wait(
+        wait_ms: u64,
+        call: LocalBoxFuture<'a, Result<U, SourceError>>,
+    ) -> LocalBoxFuture<'a, Self> {
+        Box::pin(async move {
+            let result = call.await;
+            Self { wait_ms, result }
+        })
+    }
+
+    /// Whether the call, which began at `began_at`, timed out while this process got too little
+    /// processor time.
+    #[must_use]
+    pub fn is_own_delay(&self, context: &GatewayContext, began_at: MonoTime) -> bool {
+        self.result.as_ref().is_err_and(SourceError::is_timeout)
+            && context.delay.was_delayed(began_at, context.now())
+    }
+}
+
 /// A read that is in progress.
 #[derive(Debug, Clone, Copy)]
 pub struct PendingRead {
@@ -57,3 +91,16 @@
         read
     }
 }
+
+impl FeedRead {
+    /// Milliseconds after the start of the call in which nothing changed, if the platform waited for up
+    /// to `wait_ms` and answered with `changes`.
+    #[must_use]
+    pub fn quiet_ms(self, wait_ms: u64, changes: usize) -> u64 {
+        if changes == 0 {
+            wait_ms.min(self.call_ms)
+        } else {
+            0
+        }
+    }
+}
--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -5,7 +5,7 @@
 
 use super::watched_feed::WatchedFeed;
 use crate::fleet::FeedVersion;
-use crate::planner_rpc::FeedVersions;
+use crate::planner_rpc::{FeedAges, FeedVersions};
 use crate::prelude::*;
 use crate::table::TableEra;
 
@@ -60,6 +60,21 @@
         }
     }
 
+    /// Ages of this process's own reads.
+    #[must_use]
+    pub const fn ages(&self, now: MonoTime) -> FeedAges {
+        FeedAges {
+            catalog_ms: self.catalog.own_age_ms(now),
+            roster_ms: self.roster.own_age_ms(now),
+        }
+    }
+
+    /// Records the ages of the planner's reads, from its answer to a call that began at `sent_at`.
+    pub fn record_told(&self, sent_at: MonoTime, ages: FeedAges) {
+        self.catalog.record_told(sent_at, ages.catalog_ms);
+        self.roster.record_told(sent_at, ages.roster_ms);
+    }
+
     /// Records the newest changes that another process has read.
     pub fn record_remote(&self, now: MonoTime, versions: FeedVersions) {
         self.catalog.record_remote_change(now, versions.catalog);
@@ -70,11 +85,13 @@
         }
     }
 
-    /// Asks for another call of each feed whose call is overdue. `has_planner` says whether a planner answers that would tell of changes
-    /// that this process misses.
+    /// Asks for another call of each feed whose call is overdue. `has_planner` says whether a planner
+    /// answers; it tells of changes that this process misses if it has read the feed itself.
     pub fn repeat_overdue_calls(&self, now: MonoTime, has_planner: bool) {
-        self.catalog.repeat_overdue_call(now, has_planner);
-        self.roster.repeat_overdue_call(now, has_planner);
+        for feed in [&self.catalog, &self.roster] {
+            let is_told = has_planner && feed.is_told_of_changes(now);
+            feed.repeat_overdue_call(now, is_told);
+        }
     }
 
     /// Triggers a refetch of both feeds, because the platform is reachable again.
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::GatewayContext;
 use super::feed_calls::first_answer;
-use super::feed_read::PendingRead;
+use super::feed_read::{FeedAnswer, PendingRead};
 use super::retry_backoff::{OutageKind, RetryBackoff};
+use super::watched_feed::CompletedRead;
+use super::{GatewayContext, WatchedFeed};
 use crate::fleet::{FeedVersion, SourceError};
-use crate::prelude::*;
 
 /// Milliseconds between two reads of the upstream list, so that one answer batches many changes. A
 /// leaving upstream must be known within 3 s.
@@ -34,18 +34,19 @@
     let feed = &context.feeds.catalog;
     loop {
         let call = || {
-            let wait_ms = retry.wait_ms(has_planner(&context));
+            let wait_ms = retry.wait_ms(has_planner(&context, feed));
             let start = feed.read_after(context.now(), after);
-            context
-                .ports
-                .fleet
-                .catalog(start, wait_ms, Rc::clone(&feed.progress))
+            let progress = Rc::clone(&feed.progress);
+            FeedAnswer::wait(
+                wait_ms,
+                context.ports.fleet.catalog(start, wait_ms, progress),
+            )
         };
-        let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
+        let is_delay = |began_at, answer: &FeedAnswer<_>| answer.is_own_delay(&context, began_at);
         let pending = PendingRead::begin(&context);
         let (began_at, answer) = first_answer(feed, || context.now(), call, is_delay).await;
-        let read = pending.end(&context, feed, began_at, answer.is_ok());
-        match answer {
+        let read = pending.end(&context, feed, began_at, answer.result.is_ok());
+        match answer.result {
             Ok(update) => {
                 retry.succeeded();
                 after = Some(update.version);
@@ -59,8 +60,13 @@
                     Some(Err(reason)) => log::error!(reason:% = reason; "configuration rejected"),
                     None => {}
                 }
-                feed.record_read(began_at, context.now());
-                feed.record_backlog(context.now(), update.size.changes, USUAL_VERSIONS);
+                let completed = CompletedRead {
+                    began_at,
+                    quiet_ms: read.quiet_ms(answer.wait_ms, update.size.changes),
+                    changes: update.size.changes,
+                    usual_changes: USUAL_VERSIONS,
+                };
+                feed.record_read(completed);
                 sleep_ms(CATALOG_PAUSE_MS).await;
             }
             Err(error) => {
@@ -83,16 +89,17 @@
         let call = || {
             let wait_ms = list_wait_ms(&context, &retry);
             let start = feed.read_after(context.now(), after);
-            context
-                .ports
-                .fleet
-                .upstreams(start, wait_ms, Rc::clone(&feed.progress))
+            let progress = Rc::clone(&feed.progress);
+            FeedAnswer::wait(
+                wait_ms,
+                context.ports.fleet.upstreams(start, wait_ms, progress),
+            )
         };
-        let is_delay = |began_at, read: &Result<_, _>| is_own_delay(&context, began_at, read);
+        let is_delay = |began_at, answer: &FeedAnswer<_>| answer.is_own_delay(&context, began_at);
         let pending = PendingRead::begin(&context);
         let (began_at, answer) = first_answer(feed, || context.now(), call, is_delay).await;
-        let read = pending.end(&context, feed, began_at, answer.is_ok());
-        match answer {
+        let read = pending.end(&context, feed, began_at, answer.result.is_ok());
+        match answer.result {
             Ok(update) => {
                 if retry.succeeded() == Some(OutageKind::Refusing) {
                     // Entries that expired meanwhile are listed again soon. If the platform was
@@ -100,17 +107,18 @@
                     context.roster.borrow_mut().note_outage(context.now());
                 }
                 after = Some(update.version);
-                let changes = if update.is_snapshot {
-                    0
-                } else {
-                    update.changes.len()
-                };
+                let changes = update.changes.len();
+                let is_snapshot = update.is_snapshot;
                 context.apply_upstreams(update);
-                feed.record_read(began_at, context.now());
-                let usual_changes = context.roster.borrow().len() * USUAL_CHANGES_PER_ENTRY;
-                feed.record_backlog(context.now(), changes, usual_changes);
-                // A doubt ends the pause, also one that arose after this call began.
-                if !feed.is_doubted() {
+                let completed = CompletedRead {
+                    began_at,
+                    quiet_ms: read.quiet_ms(answer.wait_ms, changes),
+                    changes: if is_snapshot { 0 } else { changes },
+                    usual_changes: context.roster.borrow().len() * USUAL_CHANGES_PER_ENTRY,
+                };
+                feed.record_read(completed);
+                // A doubt that arose after this call began also ends the pause.
+                if !feed.wants_read() {
                     feed.repeat.wait(ROSTER_PAUSE_MS).await;
                 }
             }
@@ -140,7 +148,7 @@
         context.check_era();
         context
             .feeds
-            .repeat_overdue_calls(now, has_planner(&context));
+            .repeat_overdue_calls(now, context.host.is_planner_responsive(now));
         context.crashes.expire(now);
         context.rate_limiter.borrow_mut().advance(now);
         context.check_allowance();
@@ -151,25 +159,16 @@
 /// Long-poll timeout of the next read of the list. A list that is doubted is read without a wait.
 fn list_wait_ms(context: &GatewayContext, retry: &RetryBackoff) -> u64 {
     if context.is_list_trusted() {
-        retry.wait_ms(has_planner(context))
+        retry.wait_ms(has_planner(context, &context.feeds.roster))
     } else {
         0
     }
 }
 
-/// Whether a call that began at `began_at` timed out while this process got too little processor time.
-fn is_own_delay<T>(
-    context: &GatewayContext,
-    began_at: MonoTime,
-    read: &Result<T, SourceError>,
-) -> bool {
-    read.as_ref().is_err_and(SourceError::is_timeout)
-        && context.delay.was_delayed(began_at, context.now())
-}
-
-/// Whether another process would tell this one of a change that it misses.
-fn has_planner(context: &GatewayContext) -> bool {
-    context.host.is_planner_responsive(context.now())
+/// Whether another process would tell this one of a change of a feed that it misses.
+fn has_planner(context: &GatewayContext, feed: &WatchedFeed) -> bool {
+    let now = context.now();
+    context.host.is_planner_responsive(now) && feed.is_told_of_changes(now)
 }
 
 async fn sleep_ms(millis: u64) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,4 +67,4 @@
 pub use upstream_choice::{ChoiceInput, UpstreamChoice, choose_upstream};
 pub use upstream_notice::UpstreamNotice;
 pub use wait_registry::WaitRegistry;
-pub use watched_feed::WatchedFeed;
+pub use watched_feed::{CompletedRead, WatchedFeed};
--- a/src/gateway/planner_host.rs
+++ b/src/gateway/planner_host.rs
@@ -12,7 +12,7 @@
 use crate::lease::{LeaseHolder, LeaseIntent, LeasePredecessor, LeaseRow};
 use crate::orders::{OrderPlanner, PlacementUpdate, PlannerPolicy};
 use crate::planner_rpc::{
-    CrashUpdate, DemandReport, DemandResponse, FeedVersions, FollowMark, LoadForecast,
+    CrashUpdate, DemandReport, DemandResponse, FeedAges, FeedVersions, FollowMark, LoadForecast,
 };
 use crate::prelude::*;
 use crate::rate_limit::TokenIssuer;
@@ -302,6 +302,7 @@
             lease_revision: revision.map_or(0, |revision| revision.0),
             entry_count: u32::try_from(active.entries.len()).unwrap_or(u32::MAX),
             feeds,
+            ages: FeedAges::default(),
             forecasts: forecasts.collect(),
             crashes: CrashUpdate::default(),
             tokens,
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -145,6 +145,9 @@
         if let Some(response) = response {
             context.record_remote_era(response.feeds.era);
             context.feeds.record_remote(context.now(), response.feeds);
+            if planner.is_some() {
+                context.feeds.record_told(sent_at, response.ages);
+            }
             context.set_resend_share(response.entry_count);
             context.apply_token_grants(response.entry_count, &response.tokens);
             context.apply_allowance(sent_at, &response);
--- a/src/gateway/planner_server.rs
+++ b/src/gateway/planner_server.rs
@@ -58,6 +58,7 @@
         let response = host.record_report(now, report, feeds, accounts);
         let mut response = response.ok_or_else(not_planner)?;
         response.crashes = crashes;
+        response.ages = self.context.feeds.ages(now);
         Ok(response)
     }
 
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -20,6 +20,26 @@
 /// explained by the pause between two calls.
 const MISSED_MS: u64 = 2_500;
 
+/// Greatest age in milliseconds of what is known for a final refusal by it.
+const MAX_CURRENT_AGE_MS: u64 = 2_500;
+
+/// Greatest age in milliseconds of the planner's own reads for its word to count.
+const MAX_WORD_AGE_MS: u64 = 3_500;
+
+/// A completed read of a feed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CompletedRead {
+    /// When its call began.
+    pub began_at: MonoTime,
+    /// Milliseconds from then on in which nothing changed.
+    pub quiet_ms: u64,
+    /// Number of changes in the answer; 0 for the whole state.
+    pub changes: usize,
+    /// Most changes in an answer for a process that is not behind. For one that is, the whole state is
+    /// the shorter answer.
+    pub usual_changes: usize,
+}
+
 /// A version that another process has read and this one has not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct MissedVersion {
@@ -52,11 +72,15 @@
     seen_progress: Cell<SeenProgress>,
     /// Number of calls that were begun since the last answer beside one that was overdue.
     further_calls: Cell<u32>,
-    /// When the latest call completed.
-    read_at: Cell<MonoTime>,
+    /// Time until which this process's own reads show that there was no newer change.
+    confirmed_until: Cell<MonoTime>,
+    /// Time until which the planner has read the feed, and would have told of newer changes.
+    told_until: Cell<MonoTime>,
     /// When this process last had a reason to think that it misses changes; `None` once a call that
     /// began later has completed.
     doubted_at: Cell<Option<MonoTime>>,
+    /// Whether the latest answer held more changes than usual, so that the next one may, too.
+    is_behind: Cell<bool>,
     /// Set while another process is ahead of `position`.
     missed: Cell<Option<MissedVersion>>,
     /// Notified to begin another call beside the one in progress.
@@ -75,8 +99,10 @@
             progress: Rc::default(),
             seen_progress: Cell::default(),
             further_calls: Cell::new(0),
-            read_at: Cell::default(),
+            confirmed_until: Cell::default(),
+            told_until: Cell::default(),
             doubted_at: Cell::default(),
+            is_behind: Cell::new(false),
             missed: Cell::new(None),
             repeat: WakeSignal::default(),
         }
@@ -100,10 +126,40 @@
         self.newest_change.get()
     }
 
-    /// Milliseconds since a call last completed.
+    /// Milliseconds since this process last knew, by its own reads or by the planner's, that there was
+    /// no newer change.
+    #[must_use]
+    pub fn age_ms(&self, now: MonoTime) -> u64 {
+        let told_until = self.told_until.get();
+        let is_told_of_all = self.missed.get().is_none();
+        let told_ms = is_told_of_all.then(|| now.millis_since(told_until));
+        let own_ms = self.own_age_ms(now);
+        told_ms.map_or(own_ms, |told_ms| told_ms.min(own_ms))
+    }
+
+    /// Like [`Self::age_ms`], by this process's own reads alone.
+    #[must_use]
+    pub const fn own_age_ms(&self, now: MonoTime) -> u64 {
+        now.millis_since(self.confirmed_until.get())
+    }
+
+    /// Whether what is known is as new as a final refusal by it requires.
+    #[must_use]
+    pub fn is_current(&self, now: MonoTime) -> bool {
+        self.is_trusted(now) && self.age_ms(now) < MAX_CURRENT_AGE_MS
+    }
+
+    /// Records that the planner's own reads, when it answered a call of this process that began at
+    /// `sent_at`, had the given age.
+    pub fn record_told(&self, sent_at: MonoTime, age_ms: u64) {
+        self.told_until.set(sent_at - age_ms);
+    }
+
+    /// Whether the planner has read the feed a short while ago, so that its word would tell of changes
+    /// that this process misses.
     #[must_use]
-    pub const fn age_ms(&self, now: MonoTime) -> u64 {
-        now.millis_since(self.read_at.get())
+    pub fn is_told_of_changes(&self, now: MonoTime) -> bool {
+        now.millis_since(self.told_until.get()) < MAX_WORD_AGE_MS
     }
 
     /// Milliseconds for which the newest call in progress has been running; 0 between calls.
@@ -145,11 +201,24 @@
         self.call_started_at.set(None);
     }
 
-    /// Records that the feed was read by a call that began at `started_at`.
-    pub fn record_read(&self, started_at: MonoTime, now: MonoTime) {
-        self.read_at.set(now);
-        let still_doubted = self.doubted_at.get().filter(|at| *at > started_at);
-        self.doubted_at.set(still_doubted);
+    /// Records a completed read.
+    pub fn record_read(&self, read: CompletedRead) {
+        let doubted_at = self.doubted_at.get();
+        self.doubted_at
+            .set(doubted_at.filter(|at| *at > read.began_at));
+        self.is_behind.set(read.changes > read.usual_changes);
+        self.confirmed_until.set(read.began_at + read.quiet_ms);
+    }
+
+    /// Reads the feed at once, unless that has been asked for already.
+    pub fn read_again(&self, now: MonoTime) {
+        if self.is_doubted() {
+            return;
+        }
+        self.doubt(now);
+        if self.call_started_at.get().is_some() {
+            self.repeat.notify();
+        }
     }
 
     /// Records a reason to think that this process misses changes.
@@ -164,6 +233,12 @@
         self.doubted_at.get().is_some()
     }
 
+    /// Whether the feed should be read again without a pause.
+    #[must_use]
+    pub const fn wants_read(&self) -> bool {
+        self.is_doubted() || self.is_behind.get()
+    }
+
     /// Whether nothing hints that this process misses changes.
     #[must_use]
     pub fn is_trusted(&self, now: MonoTime) -> bool {
@@ -178,15 +253,7 @@
     /// the state, whose size does not depend on that.
     #[must_use]
     pub fn read_after(&self, now: MonoTime, position: Option<FeedVersion>) -> Option<FeedVersion> {
-        position.filter(|_| self.is_trusted(now))
-    }
-
-    /// Records the number of changes in an answer, and the most of a process that is not behind. The
-    /// state is the shorter answer for one that is.
-    pub fn record_backlog(&self, now: MonoTime, changes: usize, usual_changes: usize) {
-        if changes > usual_changes {
-            self.doubt(now);
-        }
+        position.filter(|_| self.is_trusted(now) && !self.is_behind.get())
     }
 
     /// Records a change that was read, and the position up to which the feed has been read.
--- a/src/planner_rpc/messages.rs
+++ b/src/planner_rpc/messages.rs
@@ -28,6 +28,17 @@
     pub roster: u64,
 }
 
+/// Ages of what a process has read from the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct FeedAges {
+    /// Milliseconds since the configuration was last known to be the newest.
+    #[serde(rename = "k")]
+    pub catalog_ms: u64,
+    /// Milliseconds since the list of upstreams was last known to be the newest.
+    #[serde(rename = "u")]
+    pub roster_ms: u64,
+}
+
 /// Up to where a process has received the records of crashes of a planner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CrashMark {
@@ -112,6 +123,9 @@
     /// lower, since its call for changes may hang.
     #[serde(flatten)]
     pub feeds: FeedVersions,
+    /// Ages of the planner's own reads.
+    #[serde(rename = "o", default)]
+    pub ages: FeedAges,
     /// Forecasts for the models that the report requests.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub forecasts: Vec<LoadForecast>,
--- a/src/planner_rpc/mod.rs
+++ b/src/planner_rpc/mod.rs
@@ -4,7 +4,7 @@
 mod planner_api;
 
 pub use messages::{
-    CrashMark, CrashReport, CrashUpdate, DemandReport, DemandResponse, FeedVersions, FollowMark,
-    LeaseSnapshot, LoadForecast,
+    CrashMark, CrashReport, CrashUpdate, DemandReport, DemandResponse, FeedAges, FeedVersions,
+    FollowMark, LeaseSnapshot, LoadForecast,
 };
 pub use planner_api::{PlannerApiClient, PlannerApiServer};
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -1,8 +1,8 @@
 //! Refetch of the configuration when other processes report a newer version than the own watch.
 
 use quetzalpin::fleet::FeedVersion;
-use quetzalpin::gateway::{FeedWatch, WatchedFeed};
-use quetzalpin::planner_rpc::FeedVersions;
+use quetzalpin::gateway::{CompletedRead, FeedWatch, WatchedFeed};
+use quetzalpin::planner_rpc::{FeedAges, FeedVersions};
 use quetzalpin::prelude::*;
 use quetzalpin::table::TableEra;
 
@@ -18,6 +18,16 @@
     }
 }
 
+/// A read of a feed that usually has one change in an answer.
+fn read(began_ms: u64, changes: usize) -> CompletedRead {
+    CompletedRead {
+        began_at: at(began_ms),
+        quiet_ms: 0,
+        changes,
+        usual_changes: 1,
+    }
+}
+
 fn watch_with_catalog(version: u64) -> FeedWatch {
     let watch = FeedWatch::default();
     watch.catalog.record_change(at(0), version, version);
@@ -153,8 +163,7 @@
     overdue.repeat_overdue_call(at(1_200), true);
     assert_eq!(overdue.read_after(at(1_200), position), None);
     let overtaken = open_feed();
-    overtaken.record_read(at(100), at(2_000));
-    overtaken.record_backlog(at(2_000), 3, 1);
+    overtaken.record_read(read(100, 3));
     assert_eq!(overtaken.read_after(at(2_300), position), None);
 }
 
@@ -165,7 +174,53 @@
     let position = Some(FeedVersion::in_first_era(50));
     feed.doubt(at(100));
     feed.record_change(at(900), 50, 50);
-    feed.record_read(at(200), at(900));
-    feed.record_backlog(at(900), 1, 1);
+    feed.record_read(read(200, 1));
     assert_eq!(feed.read_after(at(1_200), position), position);
 }
+
+/// Guards against CONFIG: the planner is behind itself and tells of no newer version, while the answer to
+/// the own call is lost, which looks like a call without changes for 10 s.
+#[test]
+fn the_word_of_a_planner_that_is_behind_itself_does_not_count() {
+    let watch = watch_with_catalog(6);
+    watch.catalog.begin_call(at(1_000));
+    let ages = FeedAges {
+        catalog_ms: 1_400,
+        roster_ms: 1_400,
+    };
+    watch.record_told(at(3_500), ages);
+    watch.repeat_overdue_calls(at(4_000), true);
+    assert!(!watch.catalog.repeat.is_set(), "the planner's word counts");
+    let ages = FeedAges {
+        catalog_ms: 3_900,
+        roster_ms: 400,
+    };
+    watch.record_told(at(6_000), ages);
+    watch.repeat_overdue_calls(at(6_100), true);
+    assert!(watch.catalog.repeat.is_set());
+    assert!(!watch.roster.repeat.is_set());
+}
+
+/// Guards against CONFIG: a refusal with 404 or 401 by a configuration of which nobody knows whether it
+/// is still the newest.
+#[test]
+fn a_feed_is_current_while_a_read_or_the_planner_shows_it() {
+    let feed = WatchedFeed::open("scripted");
+    feed.record_change(at(0), 6, 6);
+    let quiet = CompletedRead {
+        quiet_ms: 1_000,
+        changes: 0,
+        ..read(500, 0)
+    };
+    feed.record_read(quiet);
+    assert!(feed.is_current(at(3_900)));
+    assert!(!feed.is_current(at(4_000)), "2.5 s after the quiet time");
+    feed.record_told(at(4_000), 300);
+    assert!(feed.is_current(at(6_100)));
+    feed.record_remote_change(at(6_100), 9);
+    assert!(!feed.is_current(at(6_200)), "a newer version is known");
+    let doubted = WatchedFeed::open("scripted");
+    doubted.record_read(read(0, 1));
+    doubted.doubt(at(200));
+    assert!(!doubted.is_current(at(300)), "a read has failed since");
+}
