Refuse a request for good only by a configuration that is known to be recent

A gateway that cannot read the configuration, or has reason to think that it misses versions, answered 404 for a route and 401 for a key that may have been added since: the callers' view of CONFIG, and no answer that a caller can come back from.

Requests that the known configuration allows are still served, since the platform may be out of reach for long and most routes stay. The test in feed_backlog got 404 before.

--- a/daemon/tests/feed_backlog.rs
+++ b/daemon/tests/feed_backlog.rs
@@ -103,3 +103,33 @@
         2
     });
 }
+
+/// Guards against CONFIG: a gateway that cannot read the configuration refuses a route that has been
+/// added with 404, which tells the caller that there is none.
+#[test]
+fn a_missing_route_is_not_refused_for_good_while_the_configuration_cannot_be_read() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_quetzalpind"));
+        let spawning = SoakFleet::spawn_ready(daemon, SIZE);
+        let fleet = spawning.await.expect("a ready fleet");
+        assert_eq!(probe(&fleet, 2).await, CallOutcome::Status(404));
+        let link = &fleet.gateways[0].store_proxy;
+        link.set_refusing(true);
+        link.close_connections();
+        fleet
+            .wait_for_log("\"read failed\",\"dependency\":\"configuration\"", 2)
+            .await;
+        fleet.change_catalog();
+        assert_eq!(probe(&fleet, 2).await, CallOutcome::Status(503));
+        link.set_refusing(false);
+        wait_in_force(&fleet, 2).await;
+        fleet
+            .wait_for_log(
+                "\"dependency regained\",\"dependency\":\"configuration\"",
+                1,
+            )
+            .await;
+        assert_eq!(probe(&fleet, 3).await, CallOutcome::Status(404));
+    });
+}
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -14,7 +14,7 @@
 use super::call_refusal::refusal_response;
 use super::origin_store::OriginMissing;
 use super::{CallPlan, GatewayContext};
-use crate::fleet::RouteRule;
+use crate::fleet::{FleetCatalog, RouteRule};
 use crate::net::{
     BodyError, BufferPurpose, HttpBody, HttpHandler, SMALL_MESSAGE_BYTES, discard_body, read_leased,
 };
@@ -53,8 +53,7 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
         let Some(rule) = catalog.route(host, parts.uri.path()) else {
-            log::info!(path = parts.uri.path(), config = catalog.version, age_ms = self.context.feeds.catalog.age_ms(arrived_at), reason = "no route"; "refused");
-            return refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None);
+            return self.refuse_route(&catalog, parts.uri.path());
         };
         let limit = catalog.limits.body_bytes;
         let header_codec = &self.context.ports.header_codec;
@@ -64,6 +63,9 @@
             Err(fault) => {
                 let context = &self.context;
                 discard_refused(&parts.headers, incoming, context.buffers.pace(), limit);
+                if !context.may_refuse_finally() {
+                    return context.refuse_for_now(&catalog, fault.reason());
+                }
                 return context.refuse_key(&catalog, &head.request, &rule.name, fault);
             }
         };
@@ -151,6 +153,17 @@
         Ok(Some(origin.software))
     }
 
+    /// Refuses a request for a path without a route.
+    fn refuse_route(&self, catalog: &FleetCatalog, path: &str) -> Response<HttpBody> {
+        let reason = "no route";
+        if !self.context.may_refuse_finally() {
+            return self.context.refuse_for_now(catalog, reason);
+        }
+        let age_ms = self.context.feeds.catalog.age_ms(self.context.now());
+        log::info!(path, config = catalog.version, age_ms, reason; "refused");
+        refusal_response(RequestRefusal::not_run(RefusalReason::UnknownRoute), None)
+    }
+
     /// Refuses a request that has not been sent to any upstream.
     fn refuse(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod prompt_admission;
 mod retry_backoff;
 mod shed_wait;
+mod stale_refusal;
 mod start_check;
 mod stream_relay;
 mod takeover_delay;
--- a/src/refusal/refusal_reason.rs
+++ b/src/refusal/refusal_reason.rs
@@ -55,6 +55,8 @@
     StreamNotResumable,
     /// Settings have not been read yet
     NotReady,
+    /// The configuration may be out of date
+    StaleConfiguration,
     /// Too many requests wait in this process
     Overloaded,
     /// The account has used its rate limit
@@ -82,6 +84,7 @@
             | Self::RecordUnavailable
             | Self::StreamNotResumable
             | Self::NotReady
+            | Self::StaleConfiguration
             | Self::Overloaded => 503,
             Self::DeadlinePassed => 504,
         }
@@ -92,9 +95,11 @@
     #[must_use]
     pub const fn retry_after_s(self) -> Option<u32> {
         match self {
-            Self::UpstreamLeaving | Self::NotReady | Self::NoReplica | Self::AccountLimit => {
-                Some(1)
-            }
+            Self::UpstreamLeaving
+            | Self::NotReady
+            | Self::StaleConfiguration
+            | Self::NoReplica
+            | Self::AccountLimit => Some(1),
             Self::QueueFull | Self::Overloaded | Self::RecordUnavailable => Some(2),
             Self::DeadlineUnreachable | Self::DeadlinePassed => Some(5),
             _ => None,
@@ -111,6 +116,7 @@
                 | Self::QueueFull
                 | Self::DeadlineUnreachable
                 | Self::NotReady
+                | Self::StaleConfiguration
                 | Self::Overloaded
         )
     }
