--- a/src/fleet/upstream_roster.rs
+++ b/src/fleet/upstream_roster.rs
@@ -108,8 +108,10 @@
         let era = update.version.era;
         let known_era = self.era.replace(era);
         let is_restored = update.is_snapshot && known_era.is_some_and(|known| known != era);
-        if update.is_snapshot {
+        if is_restored {
             self.held_back.clear();
+        }
+        if update.is_snapshot {
             let is_listed = |id: &UpstreamId| {
                 update.changes.iter().any(
                     |change| matches!(change, UpstreamChange::Listed(entry) if entry.id == *id),
@@ -121,6 +123,7 @@
                 .filter(|id| !is_listed(id))
                 .cloned()
                 .collect();
+            self.held_back.retain(|id, _| is_listed(id));
             for id in missing {
                 self.remove(now, id, &mut changes);
             }
@@ -130,6 +133,9 @@
                 UpstreamChange::Listed(entry) if is_restored && self.has_departed(now, &entry) => {
                     self.held_back.insert(entry.id.clone(), (now, entry));
                 }
+                // A snapshot does not tell whether the upstream has written its entry again.
+                UpstreamChange::Listed(entry)
+                    if update.is_snapshot && self.is_held_back(&entry) => {}
                 UpstreamChange::Listed(entry) => {
                     self.held_back.remove(&entry.id);
                     self.upsert(now, entry, &mut changes);
@@ -291,6 +297,12 @@
         self.departed.insert(id.clone(), departed);
     }
 
+    /// Whether an entry is held back, with the same start.
+    fn is_held_back(&self, entry: &UpstreamEntry) -> bool {
+        let held = self.held_back.get(&entry.id);
+        held.is_some_and(|(_, held)| held.started_at_ms == entry.started_at_ms)
+    }
+
     /// Whether an entry is of an upstream that was dropped a short while ago.
     fn has_departed(&self, now: MonoTime, entry: &UpstreamEntry) -> bool {
         let departed = self.departed.get(&entry.id);
--- a/tests/upstream_roster.rs
+++ b/tests/upstream_roster.rs
@@ -244,3 +244,15 @@
     let phase = roster.get(key).map(|entry| entry.phase);
     assert_eq!(phase, Some(UpstreamPhase::Ready));
 }
+
+/// Guards against DRAIN: a second snapshot after a restore names an upstream that has left as the first
+/// one did, which does not show that it has written its entry again.
+#[test]
+fn a_second_snapshot_after_a_restore_holds_an_entry_back_as_well() {
+    let mut roster = roster_without_upstream(UpstreamPhase::Ready);
+    roster.apply(at(9_000), restored_list(entry(1, UpstreamPhase::Ready)));
+    roster.apply(at(9_400), restored_list(entry(1, UpstreamPhase::Ready)));
+    assert!(roster.key_of(&id()).is_none());
+    roster.apply(at(9_500), restored_list(entry(2, UpstreamPhase::Ready)));
+    assert!(roster.key_of(&id()).is_some(), "a later start is another");
+}
