Read the whole state only where much may have been missed

A call that is overdue because no planner answers says nothing of missed changes; it is repeated for changes again, whose answer is empty. An answer that came before its wait was over no longer counts as a quiet time.

--- a/src/gateway/feed_read.rs
+++ b/src/gateway/feed_read.rs
@@ -97,10 +97,7 @@
     /// to `wait_ms` and answered with `changes`.
     #[must_use]
     pub fn quiet_ms(self, wait_ms: u64, changes: usize) -> u64 {
-        if changes == 0 {
-            wait_ms.min(self.call_ms)
-        } else {
-            0
-        }
+        let has_waited = changes == 0 && self.call_ms >= wait_ms;
+        if has_waited { wait_ms } else { 0 }
     }
 }
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -35,7 +35,7 @@
     loop {
         let call = || {
             let wait_ms = retry.wait_ms(has_planner(&context, feed));
-            let start = feed.read_after(context.now(), after);
+            let start = feed.read_after(after);
             let progress = Rc::clone(&feed.progress);
             FeedAnswer::wait(
                 wait_ms,
@@ -73,7 +73,7 @@
                 if error.is_position_lost() {
                     after = None;
                 }
-                feed.doubt(context.now());
+                feed.record_failure(context.now());
                 retry.failed(&error, true, read).await;
             }
         }
@@ -88,7 +88,7 @@
     loop {
         let call = || {
             let wait_ms = list_wait_ms(&context, &retry);
-            let start = feed.read_after(context.now(), after);
+            let start = feed.read_after(after);
             let progress = Rc::clone(&feed.progress);
             FeedAnswer::wait(
                 wait_ms,
@@ -126,7 +126,7 @@
                 if error.is_position_lost() {
                     after = None;
                 }
-                feed.doubt(context.now());
+                feed.record_failure(context.now());
                 // A restored list lacks what was written since its copy, like one after an outage.
                 let is_outage = !matches!(error, SourceError::HistoryLost)
                     && context.record_failed_list_read(began_at, &error);
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -79,7 +79,8 @@
     /// When this process last had a reason to think that it misses changes; `None` once a call that
     /// began later has completed.
     doubted_at: Cell<Option<MonoTime>>,
-    /// Whether the latest answer held more changes than usual, so that the next one may, too.
+    /// Whether there may be many changes after `position`: a read has failed, a change that another
+    /// process has read is overdue, or the latest answer held more changes than usual.
     is_behind: Cell<bool>,
     /// Set while another process is ahead of `position`.
     missed: Cell<Option<MissedVersion>>,
@@ -210,6 +211,12 @@
         self.confirmed_until.set(read.began_at + read.quiet_ms);
     }
 
+    /// Records a read that failed.
+    pub fn record_failure(&self, now: MonoTime) {
+        self.doubt(now);
+        self.is_behind.set(true);
+    }
+
     /// Reads the feed at once, unless that has been asked for already.
     pub fn read_again(&self, now: MonoTime) {
         if self.is_doubted() {
@@ -242,9 +249,7 @@
     /// Whether nothing hints that this process misses changes.
     #[must_use]
     pub fn is_trusted(&self, now: MonoTime) -> bool {
-        let missed = self.missed.get();
-        let is_behind = missed.is_some_and(|missed| now.millis_since(missed.heard_at) >= MISSED_MS);
-        self.doubted_at.get().is_none() && !is_behind
+        self.doubted_at.get().is_none() && !self.has_missed_for(now, MISSED_MS)
     }
 
     /// Position after which the next call asks for changes, if the feed was read up to `position`; `None`
@@ -252,8 +257,8 @@
     /// replace, so that it grows with the time since `position`. A process that may be behind asks for
     /// the state, whose size does not depend on that.
     #[must_use]
-    pub fn read_after(&self, now: MonoTime, position: Option<FeedVersion>) -> Option<FeedVersion> {
-        position.filter(|_| self.is_trusted(now) && !self.is_behind.get())
+    pub fn read_after(&self, position: Option<FeedVersion>) -> Option<FeedVersion> {
+        position.filter(|_| !self.is_behind.get())
     }
 
     /// Records a change that was read, and the position up to which the feed has been read.
@@ -300,11 +305,14 @@
     #[must_use]
     pub fn is_overdue(&self, now: MonoTime, has_planner: bool) -> bool {
         let call_ms = self.silent_ms(now) >> self.further_calls.get().min(u64::BITS - 1);
-        let has_missed = self
-            .missed
-            .get()
-            .is_some_and(|missed| now.millis_since(missed.heard_at) >= HANG_MS);
-        (has_missed && call_ms >= HANG_MS) || (!has_planner && call_ms >= NO_PLANNER_CALL_MS)
+        let is_awaited = self.has_missed_for(now, HANG_MS);
+        (is_awaited && call_ms >= HANG_MS) || (!has_planner && call_ms >= NO_PLANNER_CALL_MS)
+    }
+
+    /// Whether another process has been ahead for so many milliseconds.
+    fn has_missed_for(&self, now: MonoTime, millis: u64) -> bool {
+        let missed = self.missed.get();
+        missed.is_some_and(|missed| now.millis_since(missed.heard_at) >= millis)
     }
 
     /// Asks for another call if the one in progress is overdue.
@@ -323,6 +331,9 @@
             "call for changes is overdue, another one is begun"
         );
         self.doubt(now);
+        if self.has_missed_for(now, HANG_MS) {
+            self.is_behind.set(true);
+        }
         self.repeat.notify();
     }
 }
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -151,20 +151,20 @@
     let open_feed = || {
         let feed = WatchedFeed::open("scripted");
         feed.record_change(at(0), 40, 41);
-        assert_eq!(feed.read_after(at(100), position), position);
+        assert_eq!(feed.read_after(position), position);
         feed
     };
     let failed = open_feed();
-    failed.doubt(at(100));
-    assert_eq!(failed.read_after(at(200), position), None);
+    failed.record_failure(at(100));
+    assert_eq!(failed.read_after(position), None);
     let overdue = open_feed();
     overdue.begin_call(at(100));
     overdue.record_remote_change(at(100), 44);
     overdue.repeat_overdue_call(at(1_200), true);
-    assert_eq!(overdue.read_after(at(1_200), position), None);
+    assert_eq!(overdue.read_after(position), None);
     let overtaken = open_feed();
     overtaken.record_read(read(100, 3));
-    assert_eq!(overtaken.read_after(at(2_300), position), None);
+    assert_eq!(overtaken.read_after(position), None);
 }
 
 /// The whole state costs more than a change: a process that is up to date does not ask for it.
@@ -172,10 +172,10 @@
 fn a_process_that_has_read_the_state_waits_for_changes_again() {
     let feed = WatchedFeed::open("scripted");
     let position = Some(FeedVersion::in_first_era(50));
-    feed.doubt(at(100));
+    feed.record_failure(at(100));
     feed.record_change(at(900), 50, 50);
     feed.record_read(read(200, 1));
-    assert_eq!(feed.read_after(at(1_200), position), position);
+    assert_eq!(feed.read_after(position), position);
 }
 
 /// Guards against CONFIG: the planner is behind itself and tells of no newer version, while the answer to
@@ -221,6 +221,19 @@
     assert!(!feed.is_current(at(6_200)), "a newer version is known");
     let doubted = WatchedFeed::open("scripted");
     doubted.record_read(read(0, 1));
-    doubted.doubt(at(200));
+    doubted.record_failure(at(200));
     assert!(!doubted.is_current(at(300)), "a read has failed since");
 }
+
+/// A call may be overdue since no planner answers. Nothing hints then that much was missed, and the state
+/// is the longer answer.
+#[test]
+fn a_call_that_is_overdue_without_a_planner_is_repeated_for_changes() {
+    let feed = WatchedFeed::open("scripted");
+    let position = Some(FeedVersion::in_first_era(41));
+    feed.record_change(at(0), 40, 41);
+    feed.begin_call(at(100));
+    feed.repeat_overdue_call(at(2_700), false);
+    assert!(feed.repeat.is_set());
+    assert_eq!(feed.read_after(position), position);
+}
