Soak: large configurations in quick succession on slow links, and a check of 404 after 4 s

A route that was written 4 s before must not be refused with 404, whatever faults keep a gateway from reading it, and the newest route must be served after the faults.

--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -17,23 +17,45 @@
 // A request ended at an upstream that a new start of the worker had replaced; its task panicked.
 #[case::replaced_upstream(90014, 21)]
 fn promises_hold_through_random_faults(#[case] seed: u64, #[case] seconds: u64) {
-    assert_promises_hold(seed, seconds, false);
+    assert_promises_hold(seed, seconds, &SoakExtras::default());
 }
 
 /// A short sample with a store that also comes back from older copies.
 #[test]
 fn promises_hold_through_restores_of_the_store() {
-    assert_promises_hold(41_000_101, 15, true);
+    let extras = SoakExtras {
+        has_restores: true,
+        ..SoakExtras::default()
+    };
+    assert_promises_hold(41_000_101, 15, &extras);
+}
+
+/// A short sample with large configurations in quick succession on slow links.
+#[test]
+fn promises_hold_through_storms_of_large_configurations() {
+    let extras = SoakExtras {
+        has_storms: true,
+        ..SoakExtras::default()
+    };
+    assert_promises_hold(52_000_001, 12, &extras);
+}
+
+/// Disturbances beside the random faults.
+#[derive(Debug, Default)]
+struct SoakExtras {
+    has_restores: bool,
+    has_storms: bool,
 }
 
-fn assert_promises_hold(seed: u64, seconds: u64, has_restores: bool) {
+fn assert_promises_hold(seed: u64, seconds: u64, extras: &SoakExtras) {
     let options = SoakOptions {
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_quetzalpind")),
         seed,
         duration: Duration::from_secs(seconds),
         callers: 12,
         size: FleetSize::default(),
-        has_restores,
+        has_restores: extras.has_restores,
+        has_storms: extras.has_storms,
         logs: None,
     };
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
