--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -37,7 +37,7 @@
         has_storms: true,
         ..SoakExtras::default()
     };
-    assert_promises_hold(52_000_001, 12, &extras);
+    assert_promises_hold(52_100_001, 20, &extras);
 }
 
 /// Disturbances beside the random faults.
