--- a/src/gateway/feed_read.rs
+++ b/src/gateway/feed_read.rs
@@ -1,4 +1,4 @@
-//! How long the reads of a feed take.
+//! One read of a feed: how it ended, and how long it took.
 
 use futures_util::future::LocalBoxFuture;
 
