Connections to upstreams read and write their sockets without buffers between

Cause: both are requests in flight at upstreams whose memory no limit counts. The connection to an upstream had a buffer of its own for reads and one for writes beside those of the HTTP library, and the body was copied through the latter. The caller's side was freed of them before (docs/design/uncontrolled-clients.md).

Change: `SocketStream`, which the caller's connection was in all but name, serves both sides.

--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -39,7 +39,7 @@
         .await
         .map_err(|_| CallFailure::Unsent(NetError::ConnectTimeout(connect_ms)))?
         .map_err(CallFailure::Unsent)?;
-    let (exchange, connection) = OpenExchange::open(stream)
+    let (exchange, connection) = OpenExchange::open(&stream)
         .await
         .map_err(CallFailure::Unsent)?;
     let driver = compio::runtime::spawn(async move {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 mod read_progress;
 mod scheduled_timeout;
 mod socket_options;
+mod socket_stream;
 mod sweep_signal;
 mod tcp_dial;
 mod unpooled_call;
--- a/src/net/unpooled_call.rs
+++ b/src/net/unpooled_call.rs
@@ -4,13 +4,13 @@
 
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 
 use super::head_limit::{HeadGate, HeadLimit};
+use super::socket_stream::SocketStream;
 use super::tcp_dial::dial;
 use super::{HttpBody, NetError, socket_options};
 
@@ -27,17 +27,12 @@
     /// Performs the handshake. The returned connection must be polled for the exchange to go on.
     ///
     /// # Errors
-    /// [`NetError::Http`] if the handshake fails; nothing was sent then.
+    /// [`NetError::Socket`] or [`NetError::Http`] if the handshake fails; nothing was sent then.
     pub async fn open(
-        stream: TcpStream,
-    ) -> Result<
-        (
-            Self,
-            Connection<HeadLimit<HyperStream<TcpStream>>, HttpBody>,
-        ),
-        NetError,
-    > {
-        let (limited, gate) = HeadLimit::open(HyperStream::new_plain(stream));
+        stream: &TcpStream,
+    ) -> Result<(Self, Connection<HeadLimit<SocketStream>, HttpBody>), NetError> {
+        let socket = SocketStream::open(stream).map_err(NetError::Socket)?;
+        let (limited, gate) = HeadLimit::open(socket);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(limited)
@@ -120,10 +115,9 @@
     mut request: Request<HttpBody>,
 ) -> Result<(Response<Incoming>, ExchangeGuard), NetError> {
     let stream = dial(address).await?;
-    let socket = stream.clone();
-    let (exchange, connection) = OpenExchange::open(stream).await?;
+    let (exchange, connection) = OpenExchange::open(&stream).await?;
     let guard = ExchangeGuard {
-        socket,
+        socket: stream,
         is_complete: false,
         driver: Some(compio::runtime::spawn(async move {
             // An error also shows in the response or its body.
