Requests in flight at upstreams count towards the memory for messages

Cause: a request in flight takes some 50 KB beside its body and its caller's connection, for the connection to the upstream, the head and the relay of the answer. No limit knew of them: a limit for each part of the memory, and a part without one.

Change: from the end of its body until it has ended, a request takes 48 KiB and twice its head from the budget for messages. Without room it is refused at once, not run, and other gateways can serve it. Not before the end of the body, so that slow bodies can't take the room of whole requests. The entry does the same; the agent until the head of the answer.

--- a/daemon/tests/client_sets/client_set.rs
+++ b/daemon/tests/client_sets/client_set.rs
@@ -47,6 +47,10 @@
 /// Number of requests that a client sends one after another without reading the answers.
 const UNREAD_REQUESTS: usize = 20;
 
+/// Size in bytes of a body, and of an added header line, of the clients that send whole requests.
+const WHOLE_BODY_BYTES: usize = 24_000;
+const NOTE_BYTES: usize = 2_500;
+
 /// What the clients of a set do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClientSet {
@@ -72,6 +76,8 @@
     Pipelined,
     /// Request after request; the answers are not read.
     NeverReading,
+    /// One whole request each, with a body and a head that are far below the limits.
+    WholeRequests,
 }
 
 /// The request that the clients send.
@@ -109,7 +115,7 @@
     const fn client_count(self) -> usize {
         match self {
             Self::SlowHeads | Self::Silent => CONNECTION_CLIENTS,
-            Self::Pipelined | Self::NeverReading => UNREADING_CLIENTS,
+            Self::Pipelined | Self::NeverReading | Self::WholeRequests => UNREADING_CLIENTS,
             _ => BODY_CLIENTS,
         }
     }
@@ -225,6 +231,15 @@
                 }
                 Ok(())
             }
+            ClientSet::WholeRequests => {
+                let note = "n".repeat(NOTE_BYTES);
+                let head = format!(
+                    "{}x-note: {note}\r\ncontent-length: {WHOLE_BODY_BYTES}\r\n\r\n",
+                    self.target.head
+                );
+                self.write(stream, head).await?;
+                self.write_body(stream, WHOLE_BODY_BYTES).await
+            }
         }
     }
 
--- a/daemon/tests/uncontrolled_agent.rs
+++ b/daemon/tests/uncontrolled_agent.rs
@@ -124,6 +124,7 @@
 #[case::silent(ClientSet::Silent)]
 #[case::pipelined(ClientSet::Pipelined)]
 #[case::never_reading(ClientSet::NeverReading)]
+#[case::whole_requests(ClientSet::WholeRequests)]
 fn an_agent_keeps_to_its_instance(#[case] set: ClientSet) {
     with_fleet(async |fleet: ProcessFleet| try_at_agent(set, &fleet, &target(&fleet)).await);
 }
--- a/daemon/tests/uncontrolled_entry.rs
+++ b/daemon/tests/uncontrolled_entry.rs
@@ -105,6 +105,7 @@
 #[case::silent(ClientSet::Silent)]
 #[case::pipelined(ClientSet::Pipelined)]
 #[case::never_reading(ClientSet::NeverReading)]
+#[case::whole_requests(ClientSet::WholeRequests)]
 fn an_entry_keeps_to_its_instance(#[case] set: ClientSet) {
     with_fleet(async |fleet: ProcessFleet| try_at_entry(set, &fleet, &target(&fleet)).await);
 }
--- a/daemon/tests/uncontrolled_gateway.rs
+++ b/daemon/tests/uncontrolled_gateway.rs
@@ -36,6 +36,9 @@
 /// Timeout of all routes in milliseconds: longer than a test, so that no deadline ends a body.
 const TIMEOUT_MS: u64 = 40_000;
 
+/// Number of events of a stream that takes longer than a test.
+const LONG_EVENTS: u32 = 4_000;
+
 /// Time between two checks whether the configuration is in force, and their largest number.
 const CATALOG_POLL: Duration = Duration::from_millis(100);
 const CATALOG_POLLS: u32 = 100;
@@ -94,6 +97,16 @@
     }
 }
 
+/// A request for a stream that takes longer than the clients stay.
+fn stream_target(fleet: &SoakFleet) -> TargetRequest {
+    let stamp = target(fleet);
+    let head = stamp.head.replace("/stamp/x", "/reading/x");
+    TargetRequest {
+        head: format!("{head}token-counts: 100,{LONG_EVENTS}\r\n"),
+        ..stamp
+    }
+}
+
 async fn is_stamp_answered(fleet: &SoakFleet) -> bool {
     let stamp = SoakCall {
         id: format!("case-{:016x}", fastrand::u64(..)),
@@ -137,6 +150,17 @@
     });
 }
 
+/// Guards against requests in flight at upstreams whose memory nothing counts (review/7).
+#[test]
+fn a_gateway_keeps_to_its_instance_with_many_requests_in_flight() {
+    with_gateway(async |fleet: SoakFleet| {
+        let process = &fleet.gateways[0].process;
+        let is_answered = async || is_stamp_answered(&fleet).await;
+        let stream = stream_target(&fleet);
+        try_clients(ClientSet::WholeRequests, &stream, process, is_answered).await;
+    });
+}
+
 /// Guards against bodies that stop short of their end and keep all legal large bodies out for as long
 /// as their deadline is away.
 #[rstest]
--- a/src/agent/agent_server.rs
+++ b/src/agent/agent_server.rs
@@ -14,8 +14,8 @@
 use super::run_controller::serve_attempt;
 use crate::daemon::{bearer_token, common_route, decision_page};
 use crate::net::{
-    BodyError, BufferPurpose, HttpBody, HttpHandler, discard_body, empty_body, json_response,
-    read_leased,
+    BodyError, BufferPurpose, HttpBody, HttpHandler, discard_body, empty_body, header_bytes,
+    json_response, read_leased,
 };
 use crate::prelude::*;
 use crate::rpc::{ControlApiServer, RpcEndpoint, WORK_HEADER, WorkMetadata};
@@ -83,6 +83,7 @@
     }
 
     async fn serve_work(&self, request: Request<Incoming>) -> Response<HttpBody> {
+        let head_bytes = header_bytes(request.headers());
         let metadata = request.headers().get(WORK_HEADER);
         let metadata = metadata.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
         let Some(metadata): Option<WorkMetadata> = metadata else {
@@ -109,6 +110,10 @@
                 return refusal_response(RequestRefusal::not_run(reason), None);
             }
         };
+        if let Err(shortage) = lease.begin_exchange(head_bytes) {
+            log::warn!(error:% = shortage; "no memory for another request in flight");
+            return refusal_response(RequestRefusal::not_run(RefusalReason::Overloaded), None);
+        }
         serve_attempt(Rc::clone(&self.context), metadata, body).await
     }
 
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -21,8 +21,8 @@
 use crate::decision::DecisionEvent;
 use crate::metrics::RequestLabels;
 use crate::net::{
-    BodyError, BufferLease, BufferPurpose, HttpBody, HttpHandler, discard_body, json_response,
-    read_leased,
+    BodyError, BufferLease, BufferPurpose, HttpBody, HttpHandler, discard_body, header_bytes,
+    json_response, read_leased,
 };
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
@@ -160,6 +160,12 @@
         filter_head(&self.context, draft)?;
         let mut lease = self.context.node.buffers.lease(BufferPurpose::Call);
         draft.body = self.read_caller_body(body, &mut lease).await?;
+        lease
+            .begin_exchange(header_bytes(&draft.headers))
+            .map_err(|shortage| {
+                log::warn!(request = draft.id, error:% = shortage; "no memory for another request in flight");
+                RequestRefusal::not_run(RefusalReason::Overloaded)
+            })?;
         draft.memory = Some(Rc::new(lease));
         filter_body(&self.context, draft)
     }
--- a/src/gateway/front_server.rs
+++ b/src/gateway/front_server.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response};
 
 use super::account_check::discard_refused;
@@ -16,7 +18,8 @@
 use super::{CallPlan, GatewayContext};
 use crate::fleet::{FleetCatalog, RouteRule};
 use crate::net::{
-    BodyError, BufferPurpose, HttpBody, HttpHandler, SMALL_MESSAGE_BYTES, discard_body, read_leased,
+    BodyError, BufferPurpose, HttpBody, HttpHandler, SMALL_MESSAGE_BYTES, discard_body,
+    header_bytes, read_leased,
 };
 use crate::prelude::*;
 use crate::quarantine::RequestFingerprint;
@@ -27,6 +30,9 @@
 /// `Retry-After` in milliseconds while the process shuts down; other entries serve the caller at once.
 const LEAVING_RETRY_MS: u64 = 100;
 
+/// `Retry-After` in milliseconds while requests in flight take the memory; other gateways may have some.
+const NO_MEMORY_RETRY_MS: u64 = 400;
+
 /// Routes client requests and serves them.
 pub struct FrontServer {
     context: Rc<GatewayContext>,
@@ -40,7 +46,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<HttpBody> {
-        let (mut parts, mut incoming) = request.into_parts();
+        let (mut parts, incoming) = request.into_parts();
         let arrived_at = self.context.now();
         let Some(catalog) = self.context.catalog.borrow().clone() else {
             log::info!(reason = "no configuration"; "refused");
@@ -74,33 +80,9 @@
         if let Some(account) = account {
             plan.assign(account, token_count);
         }
-        let body_ms = plan.ends_at.millis_since(arrived_at);
-        let mut lease = self.context.buffers.lease(BufferPurpose::Call);
-        let body = match read_leased(&mut incoming, limit, body_ms, &mut lease).await {
-            Ok(body) => body,
-            Err(BodyError::NoMemory(shortage)) => {
-                log::warn!(request:% = plan.request, error:% = shortage; "request body not held");
-                // The caller still sends the body, and would not read a response that resets its
-                // connection.
-                let left = limit.saturating_sub(lease.held_bytes());
-                discard_body(incoming, self.context.buffers.pace(), left, body_ms);
-                let retry_ms = self.context.large_calls.forecast_ms();
-                return self.refuse(&plan, RefusalReason::Overloaded, Some(retry_ms));
-            }
-            Err(BodyError::GaveWay) => {
-                let retry_ms = self.context.large_calls.forecast_ms();
-                return self.refuse(&plan, RefusalReason::Overloaded, Some(retry_ms));
-            }
-            Err(error) => return refuse_body(&plan, &error),
-        };
-        let is_large = body.len() > SMALL_MESSAGE_BYTES;
-        let begin_large = || {
-            let calls = &self.context.large_calls;
-            calls.begin(self.context.clock, arrived_at)
-        };
-        let memory = BodyMemory {
-            _lease: lease,
-            _large: is_large.then(begin_large),
+        let (body, memory) = match self.read_body(incoming, limit, &plan, &parts).await {
+            Ok(read) => read,
+            Err(refusal) => return refusal,
         };
         if self.context.refuses_arrivals() {
             return self.refuse(
@@ -130,6 +112,48 @@
         serve_call(&self.context, call, software).await
     }
 
+    /// Reads the body of a request, and takes the memory that the request needs until it has ended.
+    async fn read_body(
+        &self,
+        mut incoming: Incoming,
+        limit: usize,
+        plan: &CallPlan,
+        parts: &Parts,
+    ) -> Result<(Bytes, BodyMemory), Response<HttpBody>> {
+        let context = &self.context;
+        let body_ms = plan.ends_at.millis_since(plan.arrived_at);
+        let mut lease = context.buffers.lease(BufferPurpose::Call);
+        let body = match read_leased(&mut incoming, limit, body_ms, &mut lease).await {
+            Ok(body) => body,
+            Err(BodyError::NoMemory(shortage)) => {
+                log::warn!(request:% = plan.request, error:% = shortage; "request body not held");
+                // The caller still sends the body, and would not read a response that resets its
+                // connection.
+                let left = limit.saturating_sub(lease.held_bytes());
+                discard_body(incoming, context.buffers.pace(), left, body_ms);
+                let retry_ms = context.large_calls.forecast_ms();
+                return Err(self.refuse(plan, RefusalReason::Overloaded, Some(retry_ms)));
+            }
+            Err(BodyError::GaveWay) => {
+                let retry_ms = context.large_calls.forecast_ms();
+                return Err(self.refuse(plan, RefusalReason::Overloaded, Some(retry_ms)));
+            }
+            Err(error) => return Err(refuse_body(plan, &error)),
+        };
+        if let Err(shortage) = lease.begin_exchange(head_bytes(parts)) {
+            log::warn!(request:% = plan.request, error:% = shortage; "no memory for another request in flight");
+            let retry_ms = Some(NO_MEMORY_RETRY_MS);
+            return Err(self.refuse(plan, RefusalReason::Overloaded, retry_ms));
+        }
+        let is_large = body.len() > SMALL_MESSAGE_BYTES;
+        let begin_large = || context.large_calls.begin(context.clock, plan.arrived_at);
+        let memory = BodyMemory {
+            _lease: lease,
+            _large: is_large.then(begin_large),
+        };
+        Ok((body, memory))
+    }
+
     /// Finds the only software version that may go on with the stream that a request takes up, and
     /// sends the request to the service that began it. `None` for a request from the start.
     async fn find_software(
@@ -195,6 +219,12 @@
     }
 }
 
+/// Bytes of a request head, apart from its method and version.
+fn head_bytes(parts: &Parts) -> usize {
+    let path = parts.uri.path_and_query();
+    header_bytes(&parts.headers) + path.map_or(0, |path| path.as_str().len())
+}
+
 fn refuse_body(plan: &CallPlan, error: &BodyError) -> Response<HttpBody> {
     let reason = match error {
         BodyError::TooLarge(_) => RefusalReason::OversizedBody,
--- a/src/net/buffer_budget.rs
+++ b/src/net/buffer_budget.rs
@@ -13,6 +13,13 @@
 /// Largest message in bytes that counts as small. Usual requests, reports and rows are smaller.
 pub const SMALL_MESSAGE_BYTES: usize = 32 * 1024;
 
+/// Memory in bytes of a request in flight besides its body and its caller's connection: the connection to
+/// its upstream, and what relays the answer.
+const EXCHANGE_BYTES: usize = 48 * 1024;
+
+/// How often a request in flight holds its head: as it was received, and as it is sent.
+const HEAD_COPIES: usize = 2;
+
 /// What a message is held for. It decides who is refused first when memory is short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BufferPurpose {
@@ -167,8 +174,20 @@
     /// [`BufferShortage`] if that leaves too little to others; the lease keeps what it has.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), BufferShortage> {
         let more = bytes.saturating_sub(self.held_bytes());
+        self.take(more, bytes <= SMALL_MESSAGE_BYTES)
+    }
+
+    /// Takes what a request needs beside its body while it is in flight at an upstream.
+    ///
+    /// # Errors
+    /// As [`Self::grow_to`].
+    pub fn begin_exchange(&mut self, head_bytes: usize) -> Result<(), BufferShortage> {
+        self.take(EXCHANGE_BYTES + HEAD_COPIES * head_bytes, true)
+    }
+
+    fn take(&mut self, more: usize, is_small: bool) -> Result<(), BufferShortage> {
         let budget = &self.budget;
-        let percent = self.purpose.ceiling_percent(bytes <= SMALL_MESSAGE_BYTES);
+        let percent = self.purpose.ceiling_percent(is_small);
         let ceiling = budget.limit_bytes / 100 * percent;
         if more > 0 && budget.used_bytes.get().saturating_add(more) > ceiling {
             budget.make_room(more, ceiling);
@@ -176,7 +195,7 @@
         let used_bytes = budget.used_bytes.get();
         if more > 0 && used_bytes.saturating_add(more) > ceiling {
             return Err(BufferShortage {
-                bytes,
+                bytes: self.held_bytes() + more,
                 used_bytes,
                 limit_bytes: budget.limit_bytes,
             });
--- a/src/net/http_body.rs
+++ b/src/net/http_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::Frame;
-use hyper::{Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use send_wrapper::SendWrapper;
 use serde::Serialize;
 
@@ -55,6 +55,15 @@
     StreamBody::new(SendWrapper::new(Box::pin(frames))).boxed_unsync()
 }
 
+/// Bytes of the names and values of headers.
+#[must_use]
+pub fn header_bytes(headers: &HeaderMap) -> usize {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Builds a JSON response.
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<HttpBody> {
     let text = serde_json::to_vec(value).unwrap_or_default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,7 +31,9 @@
 pub use connection_table::ConnectionLimits;
 pub use errors::NetError;
 pub use event_buffer::{EventBuffer, OversizedEvent};
-pub use http_body::{BodyError, HttpBody, empty_body, full_body, json_response, stream_body};
+pub use http_body::{
+    BodyError, HttpBody, empty_body, full_body, header_bytes, json_response, stream_body,
+};
 pub use http_server::{AbortConnection, HttpHandler, HttpServer, ServerHandle, ServerLimits};
 pub use peer_client::PeerClient;
 pub use read_progress::ReadProgress;
--- a/tests/buffer_budget.rs
+++ b/tests/buffer_budget.rs
@@ -115,3 +115,23 @@
         }
     }
 }
+
+/// Guards against requests in flight at upstreams that take memory which nothing counts (review/7).
+#[test]
+fn a_request_in_flight_takes_memory_beside_its_body_until_it_ends() {
+    let budget = BufferBudget::open(LIMIT);
+    let mut leases = Vec::new();
+    let refused = loop {
+        let mut lease = budget.lease(BufferPurpose::Call);
+        lease.grow_to(1_000).expect("room");
+        match lease.begin_exchange(500) {
+            Ok(()) => leases.push(lease),
+            Err(shortage) => break shortage,
+        }
+    };
+    let each = budget.used_bytes() / leases.len();
+    assert!(each > 40 * 1_024, "{each} bytes each");
+    assert!(refused.used_bytes + each > LIMIT / 100 * 75, "{refused:?}");
+    drop(leases);
+    assert_eq!(budget.used_bytes(), 0);
+}
