An origin at a plain upstream is recorded once its start is confirmed

Cause: a stream's version was that of the entry as it stood when the request was sent. Entries are up to 1.5 s old in calm, and a plain upstream doesn't name its start. Ruled out: that the gateway saw the earlier start break off and ignored it; in the tests it had no stream there.

Change: the origin is a claim until the list, read after the first event, still names the start that the request was sent to. Streams of 0.2 s share one read. A stream that breaks off before goes on only after a read of its own. Engines and streams that are taken up are checked as before.

--- a/daemon/tests/out_of_step.rs
+++ b/daemon/tests/out_of_step.rs
@@ -10,9 +10,10 @@
     CallKind, CallOutcome, SoakCall, SoakFleet, SoakResume, WorkerKind, WorkerStandin,
     call_gateway, expected_body,
 };
+use rstest::rstest;
 use stream_cases::{
-    EVENT_LIMIT, MODEL, NEW_SOFTWARE, OLD_SOFTWARE, RECEIVED, REFUSAL_LIMIT, SHORT_STREAM,
-    add_worker, notes, send, sequel, start_stream, wait_until, with_fleet,
+    EVENT_LIMIT, LONG_STREAM, MODEL, NEW_SOFTWARE, OLD_SOFTWARE, RECEIVED, REFUSAL_LIMIT,
+    SHORT_STREAM, add_worker, notes, send, sequel, start_stream, wait_until, with_fleet,
 };
 
 /// The gateway that is out of step. Streams in a case begin at the first gateway.
@@ -212,6 +213,104 @@
     });
 }
 
+/// Guards against ORDER (review/6): a stream begins at an upstream without an engine that has just started
+/// again as another software version, and goes on in the same answer at its former version.
+#[test]
+fn a_stream_begun_at_a_plain_upstream_that_started_again_does_not_go_on_at_its_former_version() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let first = plain_worker(&fleet);
+        start_again_unseen(&fleet, &first).await;
+        let call = SoakCall {
+            events: LONG_STREAM,
+            ..reading(None)
+        };
+        let address = fleet.gateways[0].process.address;
+        let calling = compio::runtime::spawn(async move { call_gateway(address, &call).await });
+        wait_until("the stream's start", || first.running() > 0).await;
+        let second = add_plain_worker(&mut fleet).await;
+        first.crash();
+        assert_eq!(calling.await.expect("an outcome"), CallOutcome::Cut);
+        assert_eq!(second.resumed.get(), 0);
+    });
+}
+
+/// Guards against ORDER (review/6): the same over a caller's tries, at the gateway where the stream began
+/// and at another one.
+#[rstest]
+#[case::at_the_same_gateway(0)]
+#[case::at_another_gateway(LATE)]
+fn a_caller_does_not_take_it_up_at_its_former_version(#[case] gateway: usize) {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let first = plain_worker(&fleet);
+        start_again_unseen(&fleet, &first).await;
+        let begun = reading(None);
+        assert!(matches!(
+            send(&fleet, 0, &begun).await,
+            CallOutcome::Answer(_)
+        ));
+        let second = add_plain_worker(&mut fleet).await;
+        compio::time::sleep(RECORD_TIME).await;
+        first.crash();
+        let outcome = send(&fleet, gateway, &reading(Some(begun.id))).await;
+        assert_eq!(outcome, CallOutcome::Status(503));
+        assert_eq!(second.resumed.get(), 0);
+    });
+}
+
+/// Guards against LOST: a stream that has just begun at an upstream without an engine does not go on at
+/// another one of its version, in the same answer or at another gateway.
+#[test]
+fn a_stream_begun_at_a_plain_upstream_goes_on_at_its_version() {
+    with_fleet(async |mut fleet: SoakFleet| {
+        let first = plain_worker(&fleet);
+        let second = add_plain_worker(&mut fleet).await;
+        let call = SoakCall {
+            events: LONG_STREAM,
+            ..reading(None)
+        };
+        let begun = reading(None);
+        assert!(matches!(
+            send(&fleet, 0, &begun).await,
+            CallOutcome::Answer(_)
+        ));
+        let address = fleet.gateways[0].process.address;
+        let sent = call.clone();
+        let calling = compio::runtime::spawn(async move { call_gateway(address, &sent).await });
+        let workers = [&first, &second];
+        let is_running = || workers.iter().any(|worker| worker.running() > 0);
+        wait_until("the stream's start", is_running).await;
+        compio::time::sleep(READ_TIME).await;
+        let busy = workers.into_iter().find(|worker| worker.running() > 0);
+        busy.expect("a busy worker").crash();
+        let expected = CallOutcome::Answer(expected_body(&call).into());
+        assert_eq!(calling.await.expect("an outcome"), expected);
+        let outcome = send(&fleet, LATE, &reading(Some(begun.id))).await;
+        assert!(matches!(outcome, CallOutcome::Answer(_)), "{outcome:?}");
+    });
+}
+
+/// Starts an upstream again as another software version, and returns while the gateways, which have
+/// just read the list, pause before they read it again.
+async fn start_again_unseen(fleet: &SoakFleet, worker: &WorkerStandin) {
+    fleet.send_heartbeats();
+    compio::time::sleep(READ_TIME).await;
+    worker.crash();
+    worker.start_again(NEW_SOFTWARE, &[]);
+    fleet.send_heartbeats();
+}
+
+/// Adds a worker without an engine of the former software version, which the first gateway knows.
+async fn add_plain_worker(fleet: &mut SoakFleet) -> Rc<WorkerStandin> {
+    let spawning = fleet.spawn_worker(WorkerKind::Plain, Vec::new());
+    let added = spawning.await.expect("a worker");
+    let worker = Rc::clone(&added.worker.state);
+    fleet.workers.push(added);
+    fleet.send_heartbeats();
+    let joined = format!("\"upstream joined\",\"upstream\":\"{}\"", worker.id);
+    fleet.wait_for_log(&joined, 1).await;
+    worker
+}
+
 fn plain_worker(fleet: &SoakFleet) -> Rc<WorkerStandin> {
     let mut workers = fleet.workers.iter().map(|worker| &worker.worker.state);
     let plain = workers.find(|worker| worker.kind == WorkerKind::Plain);
--- a/src/gateway/call_flow/mod.rs
+++ b/src/gateway/call_flow/mod.rs
@@ -10,8 +10,10 @@
 use super::buffered_call::BufferedCall;
 use super::call_attempt::{AttemptEnd, CallAttempt};
 use super::call_refusal::refusal_response;
+use super::origin_check::OriginClaim;
 use super::shed_wait::ShedStep;
 use super::stream_relay::StartedStream;
+use super::upstream_loss::UpstreamStart;
 use super::{ChoiceInput, GatewayContext, UpstreamChoice, choose_upstream};
 use crate::fleet::UpstreamKey;
 use crate::metrics::RefusalLabels;
@@ -44,6 +46,7 @@
         has_asked_to_send: false,
         resume_after: None,
         software,
+        unconfirmed: None,
         trial: None,
         admission: AccountAdmission::open(),
     };
@@ -85,6 +88,8 @@
     /// Software version that wrote the events that the client has received, in this answer or before;
     /// `None` before the first one, or if it is not known.
     software: Option<SoftwareVersion>,
+    /// Start of the upstream at which the stream is said to have begun, while that is not certain.
+    unconfirmed: Option<UpstreamStart>,
     /// Set while this request tries an uncertain suspect.
     trial: Option<TrialGuard>,
     /// Allowance of the request's account.
@@ -108,6 +113,10 @@
     /// time, or if the software version that began the stream is not known; the client then sees that
     /// the stream is incomplete.
     pub async fn resume(&mut self, failed: UpstreamKey, after: u64) -> Option<StartedStream> {
+        if !self.has_certain_origin().await {
+            log::info!(request:% = self.call.plan.request, after; "stream ends, its upstream had started again");
+            return None;
+        }
         let software = self.software.as_ref()?;
         self.unknown_outcomes += 1;
         self.tried.push(failed);
@@ -214,24 +223,48 @@
     }
 
     /// Remembers which software version has sent events to the client. It is not known if the list
-    /// that named it may have been out of date and the upstream doesn't confirm it.
+    /// that named it may have been out of date and the upstream doesn't confirm it. A new stream of an
+    /// upstream without an engine is checked later, with others.
     async fn begin_stream(&mut self, stream: &StartedStream) {
         let (key, context) = (stream.rest.key(), &self.context);
         let plan = &self.call.plan;
         if !plan.kind.may_retry() {
             return;
         }
-        let is_certain = context.is_list_trusted() && context.roster.borrow().get(key).is_some();
-        if !is_certain && !context.runs_listed_start(&plan.request, key).await {
+        let entry = context.roster.borrow().get(key).cloned();
+        let certain = entry.filter(|_| context.is_list_trusted());
+        if certain.is_none() && !context.runs_listed_start(&plan.request, key).await {
             self.software = None;
             return;
         }
+        let is_sequel = self.software.is_some();
         self.software = stream.rest.software().cloned();
-        if let Some(software) = &self.software {
+        let Some(software) = &self.software else {
+            return;
+        };
+        if !is_sequel && certain.is_some_and(|entry| !context.is_engine(&entry)) {
+            let start = stream.rest.start();
+            self.unconfirmed = Some(start.clone());
+            context.origin_claims.push(OriginClaim {
+                plan: Rc::clone(plan),
+                software: software.clone(),
+                start: start.clone(),
+            });
+        } else {
             context.record_origin(plan, software);
         }
     }
 
+    /// Whether the software version that began the stream is certain.
+    async fn has_certain_origin(&mut self) -> bool {
+        let Some(start) = self.unconfirmed.take() else {
+            return true;
+        };
+        let request = &self.call.plan.request;
+        let is_recorded = self.context.origins.borrow().find(request).is_some();
+        is_recorded || self.context.confirm_start(&start).await
+    }
+
     /// Refuses a request that cannot be served whatever the upstreams do.
     fn refuse_at_once(&mut self, now: MonoTime) -> Option<Response<HttpBody>> {
         if !self.may_run_suspects(now) {
--- a/src/gateway/gateway_context.rs
+++ b/src/gateway/gateway_context.rs
@@ -12,6 +12,7 @@
 use super::crash_watch::CrashWatch;
 use super::feed_watch::FeedWatch;
 use super::fleet_follower::FEED_CHECK_MS;
+use super::origin_check::OriginClaims;
 use super::planner_host::PlannerHost;
 use super::{
     CallPlan, HeaderCodec, LargeCalls, LoadTracker, PauseRegistry, PlacementView, WaitRegistry,
@@ -117,6 +118,8 @@
     pub crashes: CrashWatch,
     /// Software versions that began streams.
     pub origins: RefCell<OriginRegistry>,
+    /// Streams whose origin is to be confirmed before it is recorded.
+    pub origin_claims: OriginClaims,
     /// Software versions that were listed lately.
     pub software_history: RefCell<SoftwareHistory>,
     /// Notified when the origin of a stream has to be written to the table.
@@ -188,6 +191,7 @@
             prompt_read: BroadcastSignal::default(),
             crashes: CrashWatch::open(start_id),
             origins: RefCell::new(OriginRegistry::open()),
+            origin_claims: OriginClaims::default(),
             software_history: RefCell::new(SoftwareHistory::open()),
             origin_wake: WakeSignal::default(),
             host,
--- a/src/gateway/gateway_handle.rs
+++ b/src/gateway/gateway_handle.rs
@@ -11,6 +11,7 @@
 use super::fleet_follower::{follow_catalog, follow_upstreams, watch_feeds};
 use super::front_server::FrontServer;
 use super::gateway_context::BALANCER_REMOVAL_MS;
+use super::origin_check::run_origin_check;
 use super::origin_store::{run_origin_store, run_origin_sweep};
 use super::planner_lease::{release_lease, run_lease};
 use super::planner_link::{run_follow, run_report};
@@ -66,6 +67,7 @@
             compio::runtime::spawn(run_follow(Rc::clone(&context))),
             compio::runtime::spawn(run_report(Rc::clone(&context))),
             compio::runtime::spawn(run_crash_store(Rc::clone(&context))),
+            compio::runtime::spawn(run_origin_check(Rc::clone(&context))),
             compio::runtime::spawn(run_origin_store(Rc::clone(&context))),
             compio::runtime::spawn(run_origin_sweep(Rc::clone(&context))),
             compio::runtime::spawn(run_orders(Rc::clone(&context))),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod header_codec;
 mod large_calls;
 mod load_tracker;
+mod origin_check;
 mod origin_store;
 mod pause_registry;
 mod placement_view;
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error, From};
 
+use super::origin_check::CHECK_BATCH_MS;
 use super::{CallPlan, GatewayContext, ResumePoint};
 use crate::decision::unix_ms;
 use crate::fleet::{RouteRule, SourceError, UpstreamChange};
@@ -29,7 +30,7 @@
 
 /// Milliseconds after which a row that is missing is read once more: the process that began the
 /// stream may be about to write it.
-const REREAD_MS: u64 = 5 * BATCH_MS;
+const REREAD_MS: u64 = CHECK_BATCH_MS + 5 * BATCH_MS;
 
 /// `Retry-After` in milliseconds if the table does not tell the origin of a stream now.
 const UNREADABLE_RETRY_MS: u64 = 1_000;
@@ -160,29 +161,30 @@
     }
 
     async fn look_up_origin(&self, request: &str) -> Result<Option<StreamOrigin>, TableError> {
-        if let Some(known) = self.origins.borrow().find(request) {
-            return Ok(known.cloned());
-        }
-        if let Some(origin) = self.read_origin(request).await? {
-            return Ok(Some(origin));
+        let is_known = || self.origins.borrow().find(request).is_some();
+        if !is_known() && !self.read_origin(request).await? {
+            compio::time::sleep(Duration::from_millis(REREAD_MS)).await;
+            if !is_known() {
+                self.read_origin(request).await?;
+            }
         }
-        compio::time::sleep(Duration::from_millis(REREAD_MS)).await;
-        self.read_origin(request).await
+        Ok(self.origins.borrow().find(request).flatten().cloned())
     }
 
-    async fn read_origin(&self, request: &str) -> Result<Option<StreamOrigin>, TableError> {
+    /// Reads the origin of a stream from the table, which may not know it.
+    async fn read_origin(&self, request: &str) -> Result<bool, TableError> {
         let row = self
             .ports
             .table
             .read(origin_key(stream_id(request)))
             .await?;
         let row: Option<OriginRow> = row.decode()?;
-        let origin = row.map(|row| row.origin);
-        if let Some(origin) = &origin {
-            let mut origins = self.origins.borrow_mut();
-            origins.record_read(self.now(), request, origin.clone());
-        }
-        Ok(origin)
+        let Some(row) = row else {
+            return Ok(false);
+        };
+        let mut origins = self.origins.borrow_mut();
+        origins.record_read(self.now(), request, row.origin);
+        Ok(true)
     }
 
     /// Records which software version began a stream that this process delivers.
--- a/src/gateway/start_check.rs
+++ b/src/gateway/start_check.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::GatewayContext;
+use super::upstream_loss::UpstreamStart;
 use crate::fleet::{UpstreamChange, UpstreamEntry, UpstreamKey};
 use crate::orders::UpstreamTarget;
 
@@ -39,7 +40,7 @@
         };
         let is_same = match reported {
             ReportedStart::At(started_at_ms) => started_at_ms == entry.started_at_ms,
-            ReportedStart::Unnamed => self.is_still_listed(&entry).await,
+            ReportedStart::Unnamed => self.confirm_start(&UpstreamStart::of(&entry)).await,
             ReportedStart::Silent => false,
         };
         log::info!(
@@ -54,29 +55,30 @@
         is_same
     }
 
-    /// Whether the list, read now, still names the start of an entry.
-    async fn is_still_listed(&self, entry: &UpstreamEntry) -> bool {
-        let Some(position) = self.feeds.roster_position() else {
-            return false;
-        };
-        let update = match self
-            .ports
-            .fleet
-            .upstreams(Some(position), 0, Rc::default())
-            .await
-        {
-            Ok(update) => update,
+    /// The changes of the list since this process read it last; `None` if it cannot be read.
+    pub(super) async fn read_list_changes(&self) -> Option<Vec<UpstreamChange>> {
+        let position = self.feeds.roster_position()?;
+        let fleet = &self.ports.fleet;
+        let reading = fleet.upstreams(Some(position), 0, Rc::default());
+        match reading.await {
+            Ok(update) => Some(update.changes),
             Err(error) => {
                 log::warn!(dependency = "list of upstreams", error:% = error; "start of an upstream not confirmed");
-                return false;
-            }
-        };
-        !update.changes.iter().any(|change| match change {
-            UpstreamChange::Listed(listed) => {
-                listed.id == entry.id && listed.started_at_ms != entry.started_at_ms
+                None
             }
-            UpstreamChange::Removed(id) | UpstreamChange::Unreadable { id, .. } => *id == entry.id,
-        })
+        }
+    }
+
+    /// Whether the list with some changes names a start of an upstream.
+    pub(super) fn names_start(&self, changes: &[UpstreamChange], start: &UpstreamStart) -> bool {
+        let roster = self.roster.borrow();
+        let listed = roster.key_of(&start.id).and_then(|key| roster.get(key));
+        let is_listed = listed.is_some_and(|entry| start.is_of(entry));
+        let is_changed = changes.iter().any(|change| match change {
+            UpstreamChange::Listed(entry) => entry.id == start.id && !start.is_of(entry),
+            UpstreamChange::Removed(id) | UpstreamChange::Unreadable { id, .. } => *id == start.id,
+        });
+        is_listed && !is_changed
     }
 
     /// Whether this process has no reason to think that it misses changes of the list of upstreams.
@@ -102,7 +104,7 @@
         }
     }
 
-    fn is_engine(&self, entry: &UpstreamEntry) -> bool {
+    pub(super) fn is_engine(&self, entry: &UpstreamEntry) -> bool {
         let catalog = self.catalog.borrow();
         let service = catalog
             .as_ref()
--- a/src/gateway/upstream_loss.rs
+++ b/src/gateway/upstream_loss.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether an entry of the list names this start.
+    pub fn is_of(&self, entry: &UpstreamEntry) -> bool {
+        self.id == entry.id && self.started_at_ms == entry.started_at_ms
+    }
+
     /// ID of the crash that ends this start.
     fn crash_id(&self) -> u64 {
         let instance = InstanceName::from(self.id.as_str());
--- a/src/gateway/upstream_stream.rs
+++ b/src/gateway/upstream_stream.rs
@@ -16,6 +16,7 @@
 use super::answer_framing::BodyFraming;
 use super::call_guard::CallGuard;
 use super::upstream_call::UpstreamConnection;
+use super::upstream_loss::UpstreamStart;
 use crate::fleet::UpstreamKey;
 use crate::net::EventBuffer;
 use crate::prelude::*;
@@ -110,6 +111,11 @@
         self.guard.key
     }
 
+    /// The start of the upstream that the list named when the request was sent.
+    pub const fn start(&self) -> &UpstreamStart {
+        &self.guard.upstream
+    }
+
     /// Software version of the upstream; `None` if it names none.
     pub const fn software(&self) -> Option<&SoftwareVersion> {
         self.guard.software.as_ref()
