No time is reserved for the whole answer of a stream that is taken up

Cause: 6 ms for each token of the largest answer were reserved, as if the client had received nothing. The request states the largest answer, not how much of it is left, so that nothing is known to be in vain.

Failed before: `a_wait_reserves_no_time_for_an_answer_that_is_taken_up`, 0 ms where 3,800 are right.

--- a/src/gateway/call_plan.rs
+++ b/src/gateway/call_plan.rs
@@ -82,9 +82,8 @@
             _ => limit_ms,
         };
         let answer_tokens = head.output_tokens.unwrap_or(0);
-        let answer_ms = u64::from(answer_tokens) * TOKEN_MS;
         let wait_ms = limit_ms
-            .saturating_sub(answer_ms)
+            .saturating_sub(answer_reserve_ms(&head))
             .min(first_event_ms)
             .saturating_sub(PROMPT_RESERVE_MS);
         let shared = head.prompt.len().checked_sub(2);
@@ -151,6 +150,15 @@
     }
 }
 
+/// Milliseconds after a wait for the model that are reserved for the answer. None are for a stream that is
+/// taken up: the request states the largest answer, most of which may have been received.
+fn answer_reserve_ms(head: &CallHead) -> u64 {
+    if head.resume.is_some() {
+        return 0;
+    }
+    head.output_tokens.map_or(0, u64::from) * TOKEN_MS
+}
+
 /// Length of a prompt in tokens; callers may name any numbers.
 fn token_sum(prompt: &[PromptPart]) -> u32 {
     let tokens = prompt.iter().map(|part| part.tokens);
--- a/tests/call_plan.rs
+++ b/tests/call_plan.rs
@@ -1,7 +1,7 @@
 //! Time that a request may wait for its model.
 
 use quetzalpin::fleet::{ModelNeed, RouteKind, RouteRule, WeightedService};
-use quetzalpin::gateway::{CallHead, CallPlan};
+use quetzalpin::gateway::{CallHead, CallPlan, ResumePoint};
 use quetzalpin::prelude::*;
 use rstest::rstest;
 
@@ -22,6 +22,25 @@
     assert_eq!(plan.wait_until.millis_since(now), wait_ms);
 }
 
+/// Guards against LOST (review/8): a stream that is taken up late is refused at once, because time is
+/// reserved for the largest answer, as if its client had received nothing.
+#[rstest]
+#[case::after_an_event(Some(850))]
+#[case::after_an_event_of_unknown_number(None)]
+fn a_wait_reserves_no_time_for_an_answer_that_is_taken_up(#[case] after: Option<u64>) {
+    let now = MonoTime::from_millis(1_000);
+    let call = CallHead {
+        deadline_ms: Some(4_000),
+        resume: Some(ResumePoint {
+            after,
+            first_attempt: None,
+        }),
+        ..head(Some(900))
+    };
+    let plan = CallPlan::open(now, call, &rule(), 1);
+    assert_eq!(plan.wait_until.millis_since(now), 3_800);
+}
+
 fn head(output_tokens: Option<u32>) -> CallHead {
     CallHead {
         request: "r1".into(),
