One probe call for all tests, and a log line that is true when the list can't be read

The log line of a stream that isn't resumed said that its upstream had started again; the list may just not have been readable.

--- a/daemon/tests/feed_backlog.rs
+++ b/daemon/tests/feed_backlog.rs
@@ -4,8 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, USUAL_PROMPT, call_gateway,
-    encode_wide_catalog,
+    CallOutcome, FleetSize, SoakCall, SoakFleet, call_gateway, encode_wide_catalog,
 };
 
 const SIZE: FleetSize = FleetSize {
@@ -67,16 +66,7 @@
 
 /// Calls the route that a version added.
 async fn probe(fleet: &SoakFleet, version: u64) -> CallOutcome {
-    let call = SoakCall {
-        id: format!("backlog-{:08x}", fastrand::u32(..)),
-        kind: CallKind::Probe(version),
-        model: String::new(),
-        events: 0,
-        gateway: 0,
-        prompt: USUAL_PROMPT.to_owned(),
-        resume: None,
-    };
-    call_gateway(fleet.gateways[0].process.address, &call).await
+    call_gateway(fleet.gateways[0].process.address, &SoakCall::probe(version)).await
 }
 
 /// Guards against CONFIG: a gateway that has missed versions asks for each of them, their answer takes
--- a/daemon/tests/store_restore.rs
+++ b/daemon/tests/store_restore.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use quetzalpin_platform_soak::{
-    CallKind, CallOutcome, FleetSize, SoakCall, SoakFleet, StoreRows, USUAL_PROMPT, WorkerKind,
-    call_gateway, encode_catalog,
+    CallOutcome, FleetSize, SoakCall, SoakFleet, StoreRows, WorkerKind, call_gateway,
+    encode_catalog,
 };
 
 const SIZE: FleetSize = FleetSize {
@@ -69,16 +69,11 @@
 }
 
 async fn probe(fleet: &SoakFleet) -> CallOutcome {
-    let call = SoakCall {
-        id: format!("restore-{:08x}", fastrand::u32(..)),
-        kind: CallKind::Probe(NEW_CATALOG),
-        model: String::new(),
-        events: 0,
-        gateway: 0,
-        prompt: USUAL_PROMPT.to_owned(),
-        resume: None,
-    };
-    call_gateway(fleet.gateways[0].process.address, &call).await
+    call_gateway(
+        fleet.gateways[0].process.address,
+        &SoakCall::probe(NEW_CATALOG),
+    )
+    .await
 }
 
 /// Guards against CONFIG: a configuration that was written after the return, below the position of
--- a/src/gateway/call_flow/mod.rs
+++ b/src/gateway/call_flow/mod.rs
@@ -114,7 +114,7 @@
     /// the stream is incomplete.
     pub async fn resume(&mut self, failed: UpstreamKey, after: u64) -> Option<StartedStream> {
         if !self.has_certain_origin().await {
-            log::info!(request:% = self.call.plan.request, after; "stream ends, its upstream had started again");
+            log::info!(request:% = self.call.plan.request, after; "stream ends, its origin is not certain");
             return None;
         }
         let software = self.software.as_ref()?;
