One read of the list's changes for all that confirm a start, and plainer names for the planner's reads

Change: `read_list_changes` serves all three, `confirm_start` stands beside `names_start`, the names say that the planner read the feed (`record_planner_read`, `is_planner_current`, `max_planner_age_ms`), `age_ms` has no nested option.

Behaviour is the same; tests change by the renamed calls alone.

--- a/src/config/client_limits.rs
+++ b/src/config/client_limits.rs
@@ -20,8 +20,8 @@
 /// Part of the connections that may come from one address, which several load balancers may share.
 const ADDRESS_SHARE: (usize, usize) = (3, 4);
 
-/// Part of the memory that connections may take, as a divisor. Messages take a quarter, and the rest is
-/// for what the process knows of the fleet.
+/// Part of the memory that connections may take, as a divisor. Messages and requests in flight take
+/// a quarter, and the rest is for what the process knows of the fleet.
 const MEMORY_DIVISOR: u64 = 3;
 
 /// Memory in bytes that a connection takes with the buffers of the HTTP server. A connection with part
--- a/src/gateway/call_flow/mod.rs
+++ b/src/gateway/call_flow/mod.rs
@@ -232,8 +232,8 @@
             return;
         }
         let entry = context.roster.borrow().get(key).cloned();
-        let certain = entry.filter(|_| context.is_list_trusted());
-        if certain.is_none() && !context.runs_listed_start(&plan.request, key).await {
+        let trusted_entry = entry.filter(|_| context.is_list_trusted());
+        if trusted_entry.is_none() && !context.runs_listed_start(&plan.request, key).await {
             self.software = None;
             return;
         }
@@ -242,7 +242,7 @@
         let Some(software) = &self.software else {
             return;
         };
-        if !is_sequel && certain.is_some_and(|entry| !context.is_engine(&entry)) {
+        if !is_sequel && trusted_entry.is_some_and(|entry| !context.is_engine(&entry)) {
             let start = stream.rest.start();
             self.unconfirmed = Some(start.clone());
             context.origin_claims.push(OriginClaim {
--- a/src/gateway/feed_watch.rs
+++ b/src/gateway/feed_watch.rs
@@ -9,9 +9,9 @@
 use crate::prelude::*;
 use crate::table::TableEra;
 
-/// Greatest age in milliseconds of the planner's own reads of the list of upstreams for its word to count;
-/// the pauses between them are longer than those of the configuration.
-const MAX_ROSTER_WORD_AGE_MS: u64 = 3_500;
+/// Greatest age in milliseconds of the planner's own reads of the list of upstreams for this process to rely
+/// on them; the pauses between them are longer than those of the configuration.
+const MAX_PLANNER_ROSTER_AGE_MS: u64 = 3_500;
 
 /// The feeds that a gateway reads, compared with those of other processes.
 #[derive(Debug)]
@@ -29,7 +29,7 @@
         Self {
             catalog: WatchedFeed::open("configuration"),
             roster: WatchedFeed::open("list of upstreams")
-                .with_max_word_age(MAX_ROSTER_WORD_AGE_MS),
+                .with_max_planner_age(MAX_PLANNER_ROSTER_AGE_MS),
             roster_era: Cell::default(),
         }
     }
@@ -75,9 +75,9 @@
     }
 
     /// Records the ages of the planner's reads, from its answer to a call that began at `sent_at`.
-    pub fn record_told(&self, sent_at: MonoTime, ages: FeedAges) {
-        self.catalog.record_told(sent_at, ages.catalog_ms);
-        self.roster.record_told(sent_at, ages.roster_ms);
+    pub fn record_planner_read(&self, sent_at: MonoTime, ages: FeedAges) {
+        self.catalog.record_planner_read(sent_at, ages.catalog_ms);
+        self.roster.record_planner_read(sent_at, ages.roster_ms);
     }
 
     /// Records the newest changes that another process has read.
@@ -94,8 +94,8 @@
     /// answers; it tells of changes that this process misses if it has read the feed itself.
     pub fn repeat_overdue_calls(&self, now: MonoTime, has_planner: bool) {
         for feed in [&self.catalog, &self.roster] {
-            let is_told = has_planner && feed.is_told_of_changes(now);
-            feed.repeat_overdue_call(now, is_told);
+            let is_covered = has_planner && feed.is_planner_current(now);
+            feed.repeat_overdue_call(now, is_covered);
         }
     }
 
--- a/src/gateway/fleet_follower.rs
+++ b/src/gateway/fleet_follower.rs
@@ -166,7 +166,7 @@
 /// Whether another process would tell this one of a change of a feed that it misses.
 fn has_planner(context: &GatewayContext, feed: &WatchedFeed) -> bool {
     let now = context.now();
-    context.host.is_planner_responsive(now) && feed.is_told_of_changes(now)
+    context.host.is_planner_responsive(now) && feed.is_planner_current(now)
 }
 
 async fn sleep_ms(millis: u64) {
--- a/src/gateway/origin_check.rs
+++ b/src/gateway/origin_check.rs
@@ -47,12 +47,6 @@
 }
 
 impl GatewayContext {
-    /// Whether the list, read now, still names the start that a stream of this process began at.
-    pub(super) async fn confirm_start(&self, start: &UpstreamStart) -> bool {
-        let changes = self.read_list_changes().await;
-        changes.is_some_and(|changes| self.names_start(&changes, start))
-    }
-
     /// Records the origins of streams that wait if the list, read now, still names the start of their
     /// upstream. Returns whether the list could be read.
     async fn check_origins(&self) -> bool {
@@ -60,7 +54,7 @@
         if claims.is_empty() {
             return true;
         }
-        let Some(changes) = self.read_list_changes().await else {
+        let Some(changes) = self.read_changes_to_confirm().await else {
             self.put_back(claims);
             return false;
         };
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -128,17 +128,12 @@
         let [only] = rule.services.as_slice() else {
             return Ok(None);
         };
-        let Some(position) = self.feeds.roster_position() else {
+        let Some(changes) = self.read_list_changes().await? else {
             return Ok(None);
         };
-        let update = self
-            .ports
-            .fleet
-            .upstreams(Some(position), 0, Rc::default())
-            .await?;
         self.observe_software();
         let mut history = self.software_history.borrow_mut();
-        for change in &update.changes {
+        for change in &changes {
             match change {
                 UpstreamChange::Listed(entry) => history.observe_entry(self.now(), entry),
                 // It was listed and removed since, perhaps with a version of its own.
--- a/src/gateway/planner_link.rs
+++ b/src/gateway/planner_link.rs
@@ -145,8 +145,9 @@
         if let Some(response) = response {
             context.record_remote_era(response.feeds.era);
             context.feeds.record_remote(context.now(), response.feeds);
+            // A planner in this process has read nothing but what this process knows anyway.
             if planner.is_some() {
-                context.feeds.record_told(sent_at, response.ages);
+                context.feeds.record_planner_read(sent_at, response.ages);
             }
             context.set_resend_share(response.entry_count);
             context.apply_token_grants(response.entry_count, &response.tokens);
--- a/src/gateway/start_check.rs
+++ b/src/gateway/start_check.rs
@@ -6,7 +6,7 @@
 
 use super::GatewayContext;
 use super::upstream_loss::UpstreamStart;
-use crate::fleet::{UpstreamChange, UpstreamEntry, UpstreamKey};
+use crate::fleet::{SourceError, UpstreamChange, UpstreamEntry, UpstreamKey};
 use crate::orders::UpstreamTarget;
 
 /// Longest time in milliseconds for an engine to tell its start.
@@ -55,13 +55,16 @@
         is_same
     }
 
-    /// The changes of the list since this process read it last; `None` if it cannot be read.
-    pub(super) async fn read_list_changes(&self) -> Option<Vec<UpstreamChange>> {
-        let position = self.feeds.roster_position()?;
-        let fleet = &self.ports.fleet;
-        let reading = fleet.upstreams(Some(position), 0, Rc::default());
-        match reading.await {
-            Ok(update) => Some(update.changes),
+    /// Whether the list, read now, still names a start of an upstream.
+    pub(super) async fn confirm_start(&self, start: &UpstreamStart) -> bool {
+        let changes = self.read_changes_to_confirm().await;
+        changes.is_some_and(|changes| self.names_start(&changes, start))
+    }
+
+    /// Like [`Self::read_list_changes`]; `None` also if the list cannot be read, which is logged.
+    pub(super) async fn read_changes_to_confirm(&self) -> Option<Vec<UpstreamChange>> {
+        match self.read_list_changes().await {
+            Ok(changes) => changes,
             Err(error) => {
                 log::warn!(dependency = "list of upstreams", error:% = error; "start of an upstream not confirmed");
                 None
@@ -69,6 +72,21 @@
         }
     }
 
+    /// Changes of the list since this process read it last, without a wait; `None` if it has not read it.
+    ///
+    /// # Errors
+    /// [`SourceError`] if the list cannot be read.
+    pub(super) async fn read_list_changes(
+        &self,
+    ) -> Result<Option<Vec<UpstreamChange>>, SourceError> {
+        let Some(position) = self.feeds.roster_position() else {
+            return Ok(None);
+        };
+        let fleet = &self.ports.fleet;
+        let update = fleet.upstreams(Some(position), 0, Rc::default()).await?;
+        Ok(Some(update.changes))
+    }
+
     /// Whether the list with some changes names a start of an upstream.
     pub(super) fn names_start(&self, changes: &[UpstreamChange], start: &UpstreamStart) -> bool {
         let roster = self.roster.borrow();
--- a/src/gateway/watched_feed.rs
+++ b/src/gateway/watched_feed.rs
@@ -21,12 +21,12 @@
 const MISSED_MS: u64 = 2_500;
 
 /// Greatest age in milliseconds of what is known for a final refusal by it. It leaves time for a read
-/// after the planner's word has become too old.
+/// after the planner's own reads have become too old.
 const MAX_CURRENT_AGE_MS: u64 = 2_800;
 
-/// Greatest age in milliseconds of the planner's own reads for its word to count, unless another one is
-/// set. A planner that is on time reads every 1.3 s, and answers twice a second.
-const MAX_WORD_AGE_MS: u64 = 2_300;
+/// Greatest age in milliseconds of the planner's own reads for this process to rely on them, unless another
+/// one is set. A planner that is on time reads every 1.3 s, and answers twice a second.
+const MAX_PLANNER_AGE_MS: u64 = 2_300;
 
 /// A completed read of a feed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,8 +62,8 @@
 #[derive(Debug)]
 pub struct WatchedFeed {
     name: &'static str,
-    /// Greatest age in milliseconds of the planner's own reads for its word to count.
-    max_word_age_ms: u64,
+    /// Greatest age in milliseconds of the planner's own reads for this process to rely on them.
+    max_planner_age_ms: u64,
     /// Version up to which this process has read.
     position: Cell<u64>,
     /// Version of the newest change that this process has read; at most `position`.
@@ -79,7 +79,7 @@
     /// Time until which this process's own reads show that there was no newer change.
     confirmed_until: Cell<MonoTime>,
     /// Time until which the planner has read the feed, and would have told of newer changes.
-    told_until: Cell<MonoTime>,
+    planner_read_until: Cell<MonoTime>,
     /// When this process last had a reason to think that it misses changes; `None` once a call that
     /// began later has completed.
     doubted_at: Cell<Option<MonoTime>>,
@@ -98,7 +98,7 @@
     pub fn open(name: &'static str) -> Self {
         Self {
             name,
-            max_word_age_ms: MAX_WORD_AGE_MS,
+            max_planner_age_ms: MAX_PLANNER_AGE_MS,
             position: Cell::new(0),
             newest_change: Cell::new(0),
             call_started_at: Cell::default(),
@@ -106,7 +106,7 @@
             seen_progress: Cell::default(),
             further_calls: Cell::new(0),
             confirmed_until: Cell::default(),
-            told_until: Cell::default(),
+            planner_read_until: Cell::default(),
             doubted_at: Cell::default(),
             is_behind: Cell::new(false),
             missed: Cell::new(None),
@@ -114,10 +114,10 @@
         }
     }
 
-    /// Replaces the greatest age of the planner's own reads for its word to count.
+    /// Replaces the greatest age of the planner's own reads for this process to rely on them.
     #[must_use]
-    pub const fn with_max_word_age(mut self, millis: u64) -> Self {
-        self.max_word_age_ms = millis;
+    pub const fn with_max_planner_age(mut self, millis: u64) -> Self {
+        self.max_planner_age_ms = millis;
         self
     }
 
@@ -143,11 +143,11 @@
     /// no newer change.
     #[must_use]
     pub fn age_ms(&self, now: MonoTime) -> u64 {
-        let told_until = self.told_until.get();
-        let is_told_of_all = self.missed.get().is_none();
-        let told_ms = is_told_of_all.then(|| now.millis_since(told_until));
         let own_ms = self.own_age_ms(now);
-        told_ms.map_or(own_ms, |told_ms| told_ms.min(own_ms))
+        if self.missed.get().is_some() {
+            return own_ms;
+        }
+        own_ms.min(now.millis_since(self.planner_read_until.get()))
     }
 
     /// Like [`Self::age_ms`], by this process's own reads alone.
@@ -164,15 +164,15 @@
 
     /// Records that the planner's own reads, when it answered a call of this process that began at
     /// `sent_at`, had the given age.
-    pub fn record_told(&self, sent_at: MonoTime, age_ms: u64) {
-        self.told_until.set(sent_at - age_ms);
+    pub fn record_planner_read(&self, sent_at: MonoTime, age_ms: u64) {
+        self.planner_read_until.set(sent_at - age_ms);
     }
 
-    /// Whether the planner has read the feed a short while ago, so that its word would tell of changes
-    /// that this process misses.
+    /// Whether the planner has read the feed a short while ago, so that its answers name changes that this
+    /// process misses.
     #[must_use]
-    pub fn is_told_of_changes(&self, now: MonoTime) -> bool {
-        now.millis_since(self.told_until.get()) < self.max_word_age_ms
+    pub fn is_planner_current(&self, now: MonoTime) -> bool {
+        now.millis_since(self.planner_read_until.get()) < self.max_planner_age_ms
     }
 
     /// Milliseconds for which the newest call in progress has been running; 0 between calls.
--- a/src/net/body_reader.rs
+++ b/src/net/body_reader.rs
@@ -121,7 +121,7 @@
     let began_at = Instant::now();
     let limit = Duration::from_millis(limit_ms);
     let mut window = pace.map_or(limit, |pace| Duration::from_millis(pace.grace_ms));
-    let mut received_before = received.bytes();
+    let mut received_before = 0;
     let mut is_last_chance = false;
     loop {
         let left = limit.saturating_sub(began_at.elapsed());
--- a/tests/feed_watch.rs
+++ b/tests/feed_watch.rs
@@ -188,14 +188,14 @@
         catalog_ms: 1_400,
         roster_ms: 1_400,
     };
-    watch.record_told(at(3_500), ages);
+    watch.record_planner_read(at(3_500), ages);
     watch.repeat_overdue_calls(at(4_300), true);
     assert!(!watch.catalog.repeat.is_set(), "the planner's word counts");
     let ages = FeedAges {
         catalog_ms: 3_900,
         roster_ms: 400,
     };
-    watch.record_told(at(6_000), ages);
+    watch.record_planner_read(at(6_000), ages);
     watch.repeat_overdue_calls(at(6_100), true);
     assert!(watch.catalog.repeat.is_set());
     assert!(!watch.roster.repeat.is_set());
@@ -215,7 +215,7 @@
     feed.record_read(quiet);
     assert!(feed.is_current(at(4_200)));
     assert!(!feed.is_current(at(4_300)), "2.8 s after the quiet time");
-    feed.record_told(at(4_300), 300);
+    feed.record_planner_read(at(4_300), 300);
     assert!(feed.is_current(at(6_700)));
     feed.record_remote_change(at(6_700), 9);
     assert!(!feed.is_current(at(6_800)), "a newer version is known");
