Review: bodies over HTTP/2 exceed a gateway's memory

The client address takes HTTP/2 with 200 streams on a connection, while the limits count one request for each connection and nothing of a request before its body is whole.

--- a/review/lib-3/main.rs
+++ b/review/lib-3/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and scripts of the review's cases 11 to 15.
 
+mod crowd;
 mod fleet;
 mod http;
 mod json;
@@ -22,6 +23,7 @@
             let record = Record::open();
             let status = match *case {
                 "unframed" => unframed::run(&record, &scratch, has_trouble),
+                "crowd" => crowd::run(&record, &scratch, has_trouble),
                 "restored" => restored::run(&record, &scratch, has_trouble),
                 _ => 2,
             };
